--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Installs what the build needs by Debian's package manager, where it is missing.
+set -euo pipefail
+packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy valgrind curl
+    libuv1-dev libh2o-dev libcapnp-dev libspdlog-dev libyaml-cpp-dev libxxhash-dev
+    nlohmann-json3-dev libboost-dev libboost-program-options-dev
+    catch2 librapidcheck-dev libbenchmark-dev)
+missing=()
+for package in "${packages[@]}"; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done
+[ "${#missing[@]}" -eq 0 ] && exit 0
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
--- /dev/null
+++ b/src/libnutmeghinge/peermessages.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "deduplicationentry.h"
+#include "fence.h"
+#include "ids.h"
+#include "memberload.h"
+#include "ownershipmap.h"
+#include "units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * Control messages between the members of one cell. Each is one-way and may be
+ * lost, delayed, repeated or reordered.
+ */
+namespace nutmeghinge {
+
+/** Document that travels with a message, so that a member needs no platform to learn it. */
+struct DocumentCopy {
+    DocumentRevision revision;
+    std::string text;
+
+    friend bool operator==(const DocumentCopy &, const DocumentCopy &) = default;
+};
+
+/** Asks a member to promise that it will follow the sender as coordinator for one promise length. */
+struct PromiseRequest {
+    Term term;
+    CellRevision revision;
+    /** Sender's clock when it sent the request; returned in the answer. */
+    MonotonicTime sentAt;
+
+    friend bool operator==(const PromiseRequest &, const PromiseRequest &) = default;
+};
+
+/** Answers a promise request, or refuses it. */
+struct PromiseAnswer {
+    Term term;
+    bool granted = false;
+    CellRevision revision;
+    MonotonicTime sentAt;
+    /** Highest term that the member has seen; a refused candidate goes above it. */
+    Term highestTerm;
+    /** Newest map that the member has seen; sent on the first grant of a term only. */
+    std::optional<OwnershipMap> map;
+    DocumentRevision document;
+
+    friend bool operator==(const PromiseAnswer &, const PromiseAnswer &) = default;
+};
+
+/** Asks the coordinator for a new lease and reports what the member holds. */
+struct Heartbeat {
+    Term term;
+    CellRevision revision;
+    /** Member's clock when it sent the heartbeat; its lease counts from here. */
+    MonotonicTime sentAt;
+    Fence mapVersion;
+    DocumentRevision document;
+    /** Shards that the member holds under a lease that is still valid. */
+    std::vector<ShardIndex> held;
+    /** Shards that it has drained and handed over, by the fence they were held with. */
+    std::vector<std::pair<ShardIndex, Fence>> released;
+    /** The member wants to give all its shards away before it ends. */
+    bool leaving = false;
+    MemberLoad load;
+    /** Sent when the coordinator's revision is lower than the member's. */
+    std::optional<DocumentCopy> newerDocument;
+
+    friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
+};
+
+/** Grants the sender of a heartbeat a lease. */
+struct HeartbeatAnswer {
+    Term term;
+    CellRevision revision;
+    MonotonicTime sentAt;
+    /** Length of the lease, counted by the member from sentAt; zero grants nothing. */
+    Duration lease{0};
+    /** Whole map, where the member's version is lower. */
+    std::optional<OwnershipMap> map;
+    DocumentRevision document;
+    /** Document, where the member's revision is lower. */
+    std::optional<DocumentCopy> newerDocument;
+    /** Load of all members, for services that are not divided by key. */
+    std::vector<MemberLoad> loads;
+
+    friend bool operator==(const HeartbeatAnswer &, const HeartbeatAnswer &) = default;
+};
+
+/** Carries a released shard's deduplication memory from its old owner to the next. */
+struct HandoverOffer {
+    ShardIndex shard;
+    Fence fence;
+    std::vector<DeduplicationEntry> entries;
+
+    friend bool operator==(const HandoverOffer &, const HandoverOffer &) = default;
+};
+
+/** Confirms that a handover offer is in memory. */
+struct HandoverAccepted {
+    ShardIndex shard;
+    Fence fence;
+
+    friend bool operator==(const HandoverAccepted &, const HandoverAccepted &) = default;
+};
+
+using PeerMessage = std::variant<PromiseRequest, PromiseAnswer, Heartbeat, HeartbeatAnswer, HandoverOffer, HandoverAccepted>;
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/reducer.cpp
@@ -0,0 +1,130 @@
+#include "reducer.h"
+
+#include "effectlist.h"
+
+#include <algorithm>
+#include <array>
+
+namespace nutmeghinge {
+
+Reducer::Reducer(NodeIdentity identity, Timings timings)
+    : m_router(identity.seed)
+    , m_cell(std::move(identity), timings, m_router)
+{
+    m_router.setOwnership(m_cell);
+}
+
+Effects Reducer::apply(const Event &event)
+{
+    // One handler for each alternative of EventBody, in its order.
+    static constexpr std::array<Handler, std::variant_size_v<EventBody>> handlers{
+        &Reducer::handleTick,
+        &Reducer::handleStopRequested,
+        &Reducer::handleConnectionsClosed,
+        &Reducer::handleInCell<&Cell::cellRowRead>,
+        &Reducer::handleInCell<&Cell::cellRowWriteFinished>,
+        &Reducer::handleInCell<&Cell::memberRowsRead>,
+        &Reducer::handleInCell<&Cell::memberRowWriteFinished>,
+        &Reducer::handleInCell<&Cell::documentRead>,
+        &Reducer::handleInCell<&Cell::cellsRead>,
+        &Reducer::handleInCell<&Cell::peerMessageArrived>,
+        &Reducer::handleTargetAnnounced,
+        &Reducer::handleTargetProbed,
+        &Reducer::handleInCell<&Cell::targetGrantFinished>,
+        &Reducer::handleInRouter<&RequestRouter::requestArrived>,
+        &Reducer::handleInRouter<&RequestRouter::requestCancelled>,
+        &Reducer::handleInRouter<&RequestRouter::attemptAnswering>,
+        &Reducer::handleAttemptFinished,
+    };
+    EffectList effects(advanceClock(event.wallTime));
+    (this->*handlers[event.body.index()])(event, effects);
+    Effects result = effects.take();
+    m_clock.counter += static_cast<std::uint32_t>(result.size());
+    return result;
+}
+
+HybridTime Reducer::advanceClock(WallTime wallTime)
+{
+    if (wallTime > m_clock.wall) {
+        m_clock = HybridTime{wallTime, 0};
+    } else {
+        ++m_clock.counter;
+    }
+    return m_clock;
+}
+
+void Reducer::handleTick(const Event &event, EffectList &effects)
+{
+    m_cell.tick(event, effects);
+    m_router.ownershipChanged(event, effects);
+    m_router.tick(event, effects);
+    if (!m_stopping || m_exited) {
+        return;
+    }
+    if (m_cell.isStopped() && !m_listenersClosed) {
+        m_listenersClosed = true;
+        effects.add(CloseListeners{});
+    }
+    if (m_connectionsClosed && m_router.runningRequests() == 0) {
+        m_exited = true;
+        TimelineRecord record;
+        record.kind = TimelineRecord::Kind::NodeStopped;
+        effects.record(std::move(record));
+        effects.add(Exit{0});
+    }
+}
+
+void Reducer::handleStopRequested(const Event &event, EffectList &effects)
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::StopRequested;
+    effects.record(std::move(record));
+    m_cell.stop(event, effects);
+    m_router.stop(event, effects);
+}
+
+void Reducer::handleConnectionsClosed(const Event &, EffectList &)
+{
+    m_connectionsClosed = true;
+}
+
+void Reducer::handleTargetAnnounced(const Event &event, EffectList &effects)
+{
+    m_cell.targetAnnounced(event, effects);
+    m_router.targetAnnounced(event, effects);
+}
+
+void Reducer::handleTargetProbed(const Event &event, EffectList &effects)
+{
+    m_cell.targetProbed(event, effects);
+    m_router.targetProbed(event, effects);
+}
+
+void Reducer::handleAttemptFinished(const Event &event, EffectList &effects)
+{
+    const auto &finished = std::get<AttemptFinished>(event.body);
+    const auto *notRun = std::get_if<AttemptNotRun>(&finished.result);
+    if (notRun && notRun->newerFence) {
+        m_cell.sawNewerFence(*notRun->newerFence, event, effects);
+    }
+    m_router.attemptFinished(event, effects);
+}
+
+template <void (Cell::*Member)(const Event &, EffectList &)>
+void Reducer::handleInCell(const Event &event, EffectList &effects)
+{
+    (m_cell.*Member)(event, effects);
+    m_router.ownershipChanged(event, effects);
+}
+
+template <void (RequestRouter::*Member)(const Event &, EffectList &)>
+void Reducer::handleInRouter(const Event &event, EffectList &effects)
+{
+    (m_router.*Member)(event, effects);
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/requestrouter.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "events.h"
+#include "shardactivity.h"
+
+#include <memory>
+
+namespace nutmeghinge {
+
+class EffectList;
+class OwnershipView;
+
+/** Counts since the start of the node. */
+struct RequestCounters {
+    std::uint64_t arrived = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t retriesDenied = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t duplicatesJoined = 0;
+    std::uint64_t duplicatesAnswered = 0;
+    std::uint32_t inFlight = 0;
+    std::uint32_t queued = 0;
+};
+
+/**
+ * Brings each request to the owner of its key: routing, admission to the target
+ * beside this node, queues, retries within a budget, deadlines and the memory
+ * of idempotency keys. Owned by the Reducer.
+ */
+class RequestRouter : public ShardActivity
+{
+public:
+    explicit RequestRouter(std::uint64_t seed);
+    ~RequestRouter() override;
+
+    /** Must be called once before the first event; the view must outlive the router. */
+    void setOwnership(const OwnershipView &ownership);
+
+    // Events; each is called by the Reducer only, after the Cell has seen the event.
+    void tick(const Event &event, EffectList &effects);
+    void stop(const Event &event, EffectList &effects);
+    void targetAnnounced(const Event &event, EffectList &effects);
+    void targetProbed(const Event &event, EffectList &effects);
+    void requestArrived(const Event &event, EffectList &effects);
+    void requestCancelled(const Event &event, EffectList &effects);
+    void attemptAnswering(const Event &event, EffectList &effects);
+    void attemptFinished(const Event &event, EffectList &effects);
+    /** The map, the lease or the document may have changed: waiting requests are looked at again. */
+    void ownershipChanged(const Event &event, EffectList &effects);
+
+    std::uint32_t blockingRequests(ShardIndex shard) const override;
+    std::uint32_t runningRequests() const override;
+    MemberLoad takeLoad(MonotonicTime now) override;
+    std::vector<DeduplicationEntry> exportDeduplication(ShardIndex shard, MonotonicTime now) const override;
+    void importDeduplication(const std::vector<DeduplicationEntry> &entries, MonotonicTime now) override;
+
+    const RequestCounters &counters() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/shardof.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "ids.h"
+#include "ownershipmap.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace nutmeghinge {
+
+/** xxh64 hash of a key; never 0, which marks an unused hot key entry. */
+std::uint64_t hashOfKey(std::string_view key);
+
+/** Shard of a key's hash: its own if the map lists it as hot, else one of the document's number. */
+ShardIndex shardOfHash(std::uint64_t keyHash, const OwnershipMap &map, std::uint32_t documentShards);
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/timings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "units.h"
+
+namespace nutmeghinge {
+
+/** Intervals of the ownership protocol. Each node of a cell must use the same. */
+struct Timings {
+    /** Between two heartbeats of a member. */
+    Duration heartbeat{std::chrono::milliseconds(80)};
+    /** Lease of a member, counted from when it sent the heartbeat. */
+    Duration memberLease{std::chrono::milliseconds(500)};
+    /** Promise of a member to follow a coordinator, counted by the coordinator from when it asked. */
+    Duration promise{std::chrono::milliseconds(250)};
+    /** Between two renewals of the promises. */
+    Duration promiseRenewal{std::chrono::milliseconds(80)};
+    /** Delay of each further candidate before it asks for a term. */
+    Duration candidateStagger{std::chrono::milliseconds(40)};
+    /** Longer than this between two turns of the loop: the node was paused, and its lease counts as lapsed. */
+    Duration pauseLimit{std::chrono::milliseconds(200)};
+    /** Parts in 1000 by which two monotonic clocks may run apart. */
+    std::int64_t driftPerMille = 20;
+    /** Between two reads of the table by a node that is no member, and of the member rows and the document by a coordinator. */
+    Duration tablePoll{std::chrono::seconds(1)};
+    /** Between two writes of the cell's row, unless members change. */
+    Duration rowWriteInterval{std::chrono::seconds(1)};
+    /** Without an announcement for this long the target counts as silent. */
+    Duration targetSilence{std::chrono::seconds(3)};
+    /** Between two probes of the target's health and load. */
+    Duration targetProbe{std::chrono::seconds(1)};
+    /** Between two reads of the cells of other services. */
+    Duration directoryPoll{std::chrono::seconds(10)};
+
+    /** The duration, lengthened by the clocks' drift. */
+    Duration withDrift(Duration duration) const { return duration + duration * driftPerMille / 1000; }
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/nutmeghingectl/main.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cout << "nutmeghingectl " NUTMEGHINGE_VERSION "\n";
+    return 0;
+}
--- /dev/null
+++ b/tests/core/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/standins/targetmain.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
