--- /dev/null
+++ b/src/libnutmeghinge/cell.cpp
@@ -0,0 +1,400 @@
+#include "cell.h"
+
+#include "cellcontext.h"
+#include "coordinator.h"
+#include "effectlist.h"
+#include "follower.h"
+#include "shardactivity.h"
+#include "shardhandover.h"
+#include "tablepolling.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+/** Time without a shard after which a stopping node no longer waits to be taken from the list. */
+constexpr Duration removalPatience = std::chrono::seconds(2);
+
+} // namespace
+
+struct Cell::Private {
+    Private(NodeIdentity identity, Timings timings, ShardActivity &activity);
+
+    void begin(const Event &event, EffectList &effects);
+    void adoptRow(const CellRow &row, const Event &event, EffectList &effects);
+    void recordMemberChanges(const CellRow &row, EffectList &effects) const;
+    void rowKnown(const Event &event, EffectList &effects);
+    bool hasAuthority(MonotonicTime now) const;
+    void refreshStopped(MonotonicTime now);
+    TablePolling::Need tableNeed(MonotonicTime now) const;
+    WallTime wallTime(MonotonicTime now) const;
+
+    CellContext context;
+    ShardHandover handover;
+    Coordinator coordinator;
+    Follower follower;
+    TablePolling polling;
+    MonotonicTime lastEventAt;
+    WallTime lastWallTime;
+    MonotonicTime noneHeldSince = MonotonicTime::max();
+    bool stopped = false;
+};
+
+Cell::Private::Private(NodeIdentity identity, Timings timings, ShardActivity &activity)
+    : context(std::move(identity), timings, activity)
+    , handover(context)
+    , coordinator(context, handover)
+    , follower(context, handover)
+    , polling(context)
+    , lastEventAt(context.identity.startedAt)
+{
+}
+
+void Cell::Private::begin(const Event &event, EffectList &effects)
+{
+    const bool paused = event.at - lastEventAt > context.timings.pauseLimit;
+    lastEventAt = event.at;
+    lastWallTime = event.wallTime;
+    if (!paused) {
+        return;
+    }
+    context.lease.lapse(event.at);
+    coordinator.end("paused", event, effects);
+}
+
+void Cell::Private::adoptRow(const CellRow &row, const Event &event, EffectList &effects)
+{
+    recordMemberChanges(row, effects);
+    coordinator.noteRow(row);
+    context.members.assign(row);
+    context.members.noteAnnounced(polling.announced(), event.at + context.timings.withDrift(context.timings.promise));
+    context.learnMap(row.map);
+    const Member *own = context.members.find(context.identity.node, context.identity.incarnation);
+    const MemberSlot slot = own ? own->slot : noMember;
+    if (slot == context.self) {
+        return;
+    }
+    if (context.self != noMember) {
+        polling.setLostSlot(context.self);
+    }
+    coordinator.end("slot lost", event, effects);
+    context.lease.lapse(event.at);
+    context.self = slot;
+}
+
+void Cell::Private::recordMemberChanges(const CellRow &row, EffectList &effects) const
+{
+    const auto record = [&](TimelineRecord::Kind kind, const Member &member) {
+        TimelineRecord change;
+        change.kind = kind;
+        change.member = member.slot;
+        change.detail = member.node.value();
+        effects.record(std::move(change));
+    };
+    MemberList after;
+    after.assign(row);
+    for (const Member &member : context.members.members()) {
+        if (!after.find(member.slot)) {
+            record(TimelineRecord::Kind::MemberRemoved, member);
+        }
+    }
+    for (const Member &member : row.members) {
+        if (!context.members.find(member.slot)) {
+            record(TimelineRecord::Kind::MemberAdded, member);
+        }
+    }
+}
+
+void Cell::Private::rowKnown(const Event &event, EffectList &effects)
+{
+    const std::optional<VersionedCellRow> &known = context.row.known();
+    if (!known) {
+        return;
+    }
+    if (coordinator.isInOffice() && coordinator.isOverruledBy(known->row)) {
+        coordinator.end("row written by another coordinator", event, effects);
+    }
+    if (known->row.revision != context.members.revision()) {
+        adoptRow(known->row, event, effects);
+    } else if (!coordinator.isInOffice()) {
+        context.learnMap(known->row.map);
+    }
+}
+
+bool Cell::Private::hasAuthority(MonotonicTime now) const
+{
+    if (context.self == noMember || now - lastEventAt > context.timings.pauseLimit) {
+        return false;
+    }
+    return coordinator.isInOffice() ? coordinator.isActive(now) : context.lease.isValid(now);
+}
+
+void Cell::Private::refreshStopped(MonotonicTime now)
+{
+    if (!context.stopping || stopped) {
+        return;
+    }
+    const bool holds = hasAuthority(now) && !handover.held().empty();
+    if (holds) {
+        noneHeldSince = MonotonicTime::max();
+        return;
+    }
+    noneHeldSince = std::min(noneHeldSince, now);
+    const bool alone = context.members.members().size() <= 1;
+    stopped = context.self == noMember || alone || now - noneHeldSince >= removalPatience;
+}
+
+TablePolling::Need Cell::Private::tableNeed(MonotonicTime now) const
+{
+    if (coordinator.isInOffice()) {
+        return TablePolling::Need::Coordinating;
+    }
+    return context.self != noMember && context.lease.isValid(now) ? TablePolling::Need::Settled : TablePolling::Need::Searching;
+}
+
+WallTime Cell::Private::wallTime(MonotonicTime now) const
+{
+    return lastWallTime + std::chrono::duration_cast<WallTime::duration>(now - lastEventAt);
+}
+
+Cell::Cell(NodeIdentity identity, Timings timings, ShardActivity &activity)
+    : m_d(std::make_unique<Private>(std::move(identity), timings, activity))
+{
+}
+
+Cell::~Cell() = default;
+
+void Cell::tick(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->context.target.tick(event.at, effects);
+    m_d->handover.tick(event.at, effects);
+    m_d->coordinator.tick(event, effects);
+    m_d->follower.tick(event, effects);
+    m_d->polling.tick(m_d->tableNeed(event.at), event, effects);
+    const Document *inForce = document();
+    if (inForce && inForce->targetsCheckFence && m_d->hasAuthority(event.at)) {
+        m_d->context.target.sendGrants(m_d->context.map, m_d->context.self, event.at, effects);
+    }
+    m_d->refreshStopped(event.at);
+}
+
+void Cell::stop(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->context.stopping = true;
+    m_d->polling.announce(event.at, effects);
+    m_d->follower.hurry();
+    m_d->refreshStopped(event.at);
+}
+
+void Cell::cellRowRead(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    const auto outcome = m_d->context.row.readFinished(std::get<CellRowRead>(event.body), event.at, effects);
+    if (outcome != CellRowKeeper::ReadOutcome::Unavailable && outcome != CellRowKeeper::ReadOutcome::Absent) {
+        m_d->rowKnown(event, effects);
+    }
+}
+
+void Cell::cellRowWriteFinished(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    const auto outcome = m_d->context.row.writeFinished(std::get<CellRowWriteFinished>(event.body), event.at, effects);
+    if (outcome == CellRowKeeper::WriteOutcome::Written) {
+        m_d->rowKnown(event, effects);
+    }
+}
+
+void Cell::memberRowsRead(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->polling.memberRowsRead(event);
+    m_d->coordinator.noteAnnounced(m_d->polling.announced());
+}
+
+void Cell::memberRowWriteFinished(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->polling.memberRowWriteFinished(event);
+}
+
+void Cell::documentRead(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->polling.documentRead(event, effects);
+}
+
+void Cell::cellsRead(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->polling.cellsRead(event);
+}
+
+void Cell::peerMessageArrived(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    const auto &arrived = std::get<PeerMessageArrived>(event.body);
+    if (arrived.service != m_d->context.service || m_d->context.self == noMember || !m_d->context.members.find(arrived.from)) {
+        return;
+    }
+    const MemberSlot from = arrived.from;
+    if (const auto *request = std::get_if<PromiseRequest>(&arrived.message)) {
+        m_d->follower.promiseRequested(from, *request, event, effects);
+    } else if (const auto *promise = std::get_if<PromiseAnswer>(&arrived.message)) {
+        m_d->coordinator.promiseAnswered(from, *promise, event, effects);
+    } else if (const auto *heartbeat = std::get_if<Heartbeat>(&arrived.message)) {
+        m_d->coordinator.heartbeatArrived(from, *heartbeat, event, effects);
+    } else if (const auto *answer = std::get_if<HeartbeatAnswer>(&arrived.message)) {
+        m_d->follower.heartbeatAnswered(from, *answer, event, effects);
+    } else if (const auto *offer = std::get_if<HandoverOffer>(&arrived.message)) {
+        m_d->handover.offered(from, *offer, event.at, effects);
+    } else if (const auto *accepted = std::get_if<HandoverAccepted>(&arrived.message)) {
+        m_d->handover.accepted(from, *accepted, effects);
+    }
+}
+
+void Cell::targetAnnounced(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    const auto &announcement = std::get<TargetAnnounced>(event.body);
+    CellContext &context = m_d->context;
+    if (!context.service.value().empty() && context.service != announcement.service) {
+        return;
+    }
+    context.service = announcement.service;
+    context.target.announced(announcement, event.at, effects);
+    m_d->polling.announce(event.at, effects);
+}
+
+void Cell::targetProbed(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->context.target.probed(std::get<TargetProbed>(event.body));
+}
+
+void Cell::targetGrantFinished(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    const auto &result = std::get<TargetGrantFinished>(event.body);
+    m_d->context.target.grantFinished(result);
+    if (result.newerFence) {
+        sawNewerFence(*result.newerFence, event, effects);
+    }
+}
+
+void Cell::sawNewerFence(Fence newer, const Event &event, EffectList &effects)
+{
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::StaleFence;
+    record.fence = newer;
+    effects.record(std::move(record));
+    m_d->context.promises.sawFence(newer.term);
+    if (m_d->coordinator.isInOffice() && newer.term > m_d->coordinator.term()) {
+        m_d->coordinator.renewFences(event, effects);
+    }
+}
+
+const Document *Cell::document() const
+{
+    return m_d->context.documents.document();
+}
+
+MemberSlot Cell::self() const
+{
+    return m_d->context.self;
+}
+
+const Member *Cell::member(MemberSlot slot) const
+{
+    return m_d->context.members.find(slot);
+}
+
+const std::vector<Member> &Cell::members() const
+{
+    return m_d->context.members.members();
+}
+
+const OwnershipMap &Cell::map() const
+{
+    return m_d->context.map;
+}
+
+bool Cell::mayAdmit(ShardIndex shard, MonotonicTime now) const
+{
+    const CellContext &context = m_d->context;
+    const Document *inForce = document();
+    if (!inForce || !context.target.latest() || context.isTargetLeaving(m_d->wallTime(now))) {
+        return false;
+    }
+    if (!inForce->isDividedByKey()) {
+        return context.target.isFresh(now) && !context.stopping;
+    }
+    if (shard.value() >= context.map.shards.size() || !m_d->hasAuthority(now)) {
+        return false;
+    }
+    const ShardOwnership &entry = context.map.shards[shard.value()];
+    const bool owned = entry.state == ShardOwnership::State::Owned && entry.owner == context.self;
+    return owned && (!inForce->targetsCheckFence || context.target.hasGrant(entry.fence));
+}
+
+MonotonicTime Cell::workEndsBefore() const
+{
+    const Document *inForce = document();
+    if (!inForce || inForce->targetsCheckFence || !inForce->isDividedByKey()) {
+        return MonotonicTime::max();
+    }
+    return leaseEnd() + inForce->executionLimit;
+}
+
+const std::vector<MemberLoad> &Cell::loads() const
+{
+    return m_d->context.loads;
+}
+
+const CellRow *Cell::otherCell(const std::string &host) const
+{
+    for (const CellRow &row : m_d->polling.cells()) {
+        if (row.service.value() == host) {
+            return &row;
+        }
+    }
+    return nullptr;
+}
+
+DocumentRevision Cell::documentRevision() const
+{
+    return m_d->context.documents.revision();
+}
+
+bool Cell::isCoordinator(MonotonicTime now) const
+{
+    return m_d->coordinator.isActive(now);
+}
+
+Term Cell::term() const
+{
+    return m_d->coordinator.isInOffice() ? m_d->coordinator.term() : m_d->context.promises.term();
+}
+
+CellRevision Cell::revision() const
+{
+    return m_d->context.members.revision();
+}
+
+MemberSlot Cell::coordinator() const
+{
+    return m_d->coordinator.isInOffice() ? m_d->context.self : m_d->context.promises.candidate();
+}
+
+MonotonicTime Cell::leaseEnd() const
+{
+    return m_d->coordinator.isInOffice() ? m_d->coordinator.activeUntil() : m_d->context.lease.end();
+}
+
+bool Cell::isStopped() const
+{
+    return m_d->stopped;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/cellcontext.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cellrowkeeper.h"
+#include "documentkeeper.h"
+#include "memberlease.h"
+#include "memberlist.h"
+#include "memberload.h"
+#include "nodeidentity.h"
+#include "ownershipmap.h"
+#include "peermessages.h"
+#include "promisekeeper.h"
+#include "targetwatch.h"
+#include "timings.h"
+
+#include <vector>
+
+namespace nutmeghinge {
+
+class EffectList;
+class ShardActivity;
+
+/**
+ * What the parts of a Cell share: this node's identity and what it knows of
+ * its cell.
+ */
+struct CellContext {
+    CellContext(NodeIdentity nodeIdentity, Timings cellTimings, ShardActivity &shardActivity);
+
+    /** This node's own row, as it announces itself. */
+    Member announcement() const;
+    void send(MemberSlot to, PeerMessage message, EffectList &effects) const;
+    /** Takes a map with a higher version; true if it was taken. */
+    bool learnMap(const OwnershipMap &newer);
+    /** Puts a newer document in force. */
+    bool offerDocument(const DocumentCopy &copy, EffectList &effects);
+    /** Number of shards of the map without those of hot keys; 0 where there is no map. */
+    std::uint32_t assignedShards() const;
+    /** The target is to get no new work: by the document or by its own word. */
+    bool isTargetLeaving(WallTime now) const;
+    /** This node wants to give its shards away. */
+    bool isLeaving(WallTime now) const { return stopping || isTargetLeaving(now); }
+    /** Longest time for which work goes on after the end of its lease; zero where targets check fences. */
+    Duration executionWait() const;
+    /** This node's load; shards and keys are named once a second only. */
+    MemberLoad takeLoad(MonotonicTime now);
+
+    const NodeIdentity identity;
+    const Timings timings;
+    ShardActivity &activity;
+    /** Empty before the target has announced itself. */
+    ServiceName service;
+    MemberSlot self;
+    bool stopping = false;
+    MemberList members;
+    PromiseKeeper promises;
+    MemberLease lease;
+    DocumentKeeper documents;
+    TargetWatch target;
+    CellRowKeeper row;
+    OwnershipMap map;
+    std::vector<MemberLoad> loads;
+    /** Time up to which this node, as a new coordinator, may act without a write to the table. */
+    MonotonicTime holdUntil;
+
+private:
+    MemberLoad m_load;
+    MonotonicTime m_loadTakenAt;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/cellrowkeeper.cpp
@@ -0,0 +1,118 @@
+#include "cellrowkeeper.h"
+
+#include "effectlist.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+CellRowKeeper::CellRowKeeper(const Timings &timings)
+    : m_retryFirst(timings.tablePoll / 10)
+    , m_retryLongest(2 * timings.tablePoll)
+    , m_retry(m_retryFirst)
+{
+}
+
+void CellRowKeeper::read(const ServiceName &service, MonotonicTime now, EffectList &effects)
+{
+    if (isBusy() || now < m_retryAt) {
+        return;
+    }
+    m_reading = true;
+    m_readWanted = false;
+    effects.add(ReadCellRow{service});
+}
+
+void CellRowKeeper::write(CellRow row, MonotonicTime now, EffectList &effects)
+{
+    if (isBusy()) {
+        return;
+    }
+    m_writing = true;
+    m_attempt = row;
+    m_attemptedAt = now;
+    effects.add(WriteCellRow{m_known ? m_known->version : RowVersion(0), std::move(row)});
+}
+
+CellRowKeeper::ReadOutcome CellRowKeeper::readFinished(const CellRowRead &result, MonotonicTime now, EffectList &effects)
+{
+    m_reading = false;
+    if (std::holds_alternative<PlatformUnavailable>(result.result)) {
+        noteReachable(false, now, effects);
+        m_readWanted = m_readWanted || m_attempt.has_value();
+        return ReadOutcome::Unavailable;
+    }
+    noteReachable(true, now, effects);
+    const auto *row = std::get_if<VersionedCellRow>(&result.result);
+    if (!row) {
+        m_absent = true;
+        m_attempt.reset();
+        return ReadOutcome::Absent;
+    }
+    const bool confirmed = m_attempt && *m_attempt == row->row;
+    const bool unchanged = m_known && m_known->version == row->version;
+    m_attempt.reset();
+    learn(*row, now);
+    if (confirmed) {
+        m_writtenAt = m_attemptedAt;
+        m_hasWritten = true;
+        return ReadOutcome::WriteConfirmed;
+    }
+    return unchanged ? ReadOutcome::Unchanged : ReadOutcome::Changed;
+}
+
+CellRowKeeper::WriteOutcome CellRowKeeper::writeFinished(const CellRowWriteFinished &result, MonotonicTime now, EffectList &effects)
+{
+    m_writing = false;
+    const bool reachable = !std::holds_alternative<PlatformUnavailable>(result.result);
+    noteReachable(reachable, now, effects);
+    const auto *written = std::get_if<RowWritten>(&result.result);
+    if (written && m_attempt) {
+        learn(VersionedCellRow{*m_attempt, written->version}, now);
+        m_attempt.reset();
+        m_writtenAt = m_attemptedAt;
+        m_hasWritten = true;
+        TimelineRecord record;
+        record.kind = TimelineRecord::Kind::RowWritten;
+        record.fence = m_known->row.map.version;
+        effects.record(std::move(record));
+        return WriteOutcome::Written;
+    }
+    m_readWanted = true;
+    if (!reachable) {
+        return WriteOutcome::Unknown;
+    }
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::RowConflict;
+    effects.record(std::move(record));
+    return WriteOutcome::Conflict;
+}
+
+void CellRowKeeper::learn(VersionedCellRow row, MonotonicTime now)
+{
+    m_absent = false;
+    if (!m_known || m_known->version != row.version) {
+        m_unchangedSince = now;
+    }
+    m_known = std::move(row);
+}
+
+void CellRowKeeper::noteReachable(bool reachable, MonotonicTime now, EffectList &effects)
+{
+    if (reachable) {
+        m_retry = m_retryFirst;
+        m_retryAt = now;
+    } else {
+        m_retryAt = now + m_retry;
+        m_retry = std::min(2 * m_retry, m_retryLongest);
+    }
+    if (reachable == m_reachable) {
+        return;
+    }
+    m_reachable = reachable;
+    TimelineRecord record;
+    record.kind = reachable ? TimelineRecord::Kind::PlatformUp : TimelineRecord::Kind::PlatformDown;
+    effects.record(std::move(record));
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -0,0 +1,659 @@
+#include "coordinator.h"
+
+#include "cellcontext.h"
+#include "effectlist.h"
+#include "events.h"
+#include "shardactivity.h"
+#include "shardhandover.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace nutmeghinge {
+
+namespace {
+
+using State = CoordinatorTerm::State;
+
+constexpr Duration planInterval = std::chrono::seconds(1);
+constexpr Duration loadsInterval = std::chrono::seconds(1);
+/** Without a new report for this long a member's load by shard is forgotten. */
+constexpr Duration loadLifetime = std::chrono::seconds(3);
+/** Marks of life in the row within one hold limit. */
+constexpr int marksPerHoldLimit = 4;
+
+TimelineRecord termRecord(TimelineRecord::Kind kind, MemberSlot self, Term term, const char *detail)
+{
+    TimelineRecord record;
+    record.kind = kind;
+    record.member = self;
+    record.fence = Fence{term, 0};
+    record.detail = detail;
+    return record;
+}
+
+} // namespace
+
+Coordinator::Coordinator(CellContext &context, const ShardHandover &handover)
+    : m_context(context)
+    , m_handover(handover)
+    , m_term(context.timings)
+{
+}
+
+void Coordinator::tick(const Event &event, EffectList &effects)
+{
+    const MonotonicTime now = event.at;
+    if (m_context.self == noMember || !m_context.documents.document()) {
+        return;
+    }
+    refreshTermEnd(now);
+    if (isInOffice() && now >= m_termEnd) {
+        end("majority lapsed", event, effects);
+    }
+    if (m_term.hasFailed(now)) {
+        ++m_failures;
+        end("no majority", event, effects);
+    }
+    standIfDue(event, effects);
+    if (m_term.isRenewalDue(now)) {
+        requestPromises(event, effects);
+    }
+    takeOfficeIfPromised(event, effects);
+    if (!isInOffice()) {
+        return;
+    }
+    noteSelf(event);
+    if (isActive(now)) {
+        noteLapses(now, effects);
+        refreshEligibility(event);
+        endRecoveryIfDue(now);
+        m_ledger.advance(
+            acknowledgedVersion(now), [this](MemberSlot slot) { return isEligible(slot); }, now, effects);
+        m_ledger.retarget(eligibleMembers(), m_context.timings.moveRetarget, now);
+        assignShards(event, effects);
+        publish();
+        pushMap(now, effects);
+    }
+    writeRowIfDue(now, effects);
+    resignIfIdle(event, effects);
+}
+
+// Term.
+
+void Coordinator::standIfDue(const Event &event, EffectList &effects)
+{
+    const PromiseKeeper &promises = m_context.promises;
+    const bool bound = event.at < promises.boundUntil() && promises.candidate() != m_context.self;
+    const bool lastMember = m_context.members.members().size() == 1;
+    if (m_term.state() != State::Follower || bound || (m_context.stopping && !lastMember)) {
+        m_standAtSet = false;
+        return;
+    }
+    if (!m_standAtSet) {
+        const std::size_t position = m_context.members.candidatePosition(m_context.self);
+        const Duration stagger = m_context.timings.candidateStagger;
+        // Time enough for a living coordinator's renewal to arrive first.
+        const Duration backOff = m_failures == 0 ? Duration(0) : 2 * m_context.timings.promiseRenewal + jitter();
+        m_standAt = event.at + stagger * static_cast<std::int64_t>(position) + backOff;
+        m_standAtSet = true;
+    }
+    if (event.at >= m_standAt) {
+        m_standAtSet = false;
+        stand(event, effects);
+    }
+}
+
+Duration Coordinator::jitter() const
+{
+    const std::uint64_t step = (m_context.identity.seed + m_failures * std::uint64_t{7919}) % 8;
+    return m_context.timings.candidateStagger * static_cast<std::int64_t>(step) / 2;
+}
+
+void Coordinator::stand(const Event &event, EffectList &effects)
+{
+    const Term highest = std::max(m_context.promises.highestTerm(), m_context.map.version.term);
+    m_term.stand(CoordinatorTerm::next(highest, m_context.self), event.at);
+    requestPromises(event, effects);
+}
+
+void Coordinator::requestPromises(const Event &event, EffectList &effects)
+{
+    m_term.requested(event.at);
+    const PromiseRequest request{m_term.term(), m_context.members.revision(), event.at};
+    for (const Member &member : m_context.members.members()) {
+        // A candidate renews no promise, so that those of a failed one lapse soon.
+        const bool promised = !isInOffice() && m_term.isPromisedBy(member.slot, event.at);
+        if (promised || m_context.members.isProvedEnded(member.slot)) {
+            continue;
+        }
+        if (member.slot != m_context.self) {
+            m_context.send(member.slot, request, effects);
+        } else if (m_context.promises.promise(m_term.term(), m_context.self, event.at)) {
+            m_term.addOwnPromise(m_context.self, event.at);
+        }
+    }
+    refreshTermEnd(event.at);
+}
+
+void Coordinator::promiseAnswered(MemberSlot from, const PromiseAnswer &answer, const Event &event, EffectList &effects)
+{
+    m_context.promises.sawTerm(answer.highestTerm);
+    if (answer.revision > m_context.members.revision()) {
+        m_context.row.wantRead();
+    }
+    if (!answer.granted || answer.term != m_term.term() || m_term.state() == State::Follower || !m_context.members.find(from)) {
+        return;
+    }
+    m_term.addPromise(from, answer);
+    refreshTermEnd(event.at);
+    if (answer.highestTerm > m_term.term()) {
+        renewFences(event, effects);
+        return;
+    }
+    takeOfficeIfPromised(event, effects);
+}
+
+void Coordinator::takeOfficeIfPromised(const Event &event, EffectList &effects)
+{
+    const MonotonicTime now = event.at;
+    const Document *document = m_context.documents.document();
+    const std::optional<VersionedCellRow> &row = m_context.row.known();
+    if (m_term.state() != State::Candidate || !m_term.hasMajority(m_context.members, now) || !document || !row) {
+        return;
+    }
+    const OwnershipMap *base = &m_context.map;
+    for (const OwnershipMap *other : {&m_term.newestMap(), &row->row.map}) {
+        base = other->version > base->version ? other : base;
+    }
+    OwnershipLedger::Start start;
+    start.term = m_term.term();
+    start.base = base;
+    start.shards = document->isDividedByKey() ? document->shards : 0;
+    start.self = m_context.self;
+    start.selfHolds = CoordinatorTerm::slotOf(base->version.term) == m_context.self || m_context.lease.isValid(now);
+    start.baseCoordinatorIsFree = m_term.hasMajorityOfAll(m_context.members, now);
+    start.renewFences = m_renewFences;
+    start.freeAt = now + m_context.executionWait();
+    m_ledger.start(start);
+    m_renewFences = false;
+    m_term.takeOffice();
+    m_status.clear();
+    m_successors = row->row.successors;
+    m_officeAt = now;
+    m_plannedAt = MonotonicTime();
+    m_movesCountedAt = now;
+    m_failures = 0;
+    m_context.lease.lapse(now);
+    effects.record(termRecord(TimelineRecord::Kind::TermStarted, m_context.self, m_term.term(), ""));
+    refreshTermEnd(now);
+    publish();
+}
+
+void Coordinator::end(const char *reason, const Event &event, EffectList &effects)
+{
+    if (isInOffice()) {
+        effects.record(termRecord(TimelineRecord::Kind::TermEnded, m_context.self, m_term.term(), reason));
+        m_context.lease.lapse(event.at);
+        m_context.holdUntil = std::max(m_context.holdUntil, holdEnd());
+    }
+    m_term.end();
+    m_standAtSet = false;
+    refreshTermEnd(event.at);
+}
+
+void Coordinator::renewFences(const Event &event, EffectList &effects)
+{
+    if (m_term.state() == State::Follower) {
+        return;
+    }
+    end("a target knows a newer fence", event, effects);
+    m_renewFences = true;
+    stand(event, effects);
+}
+
+void Coordinator::refreshTermEnd(MonotonicTime now)
+{
+    m_termEnd = m_term.state() == State::Follower ? MonotonicTime() : m_term.endsAt(m_context.members, now);
+}
+
+MonotonicTime Coordinator::holdEnd() const
+{
+    const Document *document = m_context.documents.document();
+    if (!document || !m_context.row.hasWritten()) {
+        return m_context.holdUntil;
+    }
+    return std::max(m_context.holdUntil, m_context.row.writtenAt() + document->holdLimit);
+}
+
+MonotonicTime Coordinator::activeUntil() const
+{
+    return std::min(m_termEnd, holdEnd());
+}
+
+void Coordinator::resignIfIdle(const Event &event, EffectList &effects)
+{
+    if (m_context.stopping && m_context.members.members().size() > 1 && !m_ledger.isRecovering() && !m_ledger.owns(m_context.self)) {
+        end("planned stop", event, effects);
+    }
+}
+
+// Members.
+
+void Coordinator::noteSelf(const Event &event)
+{
+    MemberStatus &self = m_status[m_context.self];
+    self.heard = true;
+    self.sentAt = event.at;
+    self.heardAt = event.at;
+    self.leaseEnd = MonotonicTime::max();
+    self.revision = m_context.members.revision();
+    self.mapVersion = m_ledger.map().version;
+    self.document = m_context.documents.revision();
+    self.leaving = m_context.isLeaving(event.wallTime);
+    MemberLoad load = m_context.takeLoad(event.at);
+    if (load.shards.empty() && load.heavyKeys.empty() && event.at < self.shardLoadAt + loadLifetime) {
+        load.shards = std::move(self.load.shards);
+        load.heavyKeys = std::move(self.load.heavyKeys);
+    } else {
+        self.shardLoadAt = event.at;
+    }
+    self.load = std::move(load);
+    for (const auto &[shard, fence] : m_handover.released()) {
+        m_ledger.noteReleased(m_context.self, shard, fence);
+    }
+}
+
+void Coordinator::heartbeatArrived(MemberSlot from, const Heartbeat &heartbeat, const Event &event, EffectList &effects)
+{
+    if (heartbeat.revision > m_context.members.revision()) {
+        m_context.row.wantRead();
+        return;
+    }
+    if (heartbeat.newerDocument) {
+        m_context.offerDocument(*heartbeat.newerDocument, effects);
+    }
+    if (!isInOffice() || event.at >= m_termEnd || heartbeat.term != m_term.term() || !m_context.members.find(from)) {
+        return;
+    }
+    MemberStatus &status = m_status[from];
+    if (status.heard && heartbeat.sentAt <= status.sentAt) {
+        return;
+    }
+    if (!status.heard) {
+        m_ledger.confirmHeld(from, heartbeat.held);
+        status.leaseEnd = event.at + m_context.timings.withDrift(m_context.timings.memberLease);
+    }
+    noteHeartbeat(status, heartbeat, event.at);
+    for (const auto &[shard, fence] : heartbeat.released) {
+        m_ledger.noteReleased(from, shard, fence);
+    }
+    publish();
+    answer(from, heartbeat, status, event, effects);
+}
+
+void Coordinator::noteHeartbeat(MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now)
+{
+    status.heard = true;
+    status.sentAt = heartbeat.sentAt;
+    status.heardAt = now;
+    status.revision = heartbeat.revision;
+    status.mapVersion = std::max(status.mapVersion, heartbeat.mapVersion);
+    status.document = heartbeat.document;
+    status.leaving = heartbeat.leaving;
+    const bool namesShards = !heartbeat.load.shards.empty() || !heartbeat.load.heavyKeys.empty();
+    MemberLoad load = heartbeat.load;
+    if (!namesShards && now < status.shardLoadAt + loadLifetime) {
+        load.shards = std::move(status.load.shards);
+        load.heavyKeys = std::move(status.load.heavyKeys);
+    }
+    if (namesShards) {
+        status.shardLoadAt = now;
+    }
+    status.load = std::move(load);
+}
+
+void Coordinator::answer(MemberSlot to, const Heartbeat &heartbeat, MemberStatus &status, const Event &event, EffectList &effects)
+{
+    const MonotonicTime now = event.at;
+    HeartbeatAnswer answer;
+    answer.term = m_term.term();
+    answer.revision = m_context.members.revision();
+    answer.sentAt = heartbeat.sentAt;
+    answer.document = m_context.documents.revision();
+    answer.holdLeft = std::max(Duration(0), std::chrono::duration_cast<Duration>(holdEnd() - now));
+    // A successor's majority must know a map of this term before it grants a lease.
+    if (isActive(now) && acknowledgedVersion(now).term == m_term.term()) {
+        answer.lease = m_context.timings.memberLease;
+        status.leaseEnd = std::max(status.leaseEnd, now + m_context.timings.withDrift(answer.lease));
+    }
+    if (heartbeat.mapVersion < m_ledger.map().version) {
+        answer.map = m_ledger.map();
+    }
+    if (heartbeat.document < answer.document) {
+        answer.newerDocument = m_context.documents.copy();
+    }
+    if (m_ledger.map().shards.empty() && now >= status.loadsSentAt + loadsInterval) {
+        status.loadsSentAt = now;
+        answer.loads = collectLoads();
+    }
+    m_context.send(to, std::move(answer), effects);
+}
+
+void Coordinator::pushMap(MonotonicTime now, EffectList &effects)
+{
+    const OwnershipMap &map = m_ledger.map();
+    for (auto &[slot, status] : m_status) {
+        if (slot == m_context.self || status.mapVersion >= map.version || status.pushedVersion >= map.version || now >= status.leaseEnd) {
+            continue;
+        }
+        status.pushedVersion = map.version;
+        HeartbeatAnswer answer;
+        answer.term = m_term.term();
+        answer.revision = m_context.members.revision();
+        answer.sentAt = status.sentAt;
+        answer.document = m_context.documents.revision();
+        answer.holdLeft = std::max(Duration(0), std::chrono::duration_cast<Duration>(holdEnd() - now));
+        answer.map = map;
+        m_context.send(slot, std::move(answer), effects);
+    }
+}
+
+void Coordinator::noteLapses(MonotonicTime now, EffectList &effects)
+{
+    for (auto &[slot, status] : m_status) {
+        const bool lapsed = now >= status.leaseEnd;
+        if (lapsed && !status.lapsed) {
+            m_ledger.lose(slot, now + m_context.executionWait(), effects);
+        }
+        status.lapsed = lapsed;
+    }
+}
+
+void Coordinator::refreshEligibility(const Event &event)
+{
+    const Document *document = m_context.documents.document();
+    for (auto &[slot, status] : m_status) {
+        const Member *member = m_context.members.find(slot);
+        const bool eligible = member && document && !document->isLeaving(member->target, event.wallTime) && !status.lapsed && !status.leaving
+                              && !member->leaving && status.load.healthy && !m_context.members.isProvedEnded(slot);
+        if (eligible && !status.eligible) {
+            status.eligibleSince = event.at;
+        }
+        status.eligible = eligible;
+    }
+}
+
+bool Coordinator::isEligible(MemberSlot slot) const
+{
+    const auto status = m_status.find(slot);
+    return status != m_status.end() && status->second.eligible;
+}
+
+std::vector<MemberSlot> Coordinator::eligibleMembers() const
+{
+    std::vector<MemberSlot> result;
+    for (const auto &[slot, status] : m_status) {
+        if (status.eligible) {
+            result.push_back(slot);
+        }
+    }
+    return result;
+}
+
+bool Coordinator::isHeard(MemberSlot slot) const
+{
+    const auto status = m_status.find(slot);
+    return status != m_status.end() && status->second.heard;
+}
+
+Fence Coordinator::acknowledgedVersion(MonotonicTime now) const
+{
+    std::vector<Fence> versions;
+    for (const Member &member : m_context.members.members()) {
+        if (m_context.members.isOutOfCount(member.slot, now)) {
+            continue;
+        }
+        const auto status = m_status.find(member.slot);
+        const bool own = member.slot == m_context.self;
+        versions.push_back(own ? m_ledger.map().version : status == m_status.end() ? Fence() : status->second.mapVersion);
+    }
+    if (versions.empty()) {
+        return Fence();
+    }
+    const auto deciding = versions.begin() + static_cast<std::ptrdiff_t>(versions.size() / 2);
+    std::nth_element(versions.begin(), deciding, versions.end(), std::greater<>());
+    return *deciding;
+}
+
+std::vector<MemberLoad> Coordinator::collectLoads() const
+{
+    std::vector<MemberLoad> loads;
+    for (const auto &[slot, status] : m_status) {
+        if (!status.lapsed) {
+            loads.push_back(status.load);
+        }
+    }
+    return loads;
+}
+
+// Shards.
+
+void Coordinator::endRecoveryIfDue(MonotonicTime now)
+{
+    if (!m_ledger.isRecovering()) {
+        return;
+    }
+    const MonotonicTime leasesEnd = m_officeAt + m_context.timings.withDrift(m_context.timings.memberLease);
+    if (now >= (allHeard(now) ? m_officeAt : leasesEnd) + m_context.executionWait()) {
+        m_ledger.finishRecovery();
+    }
+}
+
+bool Coordinator::allHeard(MonotonicTime now) const
+{
+    const std::vector<Member> &members = m_context.members.members();
+    return std::all_of(
+        members.begin(), members.end(), [&](const Member &member) { return isHeard(member.slot) || m_context.members.isOutOfCount(member.slot, now); });
+}
+
+void Coordinator::assignShards(const Event &event, EffectList &effects)
+{
+    const MonotonicTime now = event.at;
+    if (m_context.documents.revision() < m_term.newestDocument() || m_ledger.map().shards.empty()) {
+        return;
+    }
+    grantToSuccessors(now, effects);
+    if (m_ledger.isRecovering()) {
+        return;
+    }
+    emptyLeavingMembers(now, effects);
+    const bool settled = now >= m_officeAt + 2 * m_context.timings.heartbeat || allHeard(now);
+    const Duration interval = m_ledger.freeShards(now).empty() ? planInterval : m_context.timings.heartbeat;
+    if (settled && now >= m_plannedAt + interval) {
+        m_plannedAt = now;
+        planMoves(event, effects);
+    }
+}
+
+void Coordinator::grantToSuccessors(MonotonicTime now, EffectList &effects)
+{
+    const bool waits = now < m_officeAt + 2 * m_context.timings.heartbeat;
+    std::vector<PlannedMove> moves;
+    for (const ShardIndex shard : m_ledger.freeShards(now)) {
+        const MemberSlot before = m_ledger.map().shards[shard.value()].owner;
+        std::vector<MemberSlot> order{before};
+        if (shard.value() < m_successors.size()) {
+            order.insert(order.end(), m_successors[shard.value()].begin(), m_successors[shard.value()].end());
+        }
+        for (const MemberSlot slot : order) {
+            if (isEligible(slot)) {
+                moves.push_back(PlannedMove{shard, slot});
+                break;
+            }
+            if (waits && slot != before && !isHeard(slot) && m_context.members.find(slot)) {
+                break;
+            }
+        }
+    }
+    m_ledger.apply(moves, now, effects);
+}
+
+void Coordinator::emptyLeavingMembers(MonotonicTime now, EffectList &effects)
+{
+    const bool anyEligible = std::any_of(m_status.begin(), m_status.end(), [](const auto &entry) { return entry.second.eligible; });
+    if (anyEligible || m_ledger.isRecovering()) {
+        return;
+    }
+    std::vector<PlannedMove> moves;
+    const std::vector<ShardOwnership> &shards = m_ledger.map().shards;
+    for (std::uint32_t i = 0; i < shards.size(); ++i) {
+        const auto owner = m_status.find(shards[i].owner);
+        if (shards[i].state == ShardOwnership::State::Owned && owner != m_status.end() && owner->second.leaving) {
+            moves.push_back(PlannedMove{ShardIndex(i), noMember});
+        }
+    }
+    m_ledger.apply(moves, now, effects);
+}
+
+void Coordinator::planMoves(const Event &event, EffectList &effects)
+{
+    const Document *document = m_context.documents.document();
+    if (!document) {
+        return;
+    }
+    const MonotonicTime now = event.at;
+    const double perMicrosecond = document->movesPerMinute / 60e6;
+    m_moveBudget += static_cast<double>((now - m_movesCountedAt).count()) * perMicrosecond;
+    m_moveBudget = std::min(m_moveBudget, static_cast<double>(document->movesPerMinute));
+    m_movesCountedAt = now;
+    const std::vector<BalanceMember> members = balanceMembers(event);
+    const std::vector<std::uint64_t> loads = shardLoads(now);
+    const std::vector<bool> cooling = m_ledger.cooling(now);
+    const BalanceInput input{*document, members, m_ledger.map(), loads, cooling, static_cast<std::uint32_t>(m_moveBudget)};
+    const std::vector<PlannedMove> moves = makeBalanceStrategy(*document)->plan(input);
+    for (const PlannedMove &move : moves) {
+        if (move.shard.value() < input.map.shards.size() && isEligible(input.map.shards[move.shard.value()].owner)) {
+            m_moveBudget -= 1;
+        }
+    }
+    m_moveBudget = std::max(m_moveBudget, 0.0);
+    m_ledger.apply(moves, now, effects);
+    const BalanceInput after{*document, members, m_ledger.map(), loads, cooling, 0};
+    m_successors = planSuccessors(after);
+}
+
+std::vector<BalanceMember> Coordinator::balanceMembers(const Event &event) const
+{
+    std::vector<BalanceMember> result;
+    const Document *document = m_context.documents.document();
+    for (const Member &member : m_context.members.members()) {
+        BalanceMember entry;
+        entry.slot = member.slot;
+        entry.zone = member.zone;
+        entry.slots = member.slots;
+        entry.eligible = isEligible(member.slot);
+        entry.leavesAt = document ? document->leavesAt(member.target) : std::nullopt;
+        const auto status = m_status.find(member.slot);
+        if (entry.eligible && status != m_status.end()) {
+            entry.eligibleFor = event.at - status->second.eligibleSince;
+        }
+        result.push_back(std::move(entry));
+    }
+    return result;
+}
+
+std::vector<std::uint64_t> Coordinator::shardLoads(MonotonicTime now) const
+{
+    std::vector<std::uint64_t> loads(m_ledger.map().shards.size(), 0);
+    for (const auto &[slot, status] : m_status) {
+        if (now >= status.shardLoadAt + loadLifetime) {
+            continue;
+        }
+        for (const ShardLoad &load : status.load.shards) {
+            if (load.shard.value() < loads.size()) {
+                loads[load.shard.value()] += load.milliRequestsPerSecond;
+            }
+        }
+    }
+    return loads;
+}
+
+void Coordinator::publish()
+{
+    m_context.learnMap(m_ledger.map());
+    if (m_ledger.map().shards.empty()) {
+        m_context.loads = collectLoads();
+    }
+}
+
+// Row.
+
+void Coordinator::noteRow(const CellRow &row)
+{
+    m_admission.noteRow(m_context.members, row);
+}
+
+bool Coordinator::isOverruledBy(const CellRow &row) const
+{
+    if (row.map.version.term == m_term.term()) {
+        return false;
+    }
+    return row.map.version.term > m_term.term() || row.revision > m_context.members.revision();
+}
+
+void Coordinator::writeRowIfDue(MonotonicTime now, EffectList &effects)
+{
+    const std::optional<VersionedCellRow> &known = m_context.row.known();
+    const Document *document = m_context.documents.document();
+    if (!known || !document || m_context.row.isBusy() || m_context.row.isReadWanted(now) || now < m_context.row.retryAt()) {
+        return;
+    }
+    std::optional<CellRow> change;
+    if (isActive(now) && isMemberChangeComplete(now)) {
+        change = m_admission.nextChange(known->row, [&](MemberSlot slot) { return mayRemove(slot, now); });
+    }
+    const bool holdIsShort = holdEnd() - now < document->holdLimit * (marksPerHoldLimit - 1) / marksPerHoldLimit;
+    const bool changed =
+        known->row.map.version != m_ledger.map().version || known->row.successors != m_successors || known->row.document != m_context.documents.revision();
+    if (!change && !holdIsShort && (!changed || now < m_nextRowWrite)) {
+        return;
+    }
+    CellRow row = change ? *change : known->row;
+    row.map = m_ledger.map();
+    row.successors = m_successors;
+    row.document = std::max(row.document, m_context.documents.revision());
+    ++row.mark;
+    m_nextRowWrite = now + m_context.timings.rowWriteInterval;
+    m_context.row.write(std::move(row), now, effects);
+}
+
+bool Coordinator::isMemberChangeComplete(MonotonicTime now) const
+{
+    const CellRevision revision = m_context.members.revision();
+    return m_context.members.isMajority(
+        [&](MemberSlot slot) {
+            const auto status = m_status.find(slot);
+            return status != m_status.end() && status->second.revision >= revision;
+        },
+        now);
+}
+
+bool Coordinator::mayRemove(MemberSlot slot, MonotonicTime now) const
+{
+    if (slot == m_context.self) {
+        return false;
+    }
+    if (m_context.members.isOutOfCount(slot, now)) {
+        return true;
+    }
+    if (m_ledger.isRecovering() || m_ledger.owns(slot)) {
+        return false;
+    }
+    const auto status = m_status.find(slot);
+    const MonotonicTime heardAt = status == m_status.end() ? m_officeAt : status->second.heardAt;
+    const bool silent = now >= heardAt + m_context.timings.memberRemoval;
+    return silent || m_admission.announcesLeaving(slot, m_context.members);
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/coordinator.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "balancestrategy.h"
+#include "coordinatorterm.h"
+#include "ids.h"
+#include "memberadmission.h"
+#include "memberstatus.h"
+#include "ownershipledger.h"
+#include "peermessages.h"
+#include "units.h"
+
+#include <map>
+#include <vector>
+
+namespace nutmeghinge {
+
+class EffectList;
+class ShardHandover;
+struct CellContext;
+struct Event;
+
+/**
+ * This node as candidate and coordinator: stands when no promise binds it,
+ * grants leases in its term, decides who owns which shard and keeps the cell's
+ * row up to date.
+ */
+class Coordinator
+{
+public:
+    Coordinator(CellContext &context, const ShardHandover &handover);
+
+    void tick(const Event &event, EffectList &effects);
+    void promiseAnswered(MemberSlot from, const PromiseAnswer &answer, const Event &event, EffectList &effects);
+    void heartbeatArrived(MemberSlot from, const Heartbeat &heartbeat, const Event &event, EffectList &effects);
+    /** Nodes that announced themselves, as the table has them. */
+    void noteAnnounced(std::vector<Member> announced) { m_admission.noteAnnounced(std::move(announced)); }
+    /** The row that is about to be taken leaves some members out. */
+    void noteRow(const CellRow &row);
+    /** The row read was not written by this node's term and ends it. */
+    bool isOverruledBy(const CellRow &row) const;
+    /** Ends the term or the candidature. */
+    void end(const char *reason, const Event &event, EffectList &effects);
+    /** A target knows a newer fence: a higher term with new fences begins. */
+    void renewFences(const Event &event, EffectList &effects);
+
+    bool isInOffice() const { return m_term.state() == CoordinatorTerm::State::InOffice; }
+    /** In office, promised by a majority, and within the hold limit. */
+    bool isActive(MonotonicTime now) const { return isInOffice() && now < activeUntil(); }
+    /** Time at which this node stops acting as coordinator unless it renews. */
+    MonotonicTime activeUntil() const;
+    Term term() const { return m_term.term(); }
+
+private:
+    // Term.
+    void standIfDue(const Event &event, EffectList &effects);
+    Duration jitter() const;
+    void stand(const Event &event, EffectList &effects);
+    void requestPromises(const Event &event, EffectList &effects);
+    void takeOfficeIfPromised(const Event &event, EffectList &effects);
+    void refreshTermEnd(MonotonicTime now);
+    MonotonicTime holdEnd() const;
+    void resignIfIdle(const Event &event, EffectList &effects);
+
+    // Members.
+    void noteSelf(const Event &event);
+    void noteHeartbeat(MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now);
+    void answer(MemberSlot to, const Heartbeat &heartbeat, MemberStatus &status, const Event &event, EffectList &effects);
+    void pushMap(MonotonicTime now, EffectList &effects);
+    void noteLapses(MonotonicTime now, EffectList &effects);
+    void refreshEligibility(const Event &event);
+    bool isEligible(MemberSlot slot) const;
+    std::vector<MemberSlot> eligibleMembers() const;
+    bool isHeard(MemberSlot slot) const;
+    Fence acknowledgedVersion(MonotonicTime now) const;
+    std::vector<MemberLoad> collectLoads() const;
+
+    // Shards.
+    void endRecoveryIfDue(MonotonicTime now);
+    bool allHeard(MonotonicTime now) const;
+    void assignShards(const Event &event, EffectList &effects);
+    void grantToSuccessors(MonotonicTime now, EffectList &effects);
+    void planMoves(const Event &event, EffectList &effects);
+    void emptyLeavingMembers(MonotonicTime now, EffectList &effects);
+    std::vector<BalanceMember> balanceMembers(const Event &event) const;
+    std::vector<std::uint64_t> shardLoads(MonotonicTime now) const;
+    void publish();
+
+    // Row.
+    void writeRowIfDue(MonotonicTime now, EffectList &effects);
+    bool isMemberChangeComplete(MonotonicTime now) const;
+    bool mayRemove(MemberSlot slot, MonotonicTime now) const;
+
+    CellContext &m_context;
+    const ShardHandover &m_handover;
+    CoordinatorTerm m_term;
+    OwnershipLedger m_ledger;
+    MemberAdmission m_admission;
+    std::map<MemberSlot, MemberStatus> m_status;
+    std::vector<std::vector<MemberSlot>> m_successors;
+    MonotonicTime m_standAt;
+    bool m_standAtSet = false;
+    MonotonicTime m_officeAt;
+    MonotonicTime m_termEnd;
+    MonotonicTime m_plannedAt;
+    MonotonicTime m_nextRowWrite;
+    MonotonicTime m_movesCountedAt;
+    double m_moveBudget = 0;
+    std::uint32_t m_failures = 0;
+    bool m_renewFences = false;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/documentkeeper.cpp
@@ -0,0 +1,61 @@
+#include "documentkeeper.h"
+
+#include "documentparser.h"
+#include "effectlist.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+bool DocumentKeeper::offer(const DocumentCopy &copy, const ServiceName &service, std::uint32_t assignedShards, EffectList &effects)
+{
+    if (copy.revision <= m_copy.revision || copy.revision == m_rejected || copy.text.empty()) {
+        return false;
+    }
+    ParsedDocument parsed = parseDocument(copy.text);
+    if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
+        reject(copy, faults->empty() ? "faulty" : faults->front().field + ": " + faults->front().reason, effects);
+        return false;
+    }
+    Document &next = std::get<Document>(parsed);
+    if (std::string fault = faultOf(next, service, assignedShards); !fault.empty()) {
+        reject(copy, std::move(fault), effects);
+        return false;
+    }
+    m_document = std::move(next);
+    m_copy = copy;
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::DocumentInForce;
+    record.document = copy.revision;
+    effects.record(std::move(record));
+    return true;
+}
+
+DocumentRevision DocumentKeeper::highestSeen() const
+{
+    return std::max(m_copy.revision, m_rejected);
+}
+
+std::string DocumentKeeper::faultOf(const Document &next, const ServiceName &service, std::uint32_t assignedShards) const
+{
+    if (next.service != service) {
+        return "service: names another service";
+    }
+    const std::uint32_t shards = next.isDividedByKey() ? next.shards : 0;
+    if (assignedShards != 0 && shards != assignedShards) {
+        return "keys.shards: cannot change while shards have owners";
+    }
+    return {};
+}
+
+void DocumentKeeper::reject(const DocumentCopy &copy, std::string reason, EffectList &effects)
+{
+    m_rejected = copy.revision;
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::DocumentRejected;
+    record.document = copy.revision;
+    record.detail = std::move(reason);
+    effects.record(std::move(record));
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/follower.cpp
@@ -0,0 +1,126 @@
+#include "follower.h"
+
+#include "cellcontext.h"
+#include "effectlist.h"
+#include "events.h"
+#include "shardhandover.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+Follower::Follower(CellContext &context, const ShardHandover &handover)
+    : m_context(context)
+    , m_handover(handover)
+{
+}
+
+bool Follower::followsOther() const
+{
+    const MemberSlot candidate = m_context.promises.candidate();
+    return m_context.self != noMember && candidate != noMember && candidate != m_context.self;
+}
+
+void Follower::tick(const Event &event, EffectList &effects)
+{
+    recordLease(event.at, effects);
+    if (!followsOther()) {
+        return;
+    }
+    const std::size_t releases = m_handover.released().size();
+    m_hurry = m_hurry || releases > m_releasesReported;
+    m_releasesReported = releases;
+    if (m_hurry || event.at >= m_nextHeartbeat) {
+        sendHeartbeat(event, effects);
+    }
+}
+
+void Follower::sendHeartbeat(const Event &event, EffectList &effects)
+{
+    m_hurry = false;
+    m_nextHeartbeat = event.at + m_context.timings.heartbeat;
+    Heartbeat heartbeat;
+    heartbeat.term = m_context.promises.term();
+    heartbeat.revision = m_context.members.revision();
+    heartbeat.sentAt = event.at;
+    heartbeat.mapVersion = m_context.map.version;
+    heartbeat.document = m_context.documents.revision();
+    heartbeat.released = m_handover.released();
+    heartbeat.leaving = m_context.isLeaving(event.wallTime);
+    heartbeat.load = m_context.takeLoad(event.at);
+    const bool answered = m_answeredTerm == heartbeat.term;
+    if (!answered && m_context.lease.isValid(event.at)) {
+        heartbeat.held = m_handover.held();
+    }
+    if (answered && m_coordinatorDocument < heartbeat.document) {
+        heartbeat.newerDocument = m_context.documents.copy();
+    }
+    m_context.send(m_context.promises.candidate(), std::move(heartbeat), effects);
+}
+
+void Follower::promiseRequested(MemberSlot from, const PromiseRequest &request, const Event &event, EffectList &effects)
+{
+    if (!m_context.members.find(from) || m_context.self == noMember) {
+        return;
+    }
+    if (request.revision > m_context.members.revision()) {
+        m_context.row.wantRead();
+    }
+    PromiseKeeper &promises = m_context.promises;
+    const Term before = promises.term();
+    PromiseAnswer answer;
+    answer.term = request.term;
+    answer.revision = m_context.members.revision();
+    answer.sentAt = request.sentAt;
+    answer.document = m_context.documents.revision();
+    answer.granted = request.revision >= m_context.members.revision() && promises.promise(request.term, from, event.at);
+    promises.sawTerm(request.term);
+    answer.highestTerm = answer.granted ? std::max(request.term, promises.fenceTerm()) : promises.highestTerm();
+    if (answer.granted && m_answeredTerm != request.term) {
+        answer.map = m_context.map;
+    }
+    m_hurry = m_hurry || promises.term() != before;
+    m_context.send(from, std::move(answer), effects);
+}
+
+void Follower::heartbeatAnswered(MemberSlot from, const HeartbeatAnswer &answer, const Event &event, EffectList &effects)
+{
+    if (from != m_context.promises.candidate() || answer.term != m_context.promises.term()) {
+        return;
+    }
+    m_answeredTerm = answer.term;
+    m_coordinatorDocument = answer.document;
+    if (answer.lease > Duration(0)) {
+        m_context.lease.extend(answer.sentAt, std::min(answer.lease, m_context.timings.memberLease));
+    }
+    if (answer.map && m_context.learnMap(*answer.map)) {
+        m_hurry = true;
+    }
+    if (answer.newerDocument && m_context.offerDocument(*answer.newerDocument, effects)) {
+        m_hurry = true;
+    }
+    if (answer.revision > m_context.members.revision()) {
+        m_context.row.wantRead();
+    }
+    if (!answer.loads.empty()) {
+        m_context.loads = answer.loads;
+    }
+    const Duration holdLeft = answer.holdLeft - answer.holdLeft * m_context.timings.driftPerMille / 1000;
+    m_context.holdUntil = std::max(m_context.holdUntil, answer.sentAt + holdLeft);
+    recordLease(event.at, effects);
+}
+
+void Follower::recordLease(MonotonicTime now, EffectList &effects)
+{
+    const bool held = m_context.lease.isValid(now);
+    if (held == m_leaseHeld) {
+        return;
+    }
+    m_leaseHeld = held;
+    TimelineRecord record;
+    record.kind = held ? TimelineRecord::Kind::LeaseHeld : TimelineRecord::Kind::LeaseLapsed;
+    record.member = m_context.self;
+    effects.record(std::move(record));
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/memberadmission.cpp
@@ -0,0 +1,102 @@
+#include "memberadmission.h"
+
+#include "memberlist.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t cellMembers = 64;
+
+Member withSlot(Member announced, MemberSlot slot)
+{
+    announced.slot = slot;
+    return announced;
+}
+
+} // namespace
+
+void MemberAdmission::noteRow(const MemberList &before, const CellRow &after)
+{
+    for (const Member &member : before.members()) {
+        const bool kept = std::any_of(after.members.begin(), after.members.end(), [&](const Member &other) { return other.slot == member.slot; });
+        if (!kept) {
+            m_removed[{member.node, member.incarnation}] = member.slot;
+        }
+    }
+}
+
+bool MemberAdmission::announcesLeaving(MemberSlot slot, const MemberList &members) const
+{
+    const Member *member = members.find(slot);
+    return member && std::any_of(m_announced.begin(), m_announced.end(), [&](const Member &announced) {
+               return announced.node == member->node && announced.incarnation == member->incarnation && announced.leaving;
+           });
+}
+
+std::optional<CellRow> MemberAdmission::nextChange(const CellRow &row, const Predicate &mayRemove) const
+{
+    CellRow next = row;
+    next.revision = CellRevision(row.revision.value() + 1);
+    const auto removed = std::find_if(next.members.begin(), next.members.end(), [&](const Member &member) { return mayRemove(member.slot); });
+    if (removed != next.members.end()) {
+        next.members.erase(removed);
+        next.members = interleaveZones(next.members);
+        return next;
+    }
+    const auto admitted = std::find_if(m_announced.begin(), m_announced.end(), [&](const Member &announced) { return mayAdmit(announced, row.members); });
+    if (admitted != m_announced.end() && next.members.size() < cellMembers) {
+        next.members.push_back(withSlot(*admitted, next.nextSlot));
+        next.nextSlot = MemberSlot(next.nextSlot.value() + 1);
+        next.members = interleaveZones(next.members);
+        return next;
+    }
+    return updateMember(next) ? std::optional<CellRow>(next) : std::nullopt;
+}
+
+bool MemberAdmission::mayAdmit(const Member &announced, const std::vector<Member> &members) const
+{
+    const bool known = std::any_of(
+        members.begin(), members.end(), [&](const Member &member) { return member.node == announced.node && member.incarnation >= announced.incarnation; });
+    if (known || announced.leaving) {
+        return false;
+    }
+    // A node that was removed but lives names the slot that it lost.
+    const auto removed = m_removed.find({announced.node, announced.incarnation});
+    return removed == m_removed.end() || removed->second == announced.slot;
+}
+
+bool MemberAdmission::updateMember(CellRow &row) const
+{
+    for (Member &member : row.members) {
+        for (const Member &announced : m_announced) {
+            const bool same = announced.node == member.node && announced.incarnation == member.incarnation;
+            if (same && withSlot(announced, member.slot) != member) {
+                member = withSlot(announced, member.slot);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::vector<Member> interleaveZones(const std::vector<Member> &members)
+{
+    std::map<ZoneName, std::uint32_t> seen;
+    std::vector<std::pair<std::uint32_t, Member>> ranked;
+    ranked.reserve(members.size());
+    for (const Member &member : members) {
+        ranked.emplace_back(seen[member.zone]++, member);
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::vector<Member> result;
+    result.reserve(ranked.size());
+    for (auto &[rank, member] : ranked) {
+        result.push_back(std::move(member));
+    }
+    return result;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/ownershipledger.cpp
@@ -0,0 +1,269 @@
+#include "ownershipledger.h"
+
+#include "coordinatorterm.h"
+#include "effectlist.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+using State = ShardOwnership::State;
+
+/** Time for which a moved shard stays where it is. */
+constexpr Duration coolDown = std::chrono::seconds(10);
+
+TimelineRecord shardRecord(TimelineRecord::Kind kind, std::size_t shard, const ShardOwnership &entry)
+{
+    TimelineRecord record;
+    record.kind = kind;
+    record.shard = ShardIndex(static_cast<std::uint32_t>(shard));
+    record.member = entry.owner;
+    record.fence = entry.fence;
+    return record;
+}
+
+/** Eligible member after the given one in turn, other than the owner; noMember where there is none. */
+MemberSlot followingMember(const std::vector<MemberSlot> &eligible, MemberSlot after, MemberSlot owner)
+{
+    MemberSlot first = noMember;
+    for (const MemberSlot slot : eligible) {
+        if (slot == owner) {
+            continue;
+        }
+        if (slot > after) {
+            return slot;
+        }
+        first = first == noMember ? slot : first;
+    }
+    return first;
+}
+
+} // namespace
+
+void OwnershipLedger::start(const Start &start)
+{
+    m_map = *start.base;
+    m_map.version = Fence{start.term, 1};
+    m_map.shards.resize(start.shards + m_map.hotKeys.size());
+    m_progress.assign(m_map.shards.size(), Progress());
+    m_recovering = true;
+    m_renewFences = start.renewFences;
+    const MemberSlot baseCoordinator = CoordinatorTerm::slotOf(start.base->version.term);
+    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
+        ShardOwnership &entry = m_map.shards[i];
+        Progress &progress = m_progress[i];
+        progress.freeAt = start.freeAt;
+        progress.claim = entry;
+        entry.state = State::Unowned;
+        entry.next = noMember;
+        if (start.selfHolds && progress.claim.state != State::Unowned && progress.claim.owner == start.self) {
+            keepClaim(i, start.self);
+            continue;
+        }
+        const bool free = start.baseCoordinatorIsFree && progress.claim.state == State::Owned && progress.claim.owner == baseCoordinator;
+        progress.pending = !free;
+    }
+}
+
+void OwnershipLedger::confirmHeld(MemberSlot holder, const std::vector<ShardIndex> &held)
+{
+    bool changed = false;
+    for (const ShardIndex shard : held) {
+        if (shard.value() >= m_progress.size() || !m_progress[shard.value()].pending) {
+            continue;
+        }
+        if (!changed) {
+            raiseVersion();
+            changed = true;
+        }
+        keepClaim(shard.value(), holder);
+    }
+}
+
+void OwnershipLedger::keepClaim(std::size_t shard, MemberSlot holder)
+{
+    Progress &progress = m_progress[shard];
+    ShardOwnership &entry = m_map.shards[shard];
+    progress.pending = false;
+    progress.releasingSince = m_map.version;
+    if (progress.claim.owner == holder && progress.claim.state != State::Unowned) {
+        entry = progress.claim;
+    } else {
+        entry = ShardOwnership{State::Owned, holder, noMember, m_map.version};
+    }
+    if (m_renewFences) {
+        entry.fence = m_map.version;
+    }
+}
+
+void OwnershipLedger::finishRecovery()
+{
+    m_recovering = false;
+    for (Progress &progress : m_progress) {
+        progress.pending = false;
+    }
+}
+
+void OwnershipLedger::lose(MemberSlot owner, MonotonicTime freeAt, EffectList &effects)
+{
+    bool changed = false;
+    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
+        ShardOwnership &entry = m_map.shards[i];
+        if (entry.state == State::Unowned || entry.owner != owner) {
+            continue;
+        }
+        if (!changed) {
+            raiseVersion();
+            changed = true;
+        }
+        effects.record(shardRecord(TimelineRecord::Kind::ShardLost, i, entry));
+        entry.state = State::Unowned;
+        m_progress[i].freeAt = freeAt;
+        m_progress[i].released = false;
+    }
+}
+
+bool OwnershipLedger::isFree(std::size_t shard, MonotonicTime now) const
+{
+    return m_map.shards[shard].state == State::Unowned && !m_progress[shard].pending && now >= m_progress[shard].freeAt;
+}
+
+std::vector<ShardIndex> OwnershipLedger::freeShards(MonotonicTime now) const
+{
+    std::vector<ShardIndex> result;
+    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
+        if (isFree(i, now)) {
+            result.push_back(ShardIndex(static_cast<std::uint32_t>(i)));
+        }
+    }
+    return result;
+}
+
+void OwnershipLedger::apply(const std::vector<PlannedMove> &moves, MonotonicTime now, EffectList &effects)
+{
+    bool changed = false;
+    for (const PlannedMove &move : moves) {
+        const std::size_t shard = move.shard.value();
+        if (shard >= m_map.shards.size()) {
+            continue;
+        }
+        const ShardOwnership &entry = m_map.shards[shard];
+        const bool free = isFree(shard, now) && move.to != noMember;
+        const bool starts = entry.state == State::Owned && entry.owner != move.to;
+        if (!free && !starts) {
+            continue;
+        }
+        if (!changed) {
+            raiseVersion();
+            changed = true;
+        }
+        if (free) {
+            grant(shard, move.to, now, effects);
+        } else {
+            startRelease(shard, move.to, now, effects);
+        }
+    }
+}
+
+void OwnershipLedger::grant(std::size_t shard, MemberSlot to, MonotonicTime now, EffectList &effects)
+{
+    ShardOwnership &entry = m_map.shards[shard];
+    entry = ShardOwnership{State::Owned, to, noMember, m_map.version};
+    m_progress[shard].released = false;
+    m_progress[shard].coolUntil = now + coolDown;
+    effects.record(shardRecord(TimelineRecord::Kind::ShardGranted, shard, entry));
+}
+
+void OwnershipLedger::startRelease(std::size_t shard, MemberSlot next, MonotonicTime now, EffectList &effects)
+{
+    ShardOwnership &entry = m_map.shards[shard];
+    entry.state = State::Releasing;
+    entry.next = next;
+    m_progress[shard].releasingSince = m_map.version;
+    m_progress[shard].nextChosenAt = now;
+    m_progress[shard].released = false;
+    effects.record(shardRecord(TimelineRecord::Kind::ShardReleasing, shard, entry));
+}
+
+void OwnershipLedger::noteReleased(MemberSlot owner, ShardIndex shard, const Fence &fence)
+{
+    if (shard.value() >= m_map.shards.size()) {
+        return;
+    }
+    const ShardOwnership &entry = m_map.shards[shard.value()];
+    if (entry.state == State::Releasing && entry.owner == owner && entry.fence == fence) {
+        m_progress[shard.value()].released = true;
+    }
+}
+
+void OwnershipLedger::advance(const Fence &acknowledged, const Eligible &eligible, MonotonicTime now, EffectList &effects)
+{
+    bool changed = false;
+    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
+        ShardOwnership &entry = m_map.shards[i];
+        const Progress &progress = m_progress[i];
+        if (entry.state != State::Releasing || !progress.released || acknowledged < progress.releasingSince) {
+            continue;
+        }
+        if (!changed) {
+            raiseVersion();
+            changed = true;
+        }
+        effects.record(shardRecord(TimelineRecord::Kind::ShardReleased, i, entry));
+        if (entry.next != noMember && eligible(entry.next)) {
+            grant(i, entry.next, now, effects);
+        } else {
+            entry.state = State::Unowned;
+            m_progress[i].freeAt = now;
+        }
+    }
+}
+
+void OwnershipLedger::retarget(const std::vector<MemberSlot> &eligible, Duration patience, MonotonicTime now)
+{
+    bool changed = false;
+    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
+        ShardOwnership &entry = m_map.shards[i];
+        if (entry.state != State::Releasing || m_progress[i].released) {
+            continue;
+        }
+        const bool nextIsEligible = std::find(eligible.begin(), eligible.end(), entry.next) != eligible.end();
+        if (nextIsEligible && now < m_progress[i].nextChosenAt + patience) {
+            continue;
+        }
+        const MemberSlot next = followingMember(eligible, entry.next, entry.owner);
+        m_progress[i].nextChosenAt = now;
+        if (next == entry.next) {
+            continue;
+        }
+        if (!changed) {
+            raiseVersion();
+            changed = true;
+        }
+        entry.next = next;
+    }
+}
+
+bool OwnershipLedger::owns(MemberSlot slot) const
+{
+    for (const ShardOwnership &entry : m_map.shards) {
+        if (entry.state != State::Unowned && entry.owner == slot) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<bool> OwnershipLedger::cooling(MonotonicTime now) const
+{
+    std::vector<bool> result;
+    result.reserve(m_progress.size());
+    for (const Progress &progress : m_progress) {
+        result.push_back(now < progress.coolUntil);
+    }
+    return result;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -0,0 +1,187 @@
+#include "tablepolling.h"
+
+#include "cellcontext.h"
+#include "effectlist.h"
+#include "events.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr Duration firstWriteRetry = std::chrono::milliseconds(100);
+constexpr Duration longestWriteRetry = std::chrono::seconds(5);
+
+std::uint64_t nextRandom(std::uint64_t &state)
+{
+    state += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t mixed = (state ^ (state >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+    return mixed ^ (mixed >> 31U);
+}
+
+} // namespace
+
+TablePolling::TablePolling(CellContext &context)
+    : m_context(context)
+    , m_writeRetry(firstWriteRetry)
+    , m_random(context.identity.seed)
+{
+}
+
+void TablePolling::tick(Need need, const Event &event, EffectList &effects)
+{
+    if (m_context.service.value().empty()) {
+        return;
+    }
+    announce(event.at, effects);
+    readWhatIsDue(need, event.at, effects);
+    if (!m_context.members.areAllProvedEnded()) {
+        m_allEndedSince.reset();
+    } else if (!m_allEndedSince) {
+        m_allEndedSince = event.at;
+    }
+    if (need == Need::Searching) {
+        claimCell(event.at, effects);
+    }
+}
+
+void TablePolling::announce(MonotonicTime now, EffectList &effects)
+{
+    Member own = m_context.announcement();
+    own.slot = m_lostSlot;
+    if (m_context.service.value().empty() || m_writing || m_written == own || now < m_writeAt) {
+        return;
+    }
+    m_writing = own;
+    effects.add(WriteMemberRow{m_context.service, std::move(own)});
+}
+
+void TablePolling::memberRowWriteFinished(const Event &event)
+{
+    const auto &result = std::get<MemberRowWriteFinished>(event.body).result;
+    if (std::holds_alternative<RowWritten>(result)) {
+        m_written = m_writing;
+        m_writeRetry = firstWriteRetry;
+    } else {
+        m_writeAt = event.at + m_writeRetry;
+        m_writeRetry = std::min(2 * m_writeRetry, longestWriteRetry);
+    }
+    m_writing.reset();
+}
+
+void TablePolling::readWhatIsDue(Need need, MonotonicTime now, EffectList &effects)
+{
+    CellRowKeeper &row = m_context.row;
+    const bool polls = need != Need::Settled && now >= m_nextPoll;
+    if (row.isReadWanted(now) || (polls && need == Need::Searching)) {
+        row.read(m_context.service, now, effects);
+    }
+    if (polls) {
+        m_nextPoll = now + jittered(m_context.timings.tablePoll);
+        if (!m_readingMembers) {
+            m_readingMembers = true;
+            effects.add(ReadMemberRows{m_context.service});
+        }
+        if (!m_readingDocument) {
+            m_readingDocument = true;
+            effects.add(ReadDocument{m_context.service, m_context.documents.highestSeen()});
+        }
+    }
+    if (now >= m_nextDirectoryPoll && !m_readingCells) {
+        m_nextDirectoryPoll = now + jittered(m_context.timings.directoryPoll);
+        m_readingCells = true;
+        effects.add(ReadCells{});
+    }
+}
+
+void TablePolling::claimCell(MonotonicTime now, EffectList &effects)
+{
+    CellRowKeeper &row = m_context.row;
+    const bool ready = m_context.documents.document() && m_written && !m_context.stopping && !m_context.target.isDraining();
+    if (!ready || row.isBusy() || row.isReadWanted(now) || now < row.retryAt()) {
+        return;
+    }
+    if (row.isAbsent()) {
+        row.write(foundedRow(), now, effects);
+        return;
+    }
+    if (std::optional<CellRow> taken = takenOverRow(now)) {
+        row.write(std::move(*taken), now, effects);
+    }
+}
+
+CellRow TablePolling::foundedRow() const
+{
+    CellRow row;
+    row.service = m_context.service;
+    row.revision = CellRevision(1);
+    row.nextSlot = MemberSlot(2);
+    row.members = {m_context.announcement()};
+    row.members.front().slot = MemberSlot(1);
+    row.mark = 1;
+    row.document = m_context.documents.revision();
+    return row;
+}
+
+std::optional<CellRow> TablePolling::takenOverRow(MonotonicTime now) const
+{
+    const std::optional<VersionedCellRow> &known = m_context.row.known();
+    const Document *document = m_context.documents.document();
+    if (!known || !document) {
+        return std::nullopt;
+    }
+    const Timings &timings = m_context.timings;
+    const Duration lastWork = timings.withDrift(timings.promise) + timings.withDrift(timings.memberLease) + m_context.executionWait();
+    const bool allEnded = m_allEndedSince && now >= *m_allEndedSince + lastWork;
+    const bool abandoned = now >= m_context.row.unchangedSince() + timings.withDrift(document->holdLimit) + lastWork;
+    if (!allEnded && !abandoned) {
+        return std::nullopt;
+    }
+    CellRow row = known->row;
+    row.revision = CellRevision(row.revision.value() + 1);
+    Member own = m_context.announcement();
+    own.slot = m_context.self;
+    if (own.slot == noMember) {
+        own.slot = row.nextSlot;
+        row.nextSlot = MemberSlot(row.nextSlot.value() + 1);
+    }
+    row.members = {own};
+    ++row.mark;
+    return row;
+}
+
+void TablePolling::memberRowsRead(const Event &event)
+{
+    m_readingMembers = false;
+    const auto &result = std::get<MemberRowsRead>(event.body).result;
+    if (const auto *rows = std::get_if<std::vector<Member>>(&result)) {
+        m_announced = *rows;
+        m_context.members.noteAnnounced(m_announced, event.at + m_context.timings.withDrift(m_context.timings.promise));
+    }
+}
+
+void TablePolling::documentRead(const Event &event, EffectList &effects)
+{
+    m_readingDocument = false;
+    if (const auto *copy = std::get_if<DocumentCopy>(&std::get<DocumentRead>(event.body).result)) {
+        m_context.offerDocument(*copy, effects);
+    }
+}
+
+void TablePolling::cellsRead(const Event &event)
+{
+    m_readingCells = false;
+    if (const auto *cells = std::get_if<std::vector<CellRow>>(&std::get<CellsRead>(event.body).result)) {
+        m_cells = *cells;
+    }
+}
+
+Duration TablePolling::jittered(Duration interval)
+{
+    const std::uint64_t tenth = static_cast<std::uint64_t>(interval.count()) / 10 + 1;
+    return interval + Duration(static_cast<std::int64_t>(nextRandom(m_random) % tenth));
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/targetwatch.cpp
@@ -0,0 +1,105 @@
+#include "targetwatch.h"
+
+#include "effectlist.h"
+#include "ownershipmap.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+/** Failed probes in a row after which the target counts as unhealthy. */
+constexpr std::uint32_t unhealthyProbes = 3;
+
+} // namespace
+
+TargetWatch::TargetWatch(const Timings &timings)
+    : m_silence(timings.targetSilence)
+    , m_probeInterval(timings.targetProbe)
+    , m_grantRetry(2 * timings.heartbeat)
+{
+}
+
+void TargetWatch::announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+{
+    const bool restarted = !m_latest || m_latest->targetIncarnation != announcement.targetIncarnation;
+    if (restarted) {
+        m_grants.clear();
+        m_failedProbes = 0;
+    }
+    if (restarted || m_silent) {
+        TimelineRecord record;
+        record.kind = TimelineRecord::Kind::TargetAnnounced;
+        record.detail = announcement.target.value();
+        effects.record(std::move(record));
+    }
+    m_silent = false;
+    m_latest = announcement;
+    m_announcedAt = now;
+}
+
+void TargetWatch::probed(const TargetProbed &result)
+{
+    m_failedProbes = result.healthy ? 0 : m_failedProbes + 1;
+}
+
+void TargetWatch::tick(MonotonicTime now, EffectList &effects)
+{
+    if (!m_latest) {
+        return;
+    }
+    if (!m_silent && !isFresh(now)) {
+        m_silent = true;
+        TimelineRecord record;
+        record.kind = TimelineRecord::Kind::TargetSilent;
+        record.detail = m_latest->target.value();
+        effects.record(std::move(record));
+    }
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_probeInterval;
+        effects.add(ProbeTarget{m_latest->endpoint});
+    }
+}
+
+bool TargetWatch::isHealthy(MonotonicTime now) const
+{
+    return isFresh(now) && m_failedProbes < unhealthyProbes;
+}
+
+void TargetWatch::sendGrants(const OwnershipMap &map, MemberSlot self, MonotonicTime now, EffectList &effects)
+{
+    if (!m_latest) {
+        return;
+    }
+    std::map<Fence, std::vector<ShardIndex>> owned;
+    for (std::uint32_t i = 0; i < map.shards.size(); ++i) {
+        const ShardOwnership &shard = map.shards[i];
+        if (shard.state == ShardOwnership::State::Owned && shard.owner == self) {
+            owned[shard.fence].push_back(ShardIndex(i));
+        }
+    }
+    std::erase_if(m_grants, [&](const auto &grant) { return !owned.contains(grant.first); });
+    for (auto &[fence, shards] : owned) {
+        Grant &grant = m_grants[fence];
+        if (grant.accepted || now < grant.retryAt) {
+            continue;
+        }
+        grant.retryAt = now + m_grantRetry;
+        effects.add(GrantToTarget{m_latest->endpoint, fence, std::move(shards)});
+    }
+}
+
+void TargetWatch::grantFinished(const TargetGrantFinished &result)
+{
+    const auto grant = m_grants.find(result.fence);
+    if (grant != m_grants.end() && result.accepted) {
+        grant->second.accepted = true;
+    }
+}
+
+bool TargetWatch::hasGrant(const Fence &fence) const
+{
+    const auto grant = m_grants.find(fence);
+    return grant != m_grants.end() && grant->second.accepted;
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/timings.h
+++ b/src/libnutmeghinge/timings.h
@@ -31,6 +31,11 @@
     /** Between two reads of the cells of other services. */
     Duration directoryPoll{std::chrono::seconds(10)};
 
+    /** Without a heartbeat for this long a member is taken from the list. */
+    Duration memberRemoval{std::chrono::seconds(30)};
+    /** Without a release for this long a moving shard gets another next owner. */
+    Duration moveRetarget{std::chrono::seconds(5)};
+
     /** The duration, lengthened by the clocks' drift. */
     Duration withDrift(Duration duration) const { return duration + duration * driftPerMille / 1000; }
 };
--- /dev/null
+++ b/tests/core/fakeactivity.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "shardactivity.h"
+
+#include <map>
+
+namespace nutmeghinge {
+
+/** Requests of one node as the tests set them. */
+class FakeActivity : public ShardActivity
+{
+public:
+    std::uint32_t blockingRequests(ShardIndex shard) const override
+    {
+        const auto found = blocking.find(shard);
+        return found == blocking.end() ? 0 : found->second;
+    }
+    std::uint32_t runningRequests() const override { return 0; }
+    MemberLoad takeLoad(MonotonicTime) override { return load; }
+    std::vector<DeduplicationEntry> exportDeduplication(ShardIndex shard, MonotonicTime) const override
+    {
+        std::vector<DeduplicationEntry> result;
+        for (const DeduplicationEntry &entry : memory) {
+            if (entry.shard == shard) {
+                result.push_back(entry);
+            }
+        }
+        return result;
+    }
+    void importDeduplication(const std::vector<DeduplicationEntry> &entries, MonotonicTime) override
+    {
+        memory.insert(memory.end(), entries.begin(), entries.end());
+    }
+
+    std::map<ShardIndex, std::uint32_t> blocking;
+    std::vector<DeduplicationEntry> memory;
+    MemberLoad load;
+};
+
+} // namespace nutmeghinge
