--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -3,6 +3,7 @@
 #include "cellrow.h"
 #include "endpoint.h"
 #include "fence.h"
+#include "hybridtime.h"
 #include "ids.h"
 #include "member.h"
 #include "notrunreason.h"
@@ -61,6 +62,8 @@
     MemberSlot from;
     ServiceName service;
     PeerMessage message;
+    /** Sender's clock; set by the Reducer. */
+    HybridTime time{};
 };
 
 // Target.
@@ -101,6 +104,8 @@
     MonotonicTime deadline;
     std::uint32_t hops = 0;
     bool freshConnection = false;
+    /** Sender's clock; set by the Reducer. */
+    HybridTime time{};
 };
 
 struct CancelAttempt {
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -3,6 +3,7 @@
 #include "cellrow.h"
 #include "endpoint.h"
 #include "fence.h"
+#include "hybridtime.h"
 #include "ids.h"
 #include "member.h"
 #include "notrunreason.h"
@@ -102,6 +103,8 @@
     MemberSlot from;
     ServiceName service;
     PeerMessage message;
+    /** Sender's clock when it sent the message. */
+    HybridTime time{};
 };
 
 // Target.
@@ -150,6 +153,8 @@
     /** Times that the request was forwarded between nodes. */
     std::uint32_t hops = 0;
     std::uint64_t bodySize = 0;
+    /** Clock of the node that forwarded the request; zero for callers. */
+    HybridTime time{};
 };
 
 /** The caller has gone before its answer was complete. */
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -7,6 +7,13 @@
 
 namespace nutmeghinge {
 
+namespace {
+
+/** A peer's clock further ahead than this is not followed. */
+constexpr Duration clockSkewLimit = std::chrono::minutes(1);
+
+} // namespace
+
 Reducer::Reducer(NodeIdentity identity, Timings timings)
     : m_router(identity.seed)
     , m_cell(std::move(identity), timings, m_router)
@@ -36,23 +43,45 @@
         &Reducer::handleInRouter<&RequestRouter::attemptAnswering>,
         &Reducer::handleAttemptFinished,
     };
-    EffectList effects(advanceClock(event.wallTime));
+    EffectList effects(advanceClock(event));
     (this->*handlers[event.body.index()])(event, effects);
     Effects result = effects.take();
-    m_clock.counter += static_cast<std::uint32_t>(result.size());
+    stampMessages(result);
     return result;
 }
 
-HybridTime Reducer::advanceClock(WallTime wallTime)
+HybridTime Reducer::advanceClock(const Event &event)
 {
-    if (wallTime > m_clock.wall) {
-        m_clock = HybridTime{wallTime, 0};
+    HybridTime heard;
+    if (const auto *message = std::get_if<PeerMessageArrived>(&event.body)) {
+        heard = message->time;
+    } else if (const auto *request = std::get_if<RequestArrived>(&event.body)) {
+        heard = request->time;
+    }
+    if (heard.wall > event.wallTime + clockSkewLimit) {
+        heard = HybridTime{};
+    }
+    const HybridTime latest = std::max(m_clock, heard);
+    if (event.wallTime > latest.wall) {
+        m_clock = HybridTime{event.wallTime, 0};
     } else {
-        ++m_clock.counter;
+        m_clock = HybridTime{latest.wall, latest.counter + 1};
     }
     return m_clock;
 }
 
+void Reducer::stampMessages(Effects &effects)
+{
+    m_clock.counter += static_cast<std::uint32_t>(effects.size());
+    for (Effect &effect : effects) {
+        if (auto *send = std::get_if<SendPeerMessage>(&effect)) {
+            send->time = m_clock;
+        } else if (auto *forward = std::get_if<ForwardRequest>(&effect)) {
+            forward->time = m_clock;
+        }
+    }
+}
+
 void Reducer::handleTick(const Event &event, EffectList &effects)
 {
     m_cell.tick(event, effects);
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -37,7 +37,8 @@
     void handleInCell(const Event &event, EffectList &effects);
     template <void (RequestRouter::*Member)(const Event &, EffectList &)>
     void handleInRouter(const Event &event, EffectList &effects);
-    HybridTime advanceClock(WallTime wallTime);
+    HybridTime advanceClock(const Event &event);
+    void stampMessages(Effects &effects);
 
     RequestRouter m_router;
     Cell m_cell;
--- /dev/null
+++ b/src/libnutmeghinge/timelinerecord.cpp
@@ -0,0 +1,27 @@
+#include "timelinerecord.h"
+
+#include <array>
+
+namespace nutmeghinge {
+
+std::string_view nameOf(TimelineRecord::Kind kind)
+{
+    // One name for each kind, in the order of the enumeration.
+    static constexpr std::array names{
+        "NodeStarted",         "StopRequested",    "NodeStopped",      "TargetAnnounced", "TargetSilent",   "TermStarted",    "TermEnded",
+        "LeaseGranted",        "LeaseHeld",        "LeaseLapsed",      "ShardGranted",    "ShardReleasing", "ShardReleased",  "ShardLost",
+        "HandoverSent",        "HandoverReceived", "MemberAdded",      "MemberRemoved",   "RowWritten",     "RowConflict",    "PlatformDown",
+        "PlatformUp",          "DocumentInForce",  "DocumentRejected", "HotKeySplit",     "HotKeyMerged",   "RequestArrived", "RequestForwarded",
+        "RequestSentToTarget", "RequestRetried",   "RequestQueued",    "RequestAnswered", "RequestRefused", "RequestUnknown", "DuplicateJoined",
+        "DuplicateAnswered",   "StaleFence",       "BadInput",
+    };
+    static_assert(names.size() == static_cast<std::size_t>(TimelineRecord::Kind::BadInput) + 1);
+    return names[static_cast<std::size_t>(kind)];
+}
+
+bool isAboutRequest(TimelineRecord::Kind kind)
+{
+    return kind >= TimelineRecord::Kind::RequestArrived && kind <= TimelineRecord::Kind::DuplicateAnswered;
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -1,24 +1,16 @@
 #pragma once
 
 #include "fence.h"
+#include "hybridtime.h"
 #include "ids.h"
-#include "units.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace nutmeghinge {
 
-/** Hybrid logical clock: orders records of all nodes by cause, close to the time of day. */
-struct HybridTime {
-    WallTime wall;
-    std::uint32_t counter = 0;
-
-    friend constexpr auto operator<=>(const HybridTime &, const HybridTime &) = default;
-    friend constexpr bool operator==(const HybridTime &, const HybridTime &) = default;
-};
-
 /** One entry of the time line. The node's name and incarnation are added where the ring is served. */
 struct TimelineRecord {
     enum class Kind : std::uint8_t {
@@ -73,4 +65,9 @@
     std::string detail;
 };
 
+/** Name of the kind, as the time line shows it. */
+std::string_view nameOf(TimelineRecord::Kind kind);
+/** The kind tells of one request, and not of the node or its cell. */
+bool isAboutRequest(TimelineRecord::Kind kind);
+
 } // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/announcementserver.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "endpoint.h"
+#include "events.h"
+#include "httpserver.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <variant>
+
+namespace nutmeghinge {
+
+class EventLoop;
+
+/** Why an announcement was refused. */
+struct AnnouncementFault {
+    std::string reason;
+};
+
+/** Reads a target's announcement from its JSON text. */
+std::variant<TargetAnnounced, AnnouncementFault> parseAnnouncement(std::string_view text);
+
+/**
+ * Listener for the target beside this node: POST /announce with a JSON object,
+ * answered 204, or 400 with the reason. Borrows the loop.
+ */
+class AnnouncementServer
+{
+public:
+    using EventFunction = std::function<void(EventBody)>;
+
+    AnnouncementServer(EventLoop &loop, EventFunction events);
+
+    std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint);
+
+private:
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+
+    EventFunction m_events;
+    HttpServer m_server;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -0,0 +1,170 @@
+#include "nodemetrics.h"
+
+#include "requestrouter.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <optional>
+#include <spdlog/fmt/fmt.h>
+#include <string_view>
+#include <unordered_map>
+
+namespace nutmeghinge {
+
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+constexpr std::array<double, 4> quantiles{0.5, 0.9, 0.99, 0.999};
+
+using Seconds = accumulators::accumulator_set<
+    double,
+    accumulators::stats<accumulators::tag::count, accumulators::tag::sum, accumulators::tag::max, accumulators::tag::extended_p_square_quantile>>;
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+void appendCounter(std::string &text, std::string_view name, std::string_view help, std::uint64_t value)
+{
+    text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} counter\nnutmeghinge_{0} {2}\n", name, help, value);
+}
+
+void appendGauge(std::string &text, std::string_view name, std::string_view help, std::uint64_t value)
+{
+    text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} gauge\nnutmeghinge_{0} {2}\n", name, help, value);
+}
+
+void appendSummary(std::string &text, std::string_view name, std::string_view help, const Seconds &seconds)
+{
+    text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} summary\n", name, help);
+    const auto count = accumulators::count(seconds);
+    if (count > 0) {
+        for (const double probability : quantiles) {
+            text += fmt::format("nutmeghinge_{}{{quantile=\"{}\"}} {:.6f}\n",
+                                name,
+                                probability,
+                                accumulators::quantile(seconds, accumulators::quantile_probability = probability));
+        }
+        text += fmt::format("nutmeghinge_{}{{quantile=\"1\"}} {:.6f}\n", name, (accumulators::max)(seconds));
+    }
+    text += fmt::format("nutmeghinge_{0}_sum {1:.6f}\nnutmeghinge_{0}_count {2}\n", name, accumulators::sum(seconds), count);
+}
+
+} // namespace
+
+struct NodeMetrics::Private {
+    Seconds requestSeconds{accumulators::extended_p_square_probabilities = quantiles};
+    Seconds targetSeconds{accumulators::extended_p_square_probabilities = quantiles};
+    std::unordered_map<RequestId, MonotonicTime> requestStarts;
+    struct Attempt {
+        RequestId request;
+        MonotonicTime start;
+        bool toTarget = false;
+    };
+    std::unordered_map<AttemptId, Attempt> attempts;
+    std::uint64_t tableReads = 0;
+    std::uint64_t tableWrites = 0;
+
+    void endRequest(RequestId request, MonotonicTime now);
+    void endAttempt(const AttemptFinished &finished, MonotonicTime now);
+};
+
+void NodeMetrics::Private::endRequest(RequestId request, MonotonicTime now)
+{
+    const auto start = requestStarts.find(request);
+    if (start == requestStarts.end()) {
+        return;
+    }
+    requestSeconds(secondsOf(now - start->second));
+    requestStarts.erase(start);
+}
+
+void NodeMetrics::Private::endAttempt(const AttemptFinished &finished, MonotonicTime now)
+{
+    const auto attempt = attempts.find(finished.attempt);
+    if (attempt == attempts.end()) {
+        return;
+    }
+    if (std::holds_alternative<AttemptAnswered>(finished.result)) {
+        if (attempt->second.toTarget) {
+            targetSeconds(secondsOf(now - attempt->second.start));
+        }
+        endRequest(attempt->second.request, now);
+    }
+    const auto *unknown = std::get_if<AttemptUnknown>(&finished.result);
+    if (unknown && unknown->answerBegun) {
+        requestStarts.erase(attempt->second.request);
+    }
+    attempts.erase(attempt);
+}
+
+NodeMetrics::NodeMetrics()
+    : m_d(std::make_unique<Private>())
+{
+}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::observeEvent(const Event &event)
+{
+    if (const auto *arrived = std::get_if<RequestArrived>(&event.body)) {
+        m_d->requestStarts.emplace(arrived->request, event.at);
+    } else if (const auto *cancelled = std::get_if<RequestCancelled>(&event.body)) {
+        m_d->requestStarts.erase(cancelled->request);
+    } else if (const auto *finished = std::get_if<AttemptFinished>(&event.body)) {
+        m_d->endAttempt(*finished, event.at);
+    }
+}
+
+void NodeMetrics::observeEffect(const Effect &effect, MonotonicTime now)
+{
+    if (const auto *send = std::get_if<SendToTarget>(&effect)) {
+        m_d->attempts.emplace(send->attempt, Private::Attempt{send->request, now, true});
+    } else if (const auto *forward = std::get_if<ForwardRequest>(&effect)) {
+        m_d->attempts.emplace(forward->attempt, Private::Attempt{forward->request, now, false});
+    } else if (const auto *refuse = std::get_if<RefuseRequest>(&effect)) {
+        m_d->endRequest(refuse->request, now);
+    } else if (const auto *stored = std::get_if<AnswerFromStore>(&effect)) {
+        m_d->endRequest(stored->request, now);
+    } else if (std::holds_alternative<WriteCellRow>(effect) || std::holds_alternative<WriteMemberRow>(effect)) {
+        ++m_d->tableWrites;
+    } else if (std::holds_alternative<ReadCellRow>(effect) || std::holds_alternative<ReadMemberRows>(effect) || std::holds_alternative<ReadDocument>(effect)
+               || std::holds_alternative<ReadCells>(effect)) {
+        ++m_d->tableReads;
+    }
+}
+
+std::string NodeMetrics::toText(const RequestCounters &requests, const AdapterCounters &adapters) const
+{
+    std::string text;
+    appendCounter(text, "requests_arrived_total", "Requests of callers and peers.", requests.arrived);
+    appendCounter(text, "requests_answered_total", "Requests answered by a target.", requests.answered);
+    appendCounter(text, "requests_not_run_total", "Requests refused that did not run.", requests.notRun);
+    appendCounter(text, "requests_unknown_total", "Requests ended with an unknown outcome.", requests.unknown);
+    appendCounter(text, "requests_forwarded_total", "Requests forwarded to another node.", requests.forwarded);
+    appendCounter(text, "retries_total", "Further attempts of requests.", requests.retries);
+    appendCounter(text, "retries_denied_total", "Further attempts that the budget denied.", requests.retriesDenied);
+    appendCounter(text, "duplicates_joined_total", "Duplicates that joined a running request.", requests.duplicatesJoined);
+    appendCounter(text, "duplicates_answered_total", "Duplicates answered from memory.", requests.duplicatesAnswered);
+    appendGauge(text, "requests_in_flight", "Requests that the target runs.", requests.inFlight);
+    appendGauge(text, "requests_queued", "Requests that wait for the target or an owner.", requests.queued);
+    appendCounter(text, "control_messages_total", "Control messages sent to peers.", adapters.controlMessages);
+    appendCounter(text, "control_bytes_total", "Bytes of control messages sent to peers.", adapters.controlBytes);
+    appendCounter(text, "table_reads_total", "Reads asked of the platform.", m_d->tableReads);
+    appendCounter(text, "table_writes_total", "Writes asked of the platform.", m_d->tableWrites);
+    appendCounter(text, "refused_inputs_total", "Requests refused for faulty framing or size.", adapters.refusedInputs);
+    appendGauge(text, "caller_connections", "Open connections of callers.", adapters.callerConnections);
+    appendSummary(text, "request_seconds", "Time from a request's arrival to its whole answer.", m_d->requestSeconds);
+    appendSummary(text, "target_seconds", "Time from sending to the target to its whole answer.", m_d->targetSeconds);
+    return text;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "effects.h"
+#include "events.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace nutmeghinge {
+
+struct RequestCounters;
+
+/** Counts of the adapters that the reducer does not see. */
+struct AdapterCounters {
+    std::uint64_t controlMessages = 0;
+    std::uint64_t controlBytes = 0;
+    std::uint64_t refusedInputs = 0;
+    std::size_t callerConnections = 0;
+};
+
+/**
+ * Metrics of one node, gathered from its events and effects; shown in the
+ * Prometheus text format. Owned by the Node.
+ */
+class NodeMetrics
+{
+public:
+    NodeMetrics();
+    ~NodeMetrics();
+    NodeMetrics(const NodeMetrics &) = delete;
+    NodeMetrics &operator=(const NodeMetrics &) = delete;
+
+    void observeEvent(const Event &event);
+    void observeEffect(const Effect &effect, MonotonicTime now);
+    /** Text for /metrics; times in seconds. */
+    std::string toText(const RequestCounters &requests, const AdapterCounters &adapters) const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace nutmeghinge
