Route requests to the owner of their key and admit them to its target

Requests had no path through the decisions. A request is checked against the document in force, goes to the owner of its shard with the shard's fence, waits for a slot in a bounded queue or for an owner at its entry node, and is answered or refused once. Retries are paid from a budget or paced, repeats by Idempotency-Key join the running request or get its answer.

A node of another service cannot read the key of this one, since a cell's row holds no document; it forwards to any member, and that member to the owner. Hence a node that got a request with one hop and knows another owner forwards it once more; with two hops, or without a known owner, it refuses at once.

Added to shared types: DeduplicationEntry::fingerprint, AttemptNotRun::status, AttemptUnknown::status, RequestCounters::deduplicationEvictions.

--- a/src/libnutmeghinge/deduplicationentry.h
+++ b/src/libnutmeghinge/deduplicationentry.h
@@ -4,6 +4,7 @@
 #include "storedanswer.h"
 #include "units.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -19,6 +20,8 @@
     std::string key;
     /** Empty where the request's outcome is unknown, or its answer was too large to keep. */
     std::optional<StoredAnswer> answer;
+    /** Hash of method, path and size of the body; 0 where it is not known. */
+    std::uint64_t fingerprint = 0;
     /** Age when the entry was exported. */
     Duration age{0};
 
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -177,6 +177,8 @@
     std::optional<Duration> retryAfter;
     /** Newer fence that the target knows, with StaleFence. */
     std::optional<Fence> newerFence;
+    /** Status of the other node's refusal; 0 where there was none. */
+    std::uint16_t status = 0;
 };
 
 /** Bytes may have reached the target and no whole answer came, or it came broken. */
@@ -193,6 +195,8 @@
     Reason reason = Reason::ConnectionLost;
     /** Part of the answer has gone to the caller: its stream was reset, no other answer is possible. */
     bool answerBegun = false;
+    /** Status of the other node's refusal, with PeerUnknown; 0 where there was none. */
+    std::uint16_t status = 0;
 };
 
 /** An attempt has ended. Every attempt ends with just one, also after CancelAttempt. */
--- /dev/null
+++ b/src/libnutmeghinge/heavykeys.cpp
@@ -0,0 +1,51 @@
+#include "heavykeys.h"
+
+#include "loadmeter.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t maximumCounters = 32;
+constexpr std::size_t maximumReported = 16;
+constexpr std::uint64_t shareOfHeavyKey = 100;
+/** A key that came once or twice is not heavy, however few requests there are. */
+constexpr std::uint64_t minimumCount = 3;
+
+} // namespace
+
+void HeavyKeys::count(std::uint64_t keyHash)
+{
+    ++m_total;
+    const auto known = std::find_if(m_counters.begin(), m_counters.end(), [&](const Counter &counter) { return counter.keyHash == keyHash; });
+    if (known != m_counters.end()) {
+        ++known->count;
+        return;
+    }
+    if (m_counters.size() < maximumCounters) {
+        m_counters.push_back({keyHash, 1, 0});
+        return;
+    }
+    const auto least = std::min_element(m_counters.begin(), m_counters.end(), [](const Counter &a, const Counter &b) { return a.count < b.count; });
+    *least = {keyHash, least->count + 1, least->count};
+}
+
+std::vector<KeyLoad> HeavyKeys::take(Duration elapsed)
+{
+    std::vector<KeyLoad> heavy;
+    for (const Counter &counter : m_counters) {
+        const std::uint64_t certain = counter.count - counter.error;
+        if (certain >= minimumCount && certain * shareOfHeavyKey >= m_total) {
+            heavy.push_back({counter.keyHash, milliRate(certain, elapsed)});
+        }
+    }
+    std::sort(heavy.begin(), heavy.end(), [](const KeyLoad &a, const KeyLoad &b) { return a.milliRequestsPerSecond > b.milliRequestsPerSecond; });
+    heavy.resize(std::min(heavy.size(), maximumReported));
+    m_counters.clear();
+    m_total = 0;
+    return heavy;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/pseudorandom.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+
+namespace nutmeghinge {
+
+/** Reproducible pseudorandom numbers (SplitMix64) from a given seed. */
+class PseudoRandom
+{
+public:
+    explicit PseudoRandom(std::uint64_t seed)
+        : m_state(seed)
+    {
+    }
+
+    std::uint64_t next()
+    {
+        m_state += 0x9e3779b97f4a7c15;
+        std::uint64_t value = m_state;
+        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+        value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+        return value ^ (value >> 31);
+    }
+
+    /** Number from 0 to the bound less one; the bound must not be 0. */
+    std::uint64_t below(std::uint64_t bound) { return next() % bound; }
+
+private:
+    std::uint64_t m_state;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/replicachoice.cpp
@@ -0,0 +1,120 @@
+#include "replicachoice.h"
+
+#include "document.h"
+#include "member.h"
+#include "memberload.h"
+#include "ownershipview.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+ReplicaChoice::ReplicaChoice(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
+void ReplicaChoice::setOwnTarget(std::uint32_t queued, bool healthy)
+{
+    m_ownQueued = queued;
+    m_ownHealthy = healthy;
+}
+
+void ReplicaChoice::ended(MemberSlot member)
+{
+    const auto position = m_started.find(member);
+    if (position != m_started.end() && --position->second == 0) {
+        m_started.erase(position);
+    }
+}
+
+std::optional<MemberSlot> ReplicaChoice::choose(const OwnershipView &ownership, MemberSlot excluded, MonotonicTime now, WallTime wallTime)
+{
+    if (m_stale) {
+        refresh(ownership, now, wallTime);
+    }
+    const bool ownZoneOnly = !ownZoneIsFuller();
+    std::vector<const Candidate *> preferred;
+    std::vector<const Candidate *> healthy;
+    std::vector<const Candidate *> any;
+    for (const Candidate &candidate : m_candidates) {
+        if (candidate.slot == excluded) {
+            continue;
+        }
+        any.push_back(&candidate);
+        if (!(candidate.isSelf ? m_ownHealthy : candidate.healthy)) {
+            continue;
+        }
+        healthy.push_back(&candidate);
+        if (ownZoneOnly && candidate.ownZone) {
+            preferred.push_back(&candidate);
+        }
+    }
+    for (const auto *candidates : {&preferred, &healthy, &any}) {
+        if (!candidates->empty()) {
+            return betterOfTwo(*candidates);
+        }
+    }
+    return m_candidates.empty() ? std::nullopt : std::optional(m_candidates.front().slot);
+}
+
+void ReplicaChoice::refresh(const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
+{
+    m_stale = false;
+    m_candidates.clear();
+    const Document *document = ownership.document();
+    const Member *self = ownership.member(ownership.self());
+    for (const Member &member : ownership.members()) {
+        const bool isSelf = self && member.slot == self->slot;
+        const bool admits = isSelf ? ownership.mayAdmit(ShardIndex(0), now) : !member.leaving;
+        if (!admits || (document && document->isLeaving(member.target, wallTime))) {
+            continue;
+        }
+        Candidate candidate;
+        candidate.slot = member.slot;
+        candidate.isSelf = isSelf;
+        candidate.ownZone = self && member.zone == self->zone;
+        candidate.slots = std::max(member.slots, 1U);
+        const auto &loads = ownership.loads();
+        const auto load = std::find_if(loads.begin(), loads.end(), [&](const MemberLoad &other) { return other.slot == member.slot; });
+        if (load != loads.end()) {
+            candidate.healthy = load->healthy;
+            candidate.reported = load->inFlight + load->queued;
+        }
+        m_candidates.push_back(candidate);
+    }
+}
+
+std::uint32_t ReplicaChoice::inFlight(const Candidate &candidate) const
+{
+    const auto started = m_started.find(candidate.slot);
+    const std::uint32_t known = candidate.isSelf ? m_ownQueued : candidate.reported;
+    return known + (started == m_started.end() ? 0 : started->second);
+}
+
+bool ReplicaChoice::ownZoneIsFuller() const
+{
+    std::uint64_t ownInFlight = 0;
+    std::uint64_t ownSlots = 0;
+    std::uint64_t otherInFlight = 0;
+    std::uint64_t otherSlots = 0;
+    for (const Candidate &candidate : m_candidates) {
+        (candidate.ownZone ? ownInFlight : otherInFlight) += inFlight(candidate);
+        (candidate.ownZone ? ownSlots : otherSlots) += candidate.slots;
+    }
+    return ownInFlight * otherSlots > otherInFlight * ownSlots;
+}
+
+bool ReplicaChoice::isFuller(const Candidate &a, const Candidate &b) const
+{
+    return std::uint64_t(inFlight(a)) * b.slots > std::uint64_t(inFlight(b)) * a.slots;
+}
+
+std::optional<MemberSlot> ReplicaChoice::betterOfTwo(const std::vector<const Candidate *> &candidates)
+{
+    const Candidate *first = candidates[m_random.below(candidates.size())];
+    const Candidate *second = candidates[m_random.below(candidates.size())];
+    return isFuller(*first, *second) ? second->slot : first->slot;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/replicachoice.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "ids.h"
+#include "pseudorandom.h"
+#include "units.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmeghinge {
+
+class OwnershipView;
+
+/**
+ * Chooses a member for a request of a service that is not divided by key: the
+ * better of two random ones by requests in flight per slot, in this node's zone
+ * until that is fuller than the rest.
+ */
+class ReplicaChoice
+{
+public:
+    explicit ReplicaChoice(std::uint64_t seed);
+
+    /** Members, loads or document may have changed: they are read again at the next choice. */
+    void invalidate() { m_stale = true; }
+    /** State of this node's own target. */
+    void setOwnTarget(std::uint32_t queued, bool healthy);
+    /** This node sent a request to the member, itself included. */
+    void started(MemberSlot member) { ++m_started[member]; }
+    void ended(MemberSlot member);
+    /** Never the excluded member, unless there is no other; nothing where no member may serve. */
+    std::optional<MemberSlot> choose(const OwnershipView &ownership, MemberSlot excluded, MonotonicTime now, WallTime wallTime);
+
+private:
+    struct Candidate {
+        MemberSlot slot;
+        bool isSelf = false;
+        bool ownZone = false;
+        bool healthy = true;
+        std::uint32_t slots = 1;
+        std::uint32_t reported = 0;
+    };
+
+    void refresh(const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
+    std::uint32_t inFlight(const Candidate &candidate) const;
+    bool ownZoneIsFuller() const;
+    bool isFuller(const Candidate &a, const Candidate &b) const;
+    std::optional<MemberSlot> betterOfTwo(const std::vector<const Candidate *> &candidates);
+
+    PseudoRandom m_random;
+    bool m_stale = true;
+    std::uint32_t m_ownQueued = 0;
+    bool m_ownHealthy = true;
+    std::vector<Candidate> m_candidates;
+    std::unordered_map<MemberSlot, std::uint32_t> m_started;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/requestreplies.cpp
@@ -0,0 +1,73 @@
+#include "requestreplies.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr Duration minimumRetryAfter = std::chrono::milliseconds(100);
+
+std::uint16_t statusOf(const Refusal &refusal, bool unknown)
+{
+    if (!unknown || refusal.status != 503) {
+        return refusal.status;
+    }
+    return refusal.reason == NotRunReason::DeadlineExpired ? 504 : 502;
+}
+
+} // namespace
+
+void RequestReplies::refuse(const Request &request, Refusal refusal, EffectList &effects)
+{
+    RefuseRequest effect;
+    effect.request = request.id;
+    effect.status = statusOf(refusal, request.unknown);
+    effect.outcome = request.unknown ? Outcome::Unknown : Outcome::NotRun;
+    effect.reason = refusal.reason;
+    effect.retryAfter = effect.status == 503 ? std::max(refusal.retryAfter, minimumRetryAfter) : refusal.retryAfter;
+    effect.detail = std::move(refusal.detail);
+    ++(request.unknown ? m_counters.unknown : m_counters.notRun);
+    record(request.unknown ? TimelineRecord::Kind::RequestUnknown : TimelineRecord::Kind::RequestRefused, request, effects, effect.detail);
+    effects.add(std::move(effect));
+}
+
+void RequestReplies::answered(const Request &request, std::uint16_t status, EffectList &effects)
+{
+    ++m_counters.answered;
+    record(TimelineRecord::Kind::RequestAnswered, request, effects, std::to_string(status));
+}
+
+void RequestReplies::answerFromStore(const Request &request, const StoredAnswer &answer, EffectList &effects)
+{
+    ++m_counters.answered;
+    ++m_counters.duplicatesAnswered;
+    record(TimelineRecord::Kind::DuplicateAnswered, request, effects);
+    effects.add(AnswerFromStore{request.id, answer});
+}
+
+void RequestReplies::cutOff(const Request &request, EffectList &effects)
+{
+    ++m_counters.unknown;
+    record(TimelineRecord::Kind::RequestUnknown, request, effects, "answer cut off");
+}
+
+void RequestReplies::record(TimelineRecord::Kind kind, const Request &request, EffectList &effects, std::string detail)
+{
+    TimelineRecord record;
+    record.kind = kind;
+    record.request = request.id;
+    if (request.divided) {
+        record.shard = request.shard;
+    }
+    if (request.state == Request::State::Running) {
+        record.fence = request.fence;
+    }
+    if (request.state == Request::State::Running && request.destination == Request::Destination::Member) {
+        record.member = request.member;
+    }
+    record.detail = std::move(detail);
+    effects.record(std::move(record));
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -21,6 +21,8 @@
     std::uint64_t forwarded = 0;
     std::uint64_t duplicatesJoined = 0;
     std::uint64_t duplicatesAnswered = 0;
+    /** Remembered answers dropped before their time for lack of room. */
+    std::uint64_t deduplicationEvictions = 0;
     std::uint32_t inFlight = 0;
     std::uint32_t queued = 0;
 };
@@ -29,6 +31,21 @@
  * Brings each request to the owner of its key: routing, admission to the target
  * beside this node, queues, retries within a budget, deadlines and the memory
  * of idempotency keys. Owned by the Reducer.
+ *
+ * A non-idempotent request is never sent again once an attempt of it has ended
+ * with its outcome unknown, and a request is refused as "not run" only if each
+ * of its attempts certainly was not run.
+ *
+ * A caller's own repeat of a non-idempotent request is recognised by its
+ * Idempotency-Key at the node that owns the request's key. This memory moves
+ * with a planned handover. It holds document.deduplicationEntries entries for
+ * document.deduplicationWindow, and it is lost with its node: a repeat past
+ * these bounds is run as a new request. For a service that is not divided by key
+ * the memory holds for each node alone.
+ *
+ * A request may be forwarded twice: by a node of another service to any member
+ * of the cell, and by that member to the owner. A node that got the request from
+ * another one never waits for ownership to change.
  */
 class RequestRouter : public ShardActivity
 {
--- /dev/null
+++ b/src/libnutmeghinge/routeplanner.cpp
@@ -0,0 +1,102 @@
+#include "routeplanner.h"
+
+#include "cellrow.h"
+#include "document.h"
+#include "ownershipmap.h"
+#include "ownershipview.h"
+#include "shardof.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+ShardIndex shardOf(const Request &request, const OwnershipView &ownership)
+{
+    const Document *document = ownership.document();
+    if (!request.divided || !document) {
+        return ShardIndex(0);
+    }
+    return shardOfHash(request.keyHash, ownership.map(), document->shards);
+}
+
+} // namespace
+
+RoutePlanner::RoutePlanner(std::uint64_t seed)
+    : m_replicas(seed)
+    , m_random(~seed)
+{
+}
+
+Route RoutePlanner::plan(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
+{
+    if (!request.otherHost.empty()) {
+        return planOtherCell(request, ownership);
+    }
+    if (!request.divided && request.hops == 0) {
+        return planReplica(request, ownership, now, wallTime);
+    }
+    if (const auto target = planTarget(request, ownership, now)) {
+        return *target;
+    }
+    return request.divided ? planOwner(request, ownership) : NoRoute{};
+}
+
+std::optional<RouteToTarget> RoutePlanner::planTarget(const Request &request, const OwnershipView &ownership, MonotonicTime now)
+{
+    const OwnershipMap &map = ownership.map();
+    const ShardIndex shard = shardOf(request, ownership);
+    if (!ownership.mayAdmit(shard, now)) {
+        return std::nullopt;
+    }
+    const bool listed = request.divided && shard.value() < map.shards.size();
+    return RouteToTarget{shard, listed ? map.shards[shard.value()].fence : map.version};
+}
+
+Route RoutePlanner::planOwner(const Request &request, const OwnershipView &ownership)
+{
+    const OwnershipMap &map = ownership.map();
+    const ShardIndex shard = shardOf(request, ownership);
+    if (shard.value() >= map.shards.size()) {
+        return NoRoute{};
+    }
+    const ShardOwnership &entry = map.shards[shard.value()];
+    const Member *owner = ownership.member(entry.owner);
+    if (entry.state != ShardOwnership::State::Owned || entry.owner == ownership.self() || !owner) {
+        return NoRoute{};
+    }
+    return RouteToMember{owner, entry.fence};
+}
+
+Route RoutePlanner::planReplica(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
+{
+    const auto chosen = m_replicas.choose(ownership, request.member, now, wallTime);
+    if (!chosen) {
+        return NoRoute{};
+    }
+    if (*chosen == ownership.self()) {
+        const auto target = planTarget(request, ownership, now);
+        return target ? Route(*target) : NoRoute{};
+    }
+    const Member *member = ownership.member(*chosen);
+    return member ? Route(RouteToMember{member, ownership.map().version}) : NoRoute{};
+}
+
+Route RoutePlanner::planOtherCell(const Request &request, const OwnershipView &ownership)
+{
+    const CellRow *cell = ownership.otherCell(request.otherHost);
+    if (!cell || cell->members.empty()) {
+        return NoRoute{};
+    }
+    // The key header of the other service is not known here; any of its members finds the owner.
+    const std::size_t count = cell->members.size();
+    const std::size_t start = m_random.below(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        const Member &member = cell->members[(start + i) % count];
+        if (!member.leaving && member.slot != request.member) {
+            return RouteToMember{&member, cell->map.version};
+        }
+    }
+    return RouteToMember{&cell->members[start], cell->map.version};
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghinge/routeplanner.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "fence.h"
+#include "replicachoice.h"
+#include "request.h"
+
+#include <optional>
+#include <variant>
+
+namespace nutmeghinge {
+
+struct Member;
+class OwnershipView;
+
+/** The target beside this node may run the request. */
+struct RouteToTarget {
+    ShardIndex shard;
+    Fence fence;
+};
+
+/** Another node is the one to ask. */
+struct RouteToMember {
+    const Member *member = nullptr;
+    Fence fence;
+};
+
+/** Nobody is known that may run the request now. */
+struct NoRoute {
+};
+
+using Route = std::variant<RouteToTarget, RouteToMember, NoRoute>;
+
+/** Finds where a request goes: to the owner of its key, or to a replica. */
+class RoutePlanner
+{
+public:
+    explicit RoutePlanner(std::uint64_t seed);
+
+    ReplicaChoice &replicas() { return m_replicas; }
+    Route plan(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
+    /** Route to the target beside this node, where it may run the request now. */
+    static std::optional<RouteToTarget> planTarget(const Request &request, const OwnershipView &ownership, MonotonicTime now);
+
+private:
+    static Route planOwner(const Request &request, const OwnershipView &ownership);
+    Route planReplica(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
+    Route planOtherCell(const Request &request, const OwnershipView &ownership);
+
+    ReplicaChoice m_replicas;
+    PseudoRandom m_random;
+};
+
+} // namespace nutmeghinge
