--- a/src/libnutmeghinge/endpoint.h
+++ b/src/libnutmeghinge/endpoint.h
@@ -13,7 +13,7 @@
 
     bool isEmpty() const { return address.empty(); }
 
-    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+    friend auto operator<=>(const Endpoint &, const Endpoint &) = default; // NOLINT(modernize-use-nullptr)
     friend bool operator==(const Endpoint &, const Endpoint &) = default;
 };
 
--- /dev/null
+++ b/src/libnutmeghingeio/peerlink.cpp
@@ -0,0 +1,194 @@
+#include "peerlink.h"
+
+#include "eventloop.h"
+#include "peerconnection.h"
+#include "peerlimits.h"
+#include "peerserver.h"
+#include "uveventport.h"
+
+#include <algorithm>
+#include <map>
+#include <spdlog/spdlog.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+/** What is kept of one peer. */
+struct Peer {
+    std::unique_ptr<PeerConnection> connection;
+    /** Delay of the next connection after a fault; zero after an answer. */
+    Duration reconnectDelay{0};
+    MonotonicTime reconnectAt;
+    MonotonicTime lastUsed;
+};
+
+} // namespace
+
+struct PeerLink::Private : private kj::TaskSet::ErrorHandler {
+    Private(EventLoop &eventLoop, MessageFunction messages);
+    ~Private() noexcept(false);
+
+    void send(const SendPeerMessage &effect);
+    /** Closes from a later event, since the caller may be the message function. */
+    void close();
+    void closeAll();
+
+    EventLoop &loop;
+    std::shared_ptr<UvEventPort> port;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t messagesSent = 0;
+    PeerServer server;
+    std::map<Endpoint, Peer> peers;
+    /** Connections that failed and are destroyed by a later event. */
+    std::vector<std::unique_ptr<PeerConnection>> failed;
+    MonotonicTime lastCheck;
+    bool closed = false;
+    uv_timer_t *timer;
+    kj::TaskSet tasks;
+
+private:
+    PeerConnection *connectionOf(const Endpoint &endpoint, Peer &peer, MonotonicTime now);
+    void connectionFailed(const Endpoint &endpoint, const std::string &reason);
+    void check();
+    void taskFailed(kj::Exception &&exception) override;
+};
+
+PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages)
+    : loop(eventLoop)
+    , port(UvEventPort::ofThread(eventLoop))
+    , server(eventLoop, bytesSent, std::move(messages))
+    , lastCheck(eventLoop.now())
+    , timer(new uv_timer_t)
+    , tasks(*this)
+{
+    uv_timer_init(loop.handle(), timer);
+    timer->data = this;
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(peerlimits::checkInterval);
+    const auto fire = [](uv_timer_t *handle) { static_cast<Private *>(handle->data)->check(); };
+    uv_timer_start(timer, fire, static_cast<std::uint64_t>(interval.count()), static_cast<std::uint64_t>(interval.count()));
+}
+
+PeerLink::Private::~Private() noexcept(false)
+{
+    closeAll();
+    uv_close(reinterpret_cast<uv_handle_t *>(timer), [](uv_handle_t *handle) { delete reinterpret_cast<uv_timer_t *>(handle); });
+}
+
+void PeerLink::Private::send(const SendPeerMessage &effect)
+{
+    if (closed) {
+        return;
+    }
+    const MonotonicTime now = loop.now();
+    Peer &peer = peers[effect.to];
+    peer.lastUsed = now;
+    PeerConnection *connection = connectionOf(effect.to, peer, now);
+    if (connection == nullptr) {
+        return;
+    }
+    switch (connection->deliver(effect)) {
+    case PeerConnection::DeliverResult::Sent:
+        ++messagesSent;
+        return;
+    case PeerConnection::DeliverResult::Full:
+        spdlog::debug("peer {}:{} answers too slowly: control message dropped", effect.to.address, effect.to.port);
+        return;
+    case PeerConnection::DeliverResult::TooLarge:
+        spdlog::error("control message for peer {}:{} is too large: dropped", effect.to.address, effect.to.port);
+        return;
+    }
+}
+
+PeerConnection *PeerLink::Private::connectionOf(const Endpoint &endpoint, Peer &peer, MonotonicTime now)
+{
+    if (!peer.connection && now >= peer.reconnectAt) {
+        const auto fault = [this, endpoint](const std::string &reason) { connectionFailed(endpoint, reason); };
+        peer.connection = std::make_unique<PeerConnection>(loop, endpoint, bytesSent, fault);
+    }
+    return peer.connection.get();
+}
+
+void PeerLink::Private::connectionFailed(const Endpoint &endpoint, const std::string &reason)
+{
+    Peer &peer = peers[endpoint];
+    if (!peer.connection) {
+        return;
+    }
+    spdlog::info("control connection to peer {}:{} ended: {}", endpoint.address, endpoint.port, reason);
+    const bool reached = peer.connection->wasAnswered();
+    peer.reconnectDelay = reached ? Duration(0) : std::clamp(2 * peer.reconnectDelay, peerlimits::firstReconnectDelay, peerlimits::maxReconnectDelay);
+    peer.reconnectAt = loop.now() + peer.reconnectDelay;
+    failed.push_back(std::move(peer.connection));
+    tasks.add(kj::evalLater([this] { failed.clear(); }));
+}
+
+void PeerLink::Private::check()
+{
+    const MonotonicTime now = loop.now();
+    const bool wasPaused = now - lastCheck > peerlimits::answerTimeout;
+    lastCheck = now;
+    if (wasPaused) {
+        // Answers that came meanwhile are read before the next check.
+        return;
+    }
+    for (auto &[endpoint, peer] : peers) {
+        if (peer.connection && peer.connection->isSilent(now)) {
+            connectionFailed(endpoint, "a call was not answered in time");
+        }
+    }
+    std::erase_if(peers, [now](const auto &entry) { return now - entry.second.lastUsed >= peerlimits::idleTimeout; });
+    server.closeIdle(now);
+}
+
+void PeerLink::Private::close()
+{
+    closed = true;
+    tasks.add(kj::evalLater([this] { closeAll(); }));
+}
+
+void PeerLink::Private::closeAll()
+{
+    failed.clear();
+    peers.clear();
+    server.close();
+}
+
+void PeerLink::Private::taskFailed(kj::Exception &&exception)
+{
+    spdlog::error("peer link: {}", exception.getDescription().cStr());
+}
+
+PeerLink::PeerLink(EventLoop &loop, MessageFunction messages)
+    : m_d(std::make_unique<Private>(loop, std::move(messages)))
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+std::variant<Endpoint, ListenFault> PeerLink::listen(const Endpoint &endpoint)
+{
+    return m_d->server.listen(endpoint);
+}
+
+void PeerLink::send(const SendPeerMessage &effect)
+{
+    m_d->send(effect);
+}
+
+void PeerLink::close()
+{
+    m_d->close();
+}
+
+std::uint64_t PeerLink::bytesSent() const
+{
+    return m_d->bytesSent;
+}
+
+std::uint64_t PeerLink::messagesSent() const
+{
+    return m_d->messagesSent;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -0,0 +1,503 @@
+#include "peermessagecodec.h"
+
+#include <kj/exception.h>
+#include <optional>
+
+namespace nutmeghinge {
+
+namespace {
+
+using Codec = PeerMessageCodec;
+
+kj::StringPtr pointerTo(const std::string &text)
+{
+    return {text.c_str(), text.size()};
+}
+
+kj::ArrayPtr<const kj::byte> bytesOf(const std::string &text)
+{
+    return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
+}
+
+std::string stringOf(kj::ArrayPtr<const char> text)
+{
+    return {text.begin(), text.size()};
+}
+
+std::string stringOf(kj::ArrayPtr<const kj::byte> bytes)
+{
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+std::int64_t microsecondsOf(MonotonicTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+void writeFence(wire::Fence::Builder to, const Fence &fence)
+{
+    to.setTerm(fence.term.value());
+    to.setSequence(fence.sequence);
+}
+
+void writeDocument(wire::DocumentCopy::Builder to, const DocumentCopy &document)
+{
+    to.setRevision(document.revision.value());
+    to.setText(pointerTo(document.text));
+}
+
+void writeShard(wire::ShardOwnership::Builder to, const ShardOwnership &shard)
+{
+    to.setState(static_cast<std::uint8_t>(shard.state));
+    to.setOwner(shard.owner.value());
+    to.setNext(shard.next.value());
+    to.setFenceTerm(shard.fence.term.value());
+    to.setFenceSequence(shard.fence.sequence);
+}
+
+void writeMap(wire::OwnershipMap::Builder to, const OwnershipMap &map)
+{
+    writeFence(to.initVersion(), map.version);
+    auto shards = to.initShards(map.shards.size());
+    for (std::size_t i = 0; i < map.shards.size(); ++i) {
+        writeShard(shards[i], map.shards[i]);
+    }
+    auto hotKeys = to.initHotKeys(map.hotKeys.size());
+    for (std::size_t i = 0; i < map.hotKeys.size(); ++i) {
+        hotKeys.set(i, map.hotKeys[i]);
+    }
+}
+
+void writeLoad(wire::MemberLoad::Builder to, const MemberLoad &load)
+{
+    to.setSlot(load.slot.value());
+    to.setInFlight(load.inFlight);
+    to.setQueued(load.queued);
+    to.setSlots(load.slots);
+    to.setHealthy(load.healthy);
+    auto shards = to.initShards(load.shards.size());
+    for (std::size_t i = 0; i < load.shards.size(); ++i) {
+        shards[i].setShard(load.shards[i].shard.value());
+        shards[i].setMilliRequestsPerSecond(load.shards[i].milliRequestsPerSecond);
+    }
+    auto heavyKeys = to.initHeavyKeys(load.heavyKeys.size());
+    for (std::size_t i = 0; i < load.heavyKeys.size(); ++i) {
+        heavyKeys[i].setKeyHash(load.heavyKeys[i].keyHash);
+        heavyKeys[i].setMilliRequestsPerSecond(load.heavyKeys[i].milliRequestsPerSecond);
+    }
+}
+
+void writeAnswer(wire::StoredAnswer::Builder to, const StoredAnswer &answer)
+{
+    to.setStatus(answer.status);
+    auto headers = to.initHeaders(answer.headers.size());
+    for (std::size_t i = 0; i < answer.headers.size(); ++i) {
+        headers[i].setName(pointerTo(answer.headers[i].first));
+        headers[i].setValue(pointerTo(answer.headers[i].second));
+    }
+    to.setBody(bytesOf(answer.body));
+}
+
+void writeEntry(wire::DeduplicationEntry::Builder to, const DeduplicationEntry &entry)
+{
+    to.setShard(entry.shard.value());
+    to.setKey(bytesOf(entry.key));
+    if (entry.answer) {
+        writeAnswer(to.initAnswer(), *entry.answer);
+    }
+    to.setAge(entry.age.count());
+}
+
+/** Writes each kind of message into its member of the union. */
+class MessageWriter
+{
+public:
+    explicit MessageWriter(wire::PeerMessage::Builder to)
+        : m_to(to)
+    {
+    }
+
+    void operator()(const PromiseRequest &message)
+    {
+        auto to = m_to.initPromiseRequest();
+        to.setTerm(message.term.value());
+        to.setRevision(message.revision.value());
+        to.setSentAt(microsecondsOf(message.sentAt));
+    }
+
+    void operator()(const PromiseAnswer &message)
+    {
+        auto to = m_to.initPromiseAnswer();
+        to.setTerm(message.term.value());
+        to.setGranted(message.granted);
+        to.setRevision(message.revision.value());
+        to.setSentAt(microsecondsOf(message.sentAt));
+        to.setHighestTerm(message.highestTerm.value());
+        if (message.map) {
+            writeMap(to.initMap(), *message.map);
+        }
+        to.setDocument(message.document.value());
+    }
+
+    void operator()(const Heartbeat &message)
+    {
+        auto to = m_to.initHeartbeat();
+        to.setTerm(message.term.value());
+        to.setRevision(message.revision.value());
+        to.setSentAt(microsecondsOf(message.sentAt));
+        writeFence(to.initMapVersion(), message.mapVersion);
+        to.setDocument(message.document.value());
+        auto held = to.initHeld(message.held.size());
+        for (std::size_t i = 0; i < message.held.size(); ++i) {
+            held.set(i, message.held[i].value());
+        }
+        auto released = to.initReleased(message.released.size());
+        for (std::size_t i = 0; i < message.released.size(); ++i) {
+            released[i].setShard(message.released[i].first.value());
+            released[i].setFenceTerm(message.released[i].second.term.value());
+            released[i].setFenceSequence(message.released[i].second.sequence);
+        }
+        to.setLeaving(message.leaving);
+        writeLoad(to.initLoad(), message.load);
+        if (message.newerDocument) {
+            writeDocument(to.initNewerDocument(), *message.newerDocument);
+        }
+    }
+
+    void operator()(const HeartbeatAnswer &message)
+    {
+        auto to = m_to.initHeartbeatAnswer();
+        to.setTerm(message.term.value());
+        to.setRevision(message.revision.value());
+        to.setSentAt(microsecondsOf(message.sentAt));
+        to.setLease(message.lease.count());
+        if (message.map) {
+            writeMap(to.initMap(), *message.map);
+        }
+        to.setDocument(message.document.value());
+        if (message.newerDocument) {
+            writeDocument(to.initNewerDocument(), *message.newerDocument);
+        }
+        auto loads = to.initLoads(message.loads.size());
+        for (std::size_t i = 0; i < message.loads.size(); ++i) {
+            writeLoad(loads[i], message.loads[i]);
+        }
+    }
+
+    void operator()(const HandoverOffer &message)
+    {
+        auto to = m_to.initHandoverOffer();
+        to.setShard(message.shard.value());
+        writeFence(to.initFence(), message.fence);
+        auto entries = to.initEntries(message.entries.size());
+        for (std::size_t i = 0; i < message.entries.size(); ++i) {
+            writeEntry(entries[i], message.entries[i]);
+        }
+    }
+
+    void operator()(const HandoverAccepted &message)
+    {
+        auto to = m_to.initHandoverAccepted();
+        to.setShard(message.shard.value());
+        writeFence(to.initFence(), message.fence);
+    }
+
+private:
+    wire::PeerMessage::Builder m_to;
+};
+
+/** Reads a message and keeps the first fault; after one, what was read is meaningless. */
+class MessageReader
+{
+public:
+    const std::optional<std::string> &fault() const { return m_fault; }
+
+    PeerMessageArrived readParams(wire::PeerControl::DeliverParams::Reader from)
+    {
+        PeerMessageArrived arrived;
+        arrived.from = slot(from.getFrom());
+        check(arrived.from != noMember, "sender");
+        check(from.getService().size() <= Codec::maxServiceNameBytes, "service name");
+        arrived.service = ServiceName(stringOf(from.getService()));
+        check(!arrived.service.value().empty(), "service name");
+        arrived.message = message(from.getMessage());
+        return arrived;
+    }
+
+private:
+    void check(bool holds, const char *field)
+    {
+        if (!holds && !m_fault) {
+            m_fault = std::string(field) + " out of range";
+        }
+    }
+
+    /** The size, or 0 with a fault where it is over the limit. */
+    std::uint32_t listSize(std::size_t size, std::size_t limit, const char *field)
+    {
+        check(size <= limit, field);
+        return m_fault ? 0 : static_cast<std::uint32_t>(size);
+    }
+
+    std::uint64_t counter(std::uint64_t value, const char *field)
+    {
+        check(value <= Codec::maxCounter, field);
+        return value;
+    }
+
+    MemberSlot slot(std::uint32_t value)
+    {
+        check(value <= Codec::maxSlot, "member slot");
+        return MemberSlot(value);
+    }
+
+    ShardIndex shard(std::uint32_t value)
+    {
+        check(value < Codec::maxShards, "shard");
+        return ShardIndex(value);
+    }
+
+    MonotonicTime time(std::int64_t microseconds)
+    {
+        check(microseconds >= 0 && static_cast<std::uint64_t>(microseconds) <= Codec::maxCounter, "time");
+        return MonotonicTime(Duration(microseconds));
+    }
+
+    Duration duration(std::int64_t microseconds, Duration limit, const char *field)
+    {
+        check(microseconds >= 0 && microseconds <= limit.count(), field);
+        return Duration(microseconds);
+    }
+
+    std::uint32_t requests(std::uint32_t value)
+    {
+        check(value <= Codec::maxRequests, "number of requests");
+        return value;
+    }
+
+    std::uint64_t rate(std::uint64_t milliRequestsPerSecond)
+    {
+        check(milliRequestsPerSecond <= Codec::maxMilliRequestsPerSecond, "rate");
+        return milliRequestsPerSecond;
+    }
+
+    Fence fence(std::uint64_t term, std::uint64_t sequence) { return {Term(counter(term, "fence term")), counter(sequence, "fence sequence")}; }
+
+    Fence fence(wire::Fence::Reader from) { return fence(from.getTerm(), from.getSequence()); }
+
+    Term term(std::uint64_t value) { return Term(counter(value, "term")); }
+
+    CellRevision cellRevision(std::uint64_t value) { return CellRevision(counter(value, "cell revision")); }
+
+    DocumentRevision documentRevision(std::uint64_t value) { return DocumentRevision(counter(value, "document revision")); }
+
+    DocumentCopy document(wire::DocumentCopy::Reader from)
+    {
+        check(from.getText().size() <= Codec::maxDocumentBytes, "document size");
+        return {documentRevision(from.getRevision()), m_fault ? std::string() : stringOf(from.getText())};
+    }
+
+    ShardOwnership ownership(wire::ShardOwnership::Reader from)
+    {
+        check(from.getState() <= static_cast<std::uint8_t>(ShardOwnership::State::Releasing), "shard state");
+        return {static_cast<ShardOwnership::State>(from.getState()),
+                slot(from.getOwner()),
+                slot(from.getNext()),
+                fence(from.getFenceTerm(), from.getFenceSequence())};
+    }
+
+    OwnershipMap map(wire::OwnershipMap::Reader from)
+    {
+        OwnershipMap map;
+        map.version = fence(from.getVersion());
+        const auto shards = from.getShards();
+        const std::uint32_t shardCount = listSize(shards.size(), Codec::maxShards, "number of shards");
+        map.shards.reserve(shardCount);
+        for (std::uint32_t i = 0; i < shardCount; ++i) {
+            map.shards.push_back(ownership(shards[i]));
+        }
+        const auto hotKeys = from.getHotKeys();
+        const std::uint32_t hotKeyCount = listSize(hotKeys.size(), Codec::maxHotKeys, "number of hot keys");
+        for (std::uint32_t i = 0; i < hotKeyCount; ++i) {
+            map.hotKeys.push_back(hotKeys[i]);
+        }
+        return map;
+    }
+
+    MemberLoad load(wire::MemberLoad::Reader from)
+    {
+        MemberLoad load;
+        load.slot = slot(from.getSlot());
+        load.inFlight = requests(from.getInFlight());
+        load.queued = requests(from.getQueued());
+        load.slots = requests(from.getSlots());
+        load.healthy = from.getHealthy();
+        const auto shards = from.getShards();
+        const std::uint32_t shardCount = listSize(shards.size(), Codec::maxShards, "number of shard loads");
+        for (std::uint32_t i = 0; i < shardCount; ++i) {
+            load.shards.push_back({shard(shards[i].getShard()), rate(shards[i].getMilliRequestsPerSecond())});
+        }
+        const auto keys = from.getHeavyKeys();
+        const std::uint32_t keyCount = listSize(keys.size(), Codec::maxHotKeys, "number of heavy keys");
+        for (std::uint32_t i = 0; i < keyCount; ++i) {
+            load.heavyKeys.push_back({keys[i].getKeyHash(), rate(keys[i].getMilliRequestsPerSecond())});
+        }
+        return load;
+    }
+
+    StoredAnswer answer(wire::StoredAnswer::Reader from)
+    {
+        StoredAnswer answer;
+        check(from.getStatus() >= 100 && from.getStatus() <= 999, "answer status");
+        answer.status = from.getStatus();
+        const auto headers = from.getHeaders();
+        const std::uint32_t count = listSize(headers.size(), Codec::maxHeaders, "number of headers");
+        for (std::uint32_t i = 0; i < count; ++i) {
+            answer.headers.emplace_back(stringOf(headers[i].getName()), stringOf(headers[i].getValue()));
+        }
+        answer.body = stringOf(from.getBody());
+        return answer;
+    }
+
+    DeduplicationEntry entry(wire::DeduplicationEntry::Reader from)
+    {
+        DeduplicationEntry entry;
+        entry.shard = shard(from.getShard());
+        entry.key = stringOf(from.getKey());
+        if (from.hasAnswer()) {
+            entry.answer = answer(from.getAnswer());
+        }
+        entry.age = duration(from.getAge(), Codec::maxAge, "age");
+        return entry;
+    }
+
+    PromiseRequest promiseRequest(wire::PromiseRequest::Reader from)
+    {
+        return {term(from.getTerm()), cellRevision(from.getRevision()), time(from.getSentAt())};
+    }
+
+    PromiseAnswer promiseAnswer(wire::PromiseAnswer::Reader from)
+    {
+        PromiseAnswer message;
+        message.term = term(from.getTerm());
+        message.granted = from.getGranted();
+        message.revision = cellRevision(from.getRevision());
+        message.sentAt = time(from.getSentAt());
+        message.highestTerm = term(from.getHighestTerm());
+        if (from.hasMap()) {
+            message.map = map(from.getMap());
+        }
+        message.document = documentRevision(from.getDocument());
+        return message;
+    }
+
+    Heartbeat heartbeat(wire::Heartbeat::Reader from)
+    {
+        Heartbeat message;
+        message.term = term(from.getTerm());
+        message.revision = cellRevision(from.getRevision());
+        message.sentAt = time(from.getSentAt());
+        message.mapVersion = fence(from.getMapVersion());
+        message.document = documentRevision(from.getDocument());
+        const auto held = from.getHeld();
+        const std::uint32_t heldCount = listSize(held.size(), Codec::maxShards, "number of held shards");
+        for (std::uint32_t i = 0; i < heldCount; ++i) {
+            message.held.push_back(shard(held[i]));
+        }
+        const auto released = from.getReleased();
+        const std::uint32_t releasedCount = listSize(released.size(), Codec::maxShards, "number of released shards");
+        for (std::uint32_t i = 0; i < releasedCount; ++i) {
+            message.released.emplace_back(shard(released[i].getShard()), fence(released[i].getFenceTerm(), released[i].getFenceSequence()));
+        }
+        message.leaving = from.getLeaving();
+        message.load = load(from.getLoad());
+        if (from.hasNewerDocument()) {
+            message.newerDocument = document(from.getNewerDocument());
+        }
+        return message;
+    }
+
+    HeartbeatAnswer heartbeatAnswer(wire::HeartbeatAnswer::Reader from)
+    {
+        HeartbeatAnswer message;
+        message.term = term(from.getTerm());
+        message.revision = cellRevision(from.getRevision());
+        message.sentAt = time(from.getSentAt());
+        message.lease = duration(from.getLease(), Codec::maxLease, "lease");
+        if (from.hasMap()) {
+            message.map = map(from.getMap());
+        }
+        message.document = documentRevision(from.getDocument());
+        if (from.hasNewerDocument()) {
+            message.newerDocument = document(from.getNewerDocument());
+        }
+        const auto loads = from.getLoads();
+        const std::uint32_t loadCount = listSize(loads.size(), Codec::maxMembers, "number of loads");
+        for (std::uint32_t i = 0; i < loadCount; ++i) {
+            message.loads.push_back(load(loads[i]));
+        }
+        return message;
+    }
+
+    HandoverOffer handoverOffer(wire::HandoverOffer::Reader from)
+    {
+        HandoverOffer message;
+        message.shard = shard(from.getShard());
+        message.fence = fence(from.getFence());
+        const auto entries = from.getEntries();
+        const std::uint32_t count = listSize(entries.size(), Codec::maxEntries, "number of entries");
+        for (std::uint32_t i = 0; i < count; ++i) {
+            message.entries.push_back(entry(entries[i]));
+        }
+        return message;
+    }
+
+    HandoverAccepted handoverAccepted(wire::HandoverAccepted::Reader from) { return {shard(from.getShard()), fence(from.getFence())}; }
+
+    PeerMessage message(wire::PeerMessage::Reader from)
+    {
+        switch (from.which()) {
+        case wire::PeerMessage::PROMISE_REQUEST:
+            return promiseRequest(from.getPromiseRequest());
+        case wire::PeerMessage::PROMISE_ANSWER:
+            return promiseAnswer(from.getPromiseAnswer());
+        case wire::PeerMessage::HEARTBEAT:
+            return heartbeat(from.getHeartbeat());
+        case wire::PeerMessage::HEARTBEAT_ANSWER:
+            return heartbeatAnswer(from.getHeartbeatAnswer());
+        case wire::PeerMessage::HANDOVER_OFFER:
+            return handoverOffer(from.getHandoverOffer());
+        case wire::PeerMessage::HANDOVER_ACCEPTED:
+            return handoverAccepted(from.getHandoverAccepted());
+        }
+        check(false, "kind of message");
+        return {};
+    }
+
+    std::optional<std::string> m_fault;
+};
+
+} // namespace
+
+void PeerMessageCodec::write(wire::PeerControl::DeliverParams::Builder to, MemberSlot from, const ServiceName &service, const PeerMessage &message)
+{
+    to.setFrom(from.value());
+    to.setService(pointerTo(service.value()));
+    std::visit(MessageWriter(to.initMessage()), message);
+}
+
+std::variant<PeerMessageArrived, PeerMessageFault> PeerMessageCodec::read(wire::PeerControl::DeliverParams::Reader from)
+{
+    MessageReader reader;
+    PeerMessageArrived arrived;
+    const auto exception = kj::runCatchingExceptions([&] { arrived = reader.readParams(from); });
+    KJ_IF_MAYBE (unreadable, exception) {
+        return PeerMessageFault{std::string(unreadable->getDescription().cStr())};
+    }
+    if (reader.fault()) {
+        return PeerMessageFault{*reader.fault()};
+    }
+    return arrived;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/uvasyncstream.cpp
@@ -0,0 +1,337 @@
+#include "uvasyncstream.h"
+
+#include "eventloop.h"
+#include "socketaddress.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <memory>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t chunkBytes = 16384;
+constexpr std::size_t readAheadBytes = 65536;
+
+} // namespace
+
+/** Lives until uv has closed the socket. */
+struct UvAsyncStream::Handle {
+    uv_tcp_t socket{};
+    /** Null once the stream is gone. */
+    UvAsyncStream *stream = nullptr;
+    std::array<char, chunkBytes> chunk{};
+};
+
+struct UvAsyncStream::PendingWrite {
+    uv_write_t request{};
+    std::vector<kj::byte> data;
+    kj::Own<kj::PromiseFulfiller<void>> fulfiller;
+};
+
+namespace {
+
+/** Copies what follows the first skipped bytes of the pieces. */
+std::vector<kj::byte> remainderOf(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces, std::size_t skipped)
+{
+    std::vector<kj::byte> remainder;
+    for (const kj::ArrayPtr<const kj::byte> &piece : pieces) {
+        const std::size_t skip = std::min(skipped, piece.size());
+        skipped -= skip;
+        remainder.insert(remainder.end(), piece.begin() + skip, piece.end());
+    }
+    return remainder;
+}
+
+std::size_t sizeOf(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    std::size_t size = 0;
+    for (const kj::ArrayPtr<const kj::byte> &piece : pieces) {
+        size += piece.size();
+    }
+    return size;
+}
+
+std::vector<uv_buf_t> buffersOf(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    std::vector<uv_buf_t> buffers;
+    buffers.reserve(pieces.size());
+    for (const kj::ArrayPtr<const kj::byte> &piece : pieces) {
+        buffers.push_back(uv_buf_init(reinterpret_cast<char *>(const_cast<kj::byte *>(piece.begin())), static_cast<unsigned>(piece.size())));
+    }
+    return buffers;
+}
+
+} // namespace
+
+kj::Own<UvAsyncStream> UvAsyncStream::connect(EventLoop &loop, const Endpoint &to, std::uint64_t &bytesSent)
+{
+    auto stream = kj::heap<UvAsyncStream>(loop, bytesSent);
+    const std::optional<SocketAddress> address = SocketAddress::fromEndpoint(to);
+    if (!address) {
+        stream->fail(UV_EINVAL);
+        return stream;
+    }
+    auto attempt = std::make_unique<uv_connect_t>();
+    attempt->data = stream->m_handle;
+    const int result = uv_tcp_connect(attempt.get(), &stream->m_handle->socket, address->data(), connected);
+    if (result != 0) {
+        stream->fail(result);
+        return stream;
+    }
+    (void)attempt.release();
+    stream->m_connecting = true;
+    return stream;
+}
+
+kj::Maybe<kj::Own<UvAsyncStream>> UvAsyncStream::accept(EventLoop &loop, uv_stream_t *listener, std::uint64_t &bytesSent)
+{
+    auto stream = kj::heap<UvAsyncStream>(loop, bytesSent);
+    if (uv_accept(listener, stream->stream()) != 0) {
+        return nullptr;
+    }
+    uv_tcp_nodelay(&stream->m_handle->socket, 1);
+    stream->startReading();
+    return kj::mv(stream);
+}
+
+UvAsyncStream::UvAsyncStream(EventLoop &loop, std::uint64_t &bytesSent)
+    : m_handle(new Handle)
+    , m_bytesSent(bytesSent)
+{
+    m_handle->stream = this;
+    uv_tcp_init(loop.handle(), &m_handle->socket);
+    m_handle->socket.data = m_handle;
+}
+
+UvAsyncStream::~UvAsyncStream() noexcept(false)
+{
+    m_handle->stream = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_handle->socket), [](uv_handle_t *handle) { delete static_cast<Handle *>(handle->data); });
+}
+
+Endpoint UvAsyncStream::remoteEndpoint() const
+{
+    return SocketAddress::remoteEndpoint(&m_handle->socket);
+}
+
+uv_stream_t *UvAsyncStream::stream() const
+{
+    return reinterpret_cast<uv_stream_t *>(&m_handle->socket);
+}
+
+void UvAsyncStream::connected(uv_connect_t *request, int status)
+{
+    const std::unique_ptr<uv_connect_t> attempt(request);
+    UvAsyncStream *stream = static_cast<Handle *>(request->data)->stream;
+    if (stream == nullptr) {
+        return;
+    }
+    if (status != 0) {
+        stream->fail(status);
+        return;
+    }
+    stream->m_connecting = false;
+    uv_tcp_nodelay(&stream->m_handle->socket, 1);
+    stream->startReading();
+}
+
+void UvAsyncStream::allocate(uv_handle_t *handle, std::size_t, uv_buf_t *buffer)
+{
+    auto &chunk = static_cast<Handle *>(handle->data)->chunk;
+    *buffer = uv_buf_init(chunk.data(), chunk.size());
+}
+
+void UvAsyncStream::received(uv_stream_t *handle, ssize_t size, const uv_buf_t *buffer)
+{
+    UvAsyncStream *stream = static_cast<Handle *>(handle->data)->stream;
+    if (stream == nullptr || size == 0) {
+        return;
+    }
+    if (size == UV_EOF) {
+        stream->m_endOfFile = true;
+        stream->stopReading();
+        stream->completeRead();
+        return;
+    }
+    if (size < 0) {
+        stream->fail(static_cast<int>(size));
+        return;
+    }
+    stream->append(reinterpret_cast<const kj::byte *>(buffer->base), static_cast<std::size_t>(size));
+    stream->completeRead();
+}
+
+void UvAsyncStream::startReading()
+{
+    if (m_reading || hasEnded()) {
+        return;
+    }
+    const int result = uv_read_start(stream(), allocate, received);
+    if (result != 0) {
+        fail(result);
+        return;
+    }
+    m_reading = true;
+}
+
+void UvAsyncStream::stopReading()
+{
+    uv_read_stop(stream());
+    m_reading = false;
+}
+
+void UvAsyncStream::append(const kj::byte *data, std::size_t size)
+{
+    m_bytesReceived += size;
+    m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_bufferStart));
+    m_bufferStart = 0;
+    m_buffer.insert(m_buffer.end(), data, data + size);
+    if (m_buffer.size() - m_bufferStart >= readAheadBytes) {
+        stopReading();
+    }
+}
+
+std::size_t UvAsyncStream::takeBuffered(kj::byte *buffer, std::size_t maxBytes)
+{
+    const std::size_t size = std::min(maxBytes, m_buffer.size() - m_bufferStart);
+    if (size > 0) {
+        std::memcpy(buffer, m_buffer.data() + m_bufferStart, size);
+    }
+    m_bufferStart += size;
+    if (m_bufferStart == m_buffer.size()) {
+        m_buffer.clear();
+        m_bufferStart = 0;
+    }
+    return size;
+}
+
+kj::Promise<size_t> UvAsyncStream::tryRead(void *buffer, size_t minBytes, size_t maxBytes)
+{
+    auto *bytes = static_cast<kj::byte *>(buffer);
+    const std::size_t taken = takeBuffered(bytes, maxBytes);
+    if (taken >= minBytes || m_endOfFile) {
+        return taken;
+    }
+    if (m_fault) {
+        return faultException();
+    }
+    auto pair = kj::newPromiseAndFulfiller<size_t>();
+    m_read = PendingRead{bytes, minBytes, maxBytes, taken, kj::mv(pair.fulfiller)};
+    if (!m_connecting) {
+        startReading();
+    }
+    return kj::mv(pair.promise);
+}
+
+void UvAsyncStream::completeRead()
+{
+    if (!m_read) {
+        return;
+    }
+    if (!m_read->fulfiller->isWaiting()) {
+        m_read.reset();
+        return;
+    }
+    PendingRead &read = *m_read;
+    read.taken += takeBuffered(read.buffer + read.taken, read.maxBytes - read.taken);
+    if (read.taken < read.minBytes && !m_endOfFile) {
+        return;
+    }
+    read.fulfiller->fulfill(std::size_t(read.taken));
+    m_read.reset();
+}
+
+kj::Promise<void> UvAsyncStream::write(const void *buffer, size_t size)
+{
+    const auto piece = kj::arrayPtr(static_cast<const kj::byte *>(buffer), size);
+    return write(kj::arrayPtr(&piece, 1));
+}
+
+kj::Promise<void> UvAsyncStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    if (m_fault) {
+        return faultException();
+    }
+    const std::size_t size = sizeOf(pieces);
+    m_bytesSent += size;
+    const std::vector<uv_buf_t> buffers = buffersOf(pieces);
+    const int sent = uv_try_write(stream(), buffers.data(), static_cast<unsigned>(buffers.size()));
+    if (sent < 0 && sent != UV_EAGAIN) {
+        fail(sent);
+        return faultException();
+    }
+    const std::size_t skipped = sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    if (skipped == size) {
+        return kj::READY_NOW;
+    }
+    return writeLater(remainderOf(pieces, skipped));
+}
+
+kj::Promise<void> UvAsyncStream::writeLater(std::vector<kj::byte> data)
+{
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    auto pending = std::make_unique<PendingWrite>();
+    pending->data = std::move(data);
+    pending->fulfiller = kj::mv(pair.fulfiller);
+    const uv_buf_t buffer = uv_buf_init(reinterpret_cast<char *>(pending->data.data()), static_cast<unsigned>(pending->data.size()));
+    const int result = uv_write(&pending->request, stream(), &buffer, 1, written);
+    if (result != 0) {
+        fail(result);
+        return faultException();
+    }
+    (void)pending.release();
+    return kj::mv(pair.promise);
+}
+
+void UvAsyncStream::written(uv_write_t *request, int status)
+{
+    const std::unique_ptr<PendingWrite> pending(reinterpret_cast<PendingWrite *>(request));
+    UvAsyncStream *stream = static_cast<Handle *>(request->handle->data)->stream;
+    if (stream == nullptr) {
+        return;
+    }
+    if (status == 0) {
+        pending->fulfiller->fulfill();
+        return;
+    }
+    stream->fail(status);
+    pending->fulfiller->reject(stream->faultException());
+}
+
+kj::Promise<void> UvAsyncStream::whenWriteDisconnected()
+{
+    return kj::NEVER_DONE;
+}
+
+void UvAsyncStream::shutdownWrite()
+{
+    auto request = std::make_unique<uv_shutdown_t>();
+    const auto done = [](uv_shutdown_t *finished, int) { delete finished; };
+    if (uv_shutdown(request.get(), stream(), done) == 0) {
+        (void)request.release();
+    }
+}
+
+void UvAsyncStream::fail(int status)
+{
+    if (m_fault) {
+        return;
+    }
+    m_fault = status;
+    m_connecting = false;
+    stopReading();
+    if (m_read) {
+        m_read->fulfiller->reject(faultException());
+        m_read.reset();
+    }
+}
+
+kj::Exception UvAsyncStream::faultException() const
+{
+    return {kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(uv_strerror(m_fault.value_or(UV_ECANCELED)))};
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/tests/io/looprunner.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "eventloop.h"
+
+#include <functional>
+
+namespace nutmeghinge {
+
+/** Turns a loop until a condition holds. */
+class LoopRunner
+{
+public:
+    explicit LoopRunner(EventLoop &loop);
+    ~LoopRunner();
+    LoopRunner(const LoopRunner &) = delete;
+    LoopRunner &operator=(const LoopRunner &) = delete;
+
+    /** Returns whether the condition held within the limit. */
+    bool runUntil(const std::function<bool()> &condition, Duration limit = std::chrono::seconds(5));
+    void runFor(Duration time);
+
+private:
+    EventLoop &m_loop;
+    /** Wakes the loop, so that the condition is looked at. */
+    uv_timer_t *m_timer;
+};
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/tests/io/peerlinktest.cpp
@@ -0,0 +1,243 @@
+#include "peerlink.h"
+#include "looprunner.h"
+#include "peerlimits.h"
+#include "tcprelay.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+using namespace nutmeghinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Endpoint anyPort{"127.0.0.1", 0};
+
+/** Two nodes' links on one loop, the first reaching the second over a relay. */
+class Fixture
+{
+public:
+    Fixture()
+        : receiver(loop, [this](PeerMessageArrived message) { received.push_back(std::move(message)); })
+        , sender(loop, [](const PeerMessageArrived &) {})
+        , receiverEndpoint(std::get<Endpoint>(receiver.listen(anyPort)))
+        , relay(loop, receiverEndpoint)
+    {
+    }
+
+    void send(std::uint64_t sequence, const Endpoint &to)
+    {
+        sender.send({to, MemberSlot(7), ServiceName("roster"), HandoverAccepted{ShardIndex(1), {Term(1), sequence}}});
+    }
+
+    void send(std::uint64_t sequence) { send(sequence, relay.endpoint()); }
+
+    std::vector<std::uint64_t> sequences() const
+    {
+        std::vector<std::uint64_t> result;
+        for (const PeerMessageArrived &message : received) {
+            result.push_back(std::get<HandoverAccepted>(message.message).fence.sequence);
+        }
+        return result;
+    }
+
+    bool arrives(std::uint64_t sequence, Duration limit = 5s)
+    {
+        return runner.runUntil(
+            [&] {
+                const auto arrived = sequences();
+                return std::find(arrived.begin(), arrived.end(), sequence) != arrived.end();
+            },
+            limit);
+    }
+
+    EventLoop loop;
+    LoopRunner runner{loop};
+    std::vector<PeerMessageArrived> received;
+    PeerLink receiver;
+    PeerLink sender;
+    Endpoint receiverEndpoint;
+    TcpRelay relay;
+};
+
+} // namespace
+
+TEST_CASE("Messages arrive in order over one connection")
+{
+    Fixture fixture;
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+        fixture.send(i);
+    }
+    REQUIRE(fixture.arrives(50));
+    std::vector<std::uint64_t> expected(50);
+    std::iota(expected.begin(), expected.end(), 1);
+    CHECK(fixture.sequences() == expected);
+    CHECK(fixture.relay.accepted() == 1);
+    CHECK(fixture.received.front().from == MemberSlot(7));
+    CHECK(fixture.received.front().service == ServiceName("roster"));
+    CHECK(fixture.sender.messagesSent() == 50);
+    CHECK(fixture.sender.bytesSent() > 5000);
+}
+
+TEST_CASE("A message after a dropped connection goes out on a new one")
+{
+    Fixture fixture;
+    fixture.send(1);
+    REQUIRE(fixture.arrives(1));
+    fixture.runner.runFor(10ms);
+    fixture.relay.dropPresent();
+    fixture.runner.runFor(10ms);
+    fixture.send(2);
+    CHECK(fixture.arrives(2, 200ms));
+    CHECK(fixture.relay.accepted() == 2);
+}
+
+TEST_CASE("A silent connection is replaced once a call is unanswered")
+{
+    Fixture fixture;
+    fixture.send(1);
+    REQUIRE(fixture.arrives(1));
+    fixture.runner.runFor(10ms);
+    fixture.relay.silencePresent();
+    const MonotonicTime start = fixture.loop.now();
+    std::uint64_t sequence = 1;
+    while (fixture.received.size() < 2 && fixture.loop.now() - start < 2s) {
+        fixture.send(++sequence);
+        fixture.runner.runFor(80ms);
+    }
+    CHECK(fixture.received.size() >= 2);
+    CHECK(fixture.relay.accepted() == 2);
+    CHECK(fixture.loop.now() - start < 700ms);
+}
+
+TEST_CASE("A peer that accepts and stays silent is tried again with growing delays")
+{
+    Fixture fixture;
+    fixture.relay.setSilenceNew(true);
+    const MonotonicTime start = fixture.loop.now();
+    while (fixture.loop.now() - start < 1500ms) {
+        fixture.send(1);
+        fixture.runner.runFor(10ms);
+    }
+    CHECK(fixture.relay.accepted() >= 2);
+    CHECK(fixture.relay.accepted() <= 5);
+    fixture.relay.setSilenceNew(false);
+    bool reached = false;
+    while (!reached && fixture.loop.now() - start < 4s) {
+        fixture.send(2);
+        reached = fixture.arrives(2, 20ms);
+    }
+    CHECK(reached);
+}
+
+TEST_CASE("A peer that refuses connections is reached once it listens")
+{
+    Fixture fixture;
+    PeerLink late(fixture.loop, [](const PeerMessageArrived &) {});
+    const auto endpoint = std::get<Endpoint>(late.listen(anyPort));
+    late.close();
+    fixture.runner.runFor(20ms);
+    for (int i = 0; i < 20; ++i) {
+        fixture.send(1, endpoint);
+        fixture.runner.runFor(5ms);
+    }
+    std::size_t arrived = 0;
+    PeerLink restarted(fixture.loop, [&](const PeerMessageArrived &) { ++arrived; });
+    REQUIRE(std::holds_alternative<Endpoint>(restarted.listen(endpoint)));
+    const MonotonicTime start = fixture.loop.now();
+    while (arrived == 0 && fixture.loop.now() - start < 2s) {
+        fixture.send(2, endpoint);
+        fixture.runner.runFor(5ms);
+    }
+    CHECK(arrived > 0);
+    CHECK(fixture.loop.now() - start <= peerlimits::maxReconnectDelay + 200ms);
+}
+
+TEST_CASE("Calls to a silent peer are bounded")
+{
+    Fixture fixture;
+    fixture.relay.setSilenceNew(true);
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        fixture.send(i);
+    }
+    CHECK(fixture.sender.messagesSent() == peerlimits::outstandingCalls);
+    CHECK_FALSE(fixture.arrives(0, 50ms));
+}
+
+TEST_CASE("A message out of range is no event and harms no other")
+{
+    Fixture fixture;
+    fixture.sender.send({fixture.relay.endpoint(), MemberSlot(7), ServiceName("roster"), HandoverAccepted{ShardIndex(1), {Term(~std::uint64_t(0)), 1}}});
+    fixture.sender.send({fixture.relay.endpoint(), noMember, ServiceName("roster"), HandoverAccepted{ShardIndex(1), {Term(1), 1}}});
+    fixture.send(2);
+    REQUIRE(fixture.arrives(2));
+    CHECK(fixture.received.size() == 1);
+    CHECK(fixture.relay.accepted() == 1);
+}
+
+TEST_CASE("A message over the size limit is dropped by its sender")
+{
+    Fixture fixture;
+    HandoverOffer offer{ShardIndex(1), {Term(1), 1}, {}};
+    const std::string body(peerlimits::messageWords * 8, 'x');
+    offer.entries.push_back({ShardIndex(1), "key", StoredAnswer{200, {}, body}, Duration(0)});
+    fixture.sender.send({fixture.relay.endpoint(), MemberSlot(7), ServiceName("roster"), offer});
+    fixture.send(2);
+    REQUIRE(fixture.arrives(2));
+    CHECK(fixture.received.size() == 1);
+    CHECK(fixture.relay.accepted() == 1);
+}
+
+TEST_CASE("A large message arrives whole")
+{
+    Fixture fixture;
+    HandoverOffer offer{ShardIndex(1), {Term(1), 1}, {}};
+    offer.entries.push_back({ShardIndex(1), "key", StoredAnswer{200, {}, std::string(3000000, 'x')}, Duration(0)});
+    fixture.sender.send({fixture.relay.endpoint(), MemberSlot(7), ServiceName("roster"), offer});
+    REQUIRE(fixture.runner.runUntil([&] { return !fixture.received.empty(); }));
+    CHECK(std::get<HandoverOffer>(fixture.received.front().message) == offer);
+}
+
+TEST_CASE("Input that is no Cap'n Proto closes its connection alone")
+{
+    Fixture fixture;
+    fixture.send(1, fixture.receiverEndpoint);
+    REQUIRE(fixture.arrives(1));
+    uv_tcp_t socket;
+    uv_tcp_init(fixture.loop.handle(), &socket);
+    bool closed = false;
+    socket.data = &closed;
+    uv_connect_t connect;
+    const auto connected = [](uv_connect_t *request, int) {
+        static std::string text = "GET / HTTP/1.1\r\nhost: peer\r\n\r\n";
+        const uv_buf_t buffer = uv_buf_init(text.data(), static_cast<unsigned>(text.size()));
+        uv_try_write(request->handle, &buffer, 1);
+        const auto allocate = [](uv_handle_t *, std::size_t, uv_buf_t *room) {
+            static std::array<char, 1024> chunk;
+            *room = uv_buf_init(chunk.data(), chunk.size());
+        };
+        const auto received = [](uv_stream_t *handle, ssize_t size, const uv_buf_t *) {
+            if (size < 0) {
+                *static_cast<bool *>(handle->data) = true;
+                uv_read_stop(handle);
+            }
+        };
+        uv_read_start(request->handle, allocate, received);
+    };
+    sockaddr_in address;
+    uv_ip4_addr("127.0.0.1", fixture.receiverEndpoint.port, &address);
+    uv_tcp_connect(&connect, &socket, reinterpret_cast<const sockaddr *>(&address), connected);
+    CHECK(fixture.runner.runUntil([&] { return closed; }));
+    uv_close(reinterpret_cast<uv_handle_t *>(&socket), nullptr);
+    fixture.send(2, fixture.receiverEndpoint);
+    CHECK(fixture.arrives(2));
+    fixture.runner.runFor(5ms);
+}
+
+TEST_CASE("An address that is no IP number is a fault")
+{
+    EventLoop loop;
+    PeerLink link(loop, [](const PeerMessageArrived &) {});
+    CHECK(std::holds_alternative<ListenFault>(link.listen({"localhost", 0})));
+    CHECK(std::holds_alternative<ListenFault>(link.listen({"192.0.2.1", 0})));
+}
--- /dev/null
+++ b/tests/io/peermessagecodectest.cpp
@@ -0,0 +1,117 @@
+#include "peermessagecodec.h"
+#include "peermessagegenerator.h"
+
+#include <capnp/serialize.h>
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+
+namespace {
+
+using Params = wire::PeerControl::DeliverParams;
+using Codec = PeerMessageCodec;
+
+kj::Array<capnp::word> wordsOf(const PeerMessage &message, MemberSlot from = MemberSlot(3))
+{
+    capnp::MallocMessageBuilder builder;
+    Codec::write(builder.initRoot<Params>(), from, ServiceName("advice-desk"), message);
+    return capnp::messageToFlatArray(builder);
+}
+
+std::variant<PeerMessageArrived, PeerMessageFault> readWords(kj::ArrayPtr<const capnp::word> words)
+{
+    std::variant<PeerMessageArrived, PeerMessageFault> result;
+    const auto unreadable = kj::runCatchingExceptions([&] {
+        capnp::FlatArrayMessageReader reader(words);
+        result = Codec::read(reader.getRoot<Params>());
+    });
+    if (unreadable != nullptr) {
+        return PeerMessageFault{"unreadable"};
+    }
+    return result;
+}
+
+/** Fault of a message; empty where it was accepted. */
+std::string faultOf(const PeerMessage &message, MemberSlot from = MemberSlot(3))
+{
+    const auto result = readWords(wordsOf(message, from));
+    const auto *fault = std::get_if<PeerMessageFault>(&result);
+    return fault == nullptr ? std::string() : fault->reason;
+}
+
+} // namespace
+
+TEST_CASE("Every peer message is read as it was written")
+{
+    const bool held = rc::check([] {
+        const PeerMessage message = *anyPeerMessage();
+        const auto result = readWords(wordsOf(message));
+        RC_ASSERT(std::holds_alternative<PeerMessageArrived>(result));
+        const auto &arrived = std::get<PeerMessageArrived>(result);
+        RC_ASSERT(arrived.from == MemberSlot(3));
+        RC_ASSERT(arrived.service == ServiceName("advice-desk"));
+        RC_ASSERT(arrived.message == message);
+    });
+    CHECK(held);
+}
+
+TEST_CASE("Changed bytes of a peer message give a message within the limits or a fault")
+{
+    const bool held = rc::check([] {
+        kj::Array<capnp::word> words = wordsOf(*anyPeerMessage());
+        auto *bytes = reinterpret_cast<std::uint8_t *>(words.begin());
+        const auto changes = *rc::gen::inRange(1, 20);
+        for (int i = 0; i < changes; ++i) {
+            bytes[*rc::gen::inRange<std::size_t>(0, words.size() * sizeof(capnp::word))] = *rc::gen::arbitrary<std::uint8_t>();
+        }
+        const auto result = readWords(words);
+        if (const auto *arrived = std::get_if<PeerMessageArrived>(&result)) {
+            RC_ASSERT(arrived->from != noMember);
+            // What was accepted is within the limits, so it is accepted again.
+            RC_ASSERT(faultOf(arrived->message, arrived->from).empty());
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("Numbers out of range are faults")
+{
+    const std::uint64_t tooHigh = Codec::maxCounter + 1;
+    const MonotonicTime now(std::chrono::seconds(1));
+    CHECK(faultOf(PromiseRequest{Term(1), CellRevision(1), now}).empty());
+    CHECK(faultOf(PromiseRequest{Term(1), CellRevision(1), now}, noMember) == "sender out of range");
+    CHECK(faultOf(PromiseRequest{Term(tooHigh), CellRevision(1), now}) == "term out of range");
+    CHECK(faultOf(PromiseRequest{Term(1), CellRevision(tooHigh), now}) == "cell revision out of range");
+    CHECK(faultOf(PromiseRequest{Term(1), CellRevision(1), MonotonicTime(Duration(-1))}) == "time out of range");
+    CHECK(faultOf(HandoverAccepted{ShardIndex(Codec::maxShards), {}}) == "shard out of range");
+    CHECK(faultOf(HandoverAccepted{ShardIndex(1), {Term(1), tooHigh}}) == "fence sequence out of range");
+
+    HeartbeatAnswer answer;
+    answer.lease = Duration(-1);
+    CHECK(faultOf(answer) == "lease out of range");
+    answer.lease = Codec::maxLease + Duration(1);
+    CHECK(faultOf(answer) == "lease out of range");
+    answer.lease = Duration(0);
+    answer.loads.resize(Codec::maxMembers + 1);
+    CHECK(faultOf(answer) == "number of loads out of range");
+    answer.loads.clear();
+    answer.map.emplace();
+    answer.map->shards.push_back({static_cast<ShardOwnership::State>(3), MemberSlot(1), noMember, {}});
+    CHECK(faultOf(answer) == "shard state out of range");
+    answer.map->shards.assign(Codec::maxShards + 1, {});
+    CHECK(faultOf(answer) == "number of shards out of range");
+
+    Heartbeat heartbeat;
+    heartbeat.load.inFlight = Codec::maxRequests + 1;
+    CHECK(faultOf(heartbeat) == "number of requests out of range");
+    heartbeat.load.inFlight = 0;
+    heartbeat.load.shards.push_back({ShardIndex(1), Codec::maxMilliRequestsPerSecond + 1});
+    CHECK(faultOf(heartbeat) == "rate out of range");
+
+    HandoverOffer offer;
+    offer.entries.push_back({ShardIndex(1), "key", StoredAnswer{99, {}, ""}, Duration(0)});
+    CHECK(faultOf(offer) == "answer status out of range");
+    offer.entries.front().answer.reset();
+    offer.entries.front().age = Duration(-1);
+    CHECK(faultOf(offer) == "age out of range");
+}
--- /dev/null
+++ b/tests/io/peermessagegenerator.cpp
@@ -0,0 +1,182 @@
+#include "peermessagegenerator.h"
+
+#include "peermessagecodec.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+using Codec = PeerMessageCodec;
+
+template <typename T>
+T upTo(T limit)
+{
+    // inRange excludes its end and shrinks to its start.
+    return *rc::gen::oneOf(rc::gen::inRange<T>(0, limit), rc::gen::just(limit));
+}
+
+template <typename T>
+std::vector<T> listOf(T (*make)())
+{
+    std::vector<T> list(*rc::gen::inRange<std::size_t>(0, 6));
+    for (T &entry : list) {
+        entry = make();
+    }
+    return list;
+}
+
+template <typename T>
+std::optional<T> perhaps(T (*make)())
+{
+    if (*rc::gen::arbitrary<bool>()) {
+        return make();
+    }
+    return std::nullopt;
+}
+
+std::uint64_t counter()
+{
+    return upTo(Codec::maxCounter);
+}
+
+std::string bytes()
+{
+    return *rc::gen::arbitrary<std::string>();
+}
+
+MemberSlot slot()
+{
+    return MemberSlot(upTo(Codec::maxSlot));
+}
+
+ShardIndex shard()
+{
+    return ShardIndex(upTo(Codec::maxShards - 1));
+}
+
+MonotonicTime time()
+{
+    return MonotonicTime(Duration(static_cast<std::int64_t>(counter())));
+}
+
+Fence fence()
+{
+    return {Term(counter()), counter()};
+}
+
+DocumentCopy document()
+{
+    return {DocumentRevision(counter()), bytes()};
+}
+
+ShardOwnership ownership()
+{
+    return {static_cast<ShardOwnership::State>(upTo(2)), slot(), slot(), fence()};
+}
+
+std::uint64_t hash()
+{
+    return *rc::gen::arbitrary<std::uint64_t>();
+}
+
+OwnershipMap map()
+{
+    return {fence(), listOf(ownership), listOf(hash)};
+}
+
+ShardLoad shardLoad()
+{
+    return {shard(), upTo(Codec::maxMilliRequestsPerSecond)};
+}
+
+KeyLoad keyLoad()
+{
+    return {hash(), upTo(Codec::maxMilliRequestsPerSecond)};
+}
+
+MemberLoad load()
+{
+    return {
+        slot(), upTo(Codec::maxRequests), upTo(Codec::maxRequests), upTo(Codec::maxRequests), *rc::gen::arbitrary<bool>(), listOf(shardLoad), listOf(keyLoad)};
+}
+
+std::pair<std::string, std::string> header()
+{
+    return {bytes(), bytes()};
+}
+
+StoredAnswer answer()
+{
+    return {*rc::gen::inRange<std::uint16_t>(100, 600), listOf(header), bytes()};
+}
+
+DeduplicationEntry entry()
+{
+    return {shard(), bytes(), perhaps(answer), Duration(upTo<std::int64_t>(Codec::maxAge.count()))};
+}
+
+std::pair<ShardIndex, Fence> released()
+{
+    return {shard(), fence()};
+}
+
+PeerMessage promiseRequest()
+{
+    return PromiseRequest{Term(counter()), CellRevision(counter()), time()};
+}
+
+PeerMessage promiseAnswer()
+{
+    return PromiseAnswer{
+        Term(counter()), *rc::gen::arbitrary<bool>(), CellRevision(counter()), time(), Term(counter()), perhaps(map), DocumentRevision(counter())};
+}
+
+PeerMessage heartbeat()
+{
+    return Heartbeat{Term(counter()),
+                     CellRevision(counter()),
+                     time(),
+                     fence(),
+                     DocumentRevision(counter()),
+                     listOf(shard),
+                     listOf(released),
+                     *rc::gen::arbitrary<bool>(),
+                     load(),
+                     perhaps(document)};
+}
+
+PeerMessage heartbeatAnswer()
+{
+    return HeartbeatAnswer{Term(counter()),
+                           CellRevision(counter()),
+                           time(),
+                           Duration(upTo<std::int64_t>(Codec::maxLease.count())),
+                           perhaps(map),
+                           DocumentRevision(counter()),
+                           perhaps(document),
+                           listOf(load)};
+}
+
+PeerMessage handoverOffer()
+{
+    return HandoverOffer{shard(), fence(), listOf(entry)};
+}
+
+PeerMessage handoverAccepted()
+{
+    return HandoverAccepted{shard(), fence()};
+}
+
+} // namespace
+
+rc::Gen<PeerMessage> anyPeerMessage()
+{
+    return rc::gen::oneOf(rc::gen::exec(promiseRequest),
+                          rc::gen::exec(promiseAnswer),
+                          rc::gen::exec(heartbeat),
+                          rc::gen::exec(heartbeatAnswer),
+                          rc::gen::exec(handoverOffer),
+                          rc::gen::exec(handoverAccepted));
+}
+
+} // namespace nutmeghinge
