Serve and call HTTP with whole answers or a visible break

Cause: the adapters for callers, peers, targets and the platform had headers only.

Change: HttpServer on h2o (HTTP/1.1, cleartext HTTP/2) hands over whole requests, refuses faulty framing with 400 and bodies over the limit with 413, streams answers with backpressure and resets those that are not whole. A watch on a duplicate of the socket reports a client that went while its request runs, since h2o does not read then. HttpClient runs one exchange a connection and keeps a connection only after a whole, well-framed answer. SIGPIPE is ignored by the event loop.

Ruled out: h2o_http1client, because it takes a reset in a close-delimited body for its end, reports faults as text only and pools by duplicating descriptors; h2o_socket, because it does not tell an end from a reset. The client parses with the picohttpparser that libh2o exports.

Conclusion: other packages can code against both headers.

--- a/src/libnutmeghingeio/eventloop.cpp
+++ b/src/libnutmeghingeio/eventloop.cpp
@@ -1,6 +1,7 @@
 #include "eventloop.h"
 
 #include <cassert>
+#include <csignal>
 #include <ctime>
 #include <memory>
 
@@ -53,6 +54,8 @@
 
 EventLoop::EventLoop()
 {
+    // Writing to a connection that the other side has closed is an error of that write, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
     const int result = uv_loop_init(&m_loop);
     assert(result == 0);
     (void)result;
--- /dev/null
+++ b/src/libnutmeghingeio/httpanswerparser.cpp
@@ -0,0 +1,163 @@
+#include "httpanswerparser.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t maxHeaders = 100;
+constexpr int switchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::ranges::transform(lower, lower.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return lower;
+}
+
+bool hasToken(std::string_view list, std::string_view token)
+{
+    const std::string lower = lowerCase(list);
+    std::string_view rest = lower;
+    while (!rest.empty()) {
+        const std::size_t comma = std::min(rest.find(','), rest.size());
+        std::string_view item = rest.substr(0, comma);
+        while (!item.empty() && (item.front() == ' ' || item.front() == '\t')) {
+            item.remove_prefix(1);
+        }
+        while (!item.empty() && (item.back() == ' ' || item.back() == '\t')) {
+            item.remove_suffix(1);
+        }
+        if (item == token) {
+            return true;
+        }
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+    return false;
+}
+
+std::size_t countHeaders(const HttpHeaders &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count(headers, name, [](const auto &header) { return std::string_view(header.first); }));
+}
+
+bool isBodyless(int status)
+{
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+std::variant<HttpAnswerParser::Incomplete, HttpAnswerParser::Malformed, HttpAnswerParser::Head> HttpAnswerParser::parseHead(std::string_view bytes)
+{
+    std::size_t offset = 0;
+    for (;;) {
+        std::array<phr_header, maxHeaders> headers{};
+        std::size_t count = headers.size();
+        int minorVersion = 0;
+        int status = 0;
+        const char *reason = nullptr;
+        std::size_t reasonSize = 0;
+        const std::string_view rest = bytes.substr(offset);
+        const int size = phr_parse_response(rest.data(), rest.size(), &minorVersion, &status, &reason, &reasonSize, headers.data(), &count, 0);
+        if (size == -2) {
+            return Incomplete();
+        }
+        if (size < 0 || status < 100 || status > 999 || status == switchingProtocols) {
+            return Malformed();
+        }
+        offset += static_cast<std::size_t>(size);
+        if (status < firstFinalStatus) {
+            continue;
+        }
+        Head result;
+        result.headSize = offset;
+        result.head.status = static_cast<std::uint16_t>(status);
+        for (const phr_header &header : std::span(headers).first(count)) {
+            if (header.name == nullptr) {
+                return Malformed();
+            }
+            result.head.headers.emplace_back(lowerCase({header.name, header.name_len}), std::string(header.value, header.value_len));
+        }
+        if (!takeHead(minorVersion, result.head)) {
+            return Malformed();
+        }
+        return result;
+    }
+}
+
+bool HttpAnswerParser::takeHead(int minorVersion, HttpAnswerHead &head)
+{
+    const std::optional<std::string_view> connection = findHeader(head.headers, "connection");
+    m_persistent = minorVersion >= 1 ? !hasToken(connection.value_or(""), "close") : hasToken(connection.value_or(""), "keep-alive");
+    const std::size_t encodings = countHeaders(head.headers, "transfer-encoding");
+    const std::size_t lengths = countHeaders(head.headers, "content-length");
+    if (encodings + lengths > 1) {
+        return false;
+    }
+    if (encodings == 1 && (minorVersion < 1 || lowerCase(*findHeader(head.headers, "transfer-encoding")) != "chunked")) {
+        return false;
+    }
+    if (lengths == 1 && !takeLength(head)) {
+        return false;
+    }
+    chooseFraming(head, encodings == 1);
+    return true;
+}
+
+bool HttpAnswerParser::takeLength(HttpAnswerHead &head) const
+{
+    const std::string_view text = *findHeader(head.headers, "content-length");
+    std::uint64_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return false;
+    }
+    head.contentLength = length;
+    return true;
+}
+
+void HttpAnswerParser::chooseFraming(const HttpAnswerHead &head, bool chunked)
+{
+    if (m_answersHead || isBodyless(head.status)) {
+        m_framing = Framing::NoBody;
+    } else if (chunked) {
+        m_framing = Framing::Chunked;
+        m_chunks.consume_trailer = 1;
+    } else if (head.contentLength) {
+        m_framing = Framing::Length;
+        m_bytesLeft = *head.contentLength;
+    }
+}
+
+HttpAnswerParser::BodyPart HttpAnswerParser::parseBody(std::span<char> bytes)
+{
+    if (m_framing == Framing::UntilClose) {
+        return {.data = {bytes.data(), bytes.size()}};
+    }
+    if (m_framing == Framing::Chunked) {
+        return parseChunks(bytes);
+    }
+    const std::size_t size = std::min<std::uint64_t>(m_bytesLeft, bytes.size());
+    m_bytesLeft -= size;
+    return {.data = {bytes.data(), size}, .complete = m_bytesLeft == 0, .leftover = size < bytes.size()};
+}
+
+HttpAnswerParser::BodyPart HttpAnswerParser::parseChunks(std::span<char> bytes)
+{
+    if (bytes.empty()) {
+        return {};
+    }
+    std::size_t size = bytes.size();
+    const ssize_t left = phr_decode_chunked(&m_chunks, bytes.data(), &size);
+    if (left == -1) {
+        return {.data = {}, .malformed = true};
+    }
+    return {.data = {bytes.data(), size}, .complete = left >= 0, .leftover = left > 0};
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -0,0 +1,382 @@
+#include "httpclientconnection.h"
+
+#include "eventloop.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t maxHeadBytes = 65536;
+/** Shorter than the time after which servers close idle connections, so that a request rarely meets the close. */
+constexpr Duration idleLifetime = std::chrono::seconds(5);
+
+bool makeAddress(const Endpoint &endpoint, sockaddr_storage &address)
+{
+    if (uv_ip4_addr(endpoint.address.c_str(), endpoint.port, reinterpret_cast<sockaddr_in *>(&address)) == 0) {
+        return true;
+    }
+    return uv_ip6_addr(endpoint.address.c_str(), endpoint.port, reinterpret_cast<sockaddr_in6 *>(&address)) == 0;
+}
+
+std::string formatHead(const HttpClientRequest &request)
+{
+    std::string head = request.method + ' ' + request.path + " HTTP/1.1\r\n";
+    if (!findHeader(request.headers, "host")) {
+        head += "host: " + request.to.address + ':' + std::to_string(request.to.port) + "\r\n";
+    }
+    for (const auto &[name, value] : request.headers) {
+        head += name;
+        head += ": ";
+        head += value;
+        head += "\r\n";
+    }
+    const std::size_t size = request.body ? request.body->size() : 0;
+    if (size != 0 || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
+        head += "content-length: " + std::to_string(size) + "\r\n";
+    }
+    return head + "\r\n";
+}
+
+std::uint64_t millisecondsUntil(Duration duration)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(duration).count()));
+}
+
+} // namespace
+
+HttpClientConnection::HttpClientConnection(EventLoop &loop, Owner &owner)
+    : m_loop(loop)
+    , m_owner(owner)
+{
+    uv_tcp_init(loop.handle(), &m_socket);
+    uv_timer_init(loop.handle(), &m_timer);
+    m_socket.data = this;
+    m_timer.data = this;
+    m_connect.data = this;
+    m_write.data = this;
+}
+
+bool HttpClientConnection::open(Exchange &exchange)
+{
+    sockaddr_storage address{};
+    m_endpoint = exchange.request.to;
+    const auto onConnect = [](uv_connect_t *request, int status) { static_cast<HttpClientConnection *>(request->data)->connected(status); };
+    if (!makeAddress(m_endpoint, address) || uv_tcp_connect(&m_connect, &m_socket, reinterpret_cast<sockaddr *>(&address), onConnect) != 0) {
+        return false;
+    }
+    uv_tcp_nodelay(&m_socket, 1);
+    m_exchange = std::move(exchange);
+    noteProgress();
+    armTimer();
+    return true;
+}
+
+bool HttpClientConnection::reuse(Exchange &exchange)
+{
+    assert(m_state == State::Idle);
+    if (!isAlive()) {
+        return false;
+    }
+    m_exchange = std::move(exchange);
+    if (!sendRequest()) {
+        exchange = std::move(*m_exchange);
+        m_exchange.reset();
+        return false;
+    }
+    return true;
+}
+
+void HttpClientConnection::connected(int status)
+{
+    if (m_state != State::Connecting) {
+        return;
+    }
+    if (status < 0 || !sendRequest()) {
+        end(HttpCallResult::NotConnected);
+    }
+}
+
+bool HttpClientConnection::sendRequest()
+{
+    const HttpClientRequest &request = m_exchange->request;
+    m_requestHead = formatHead(request);
+    m_requestBody = request.body;
+    m_parser.emplace(request.method == "HEAD");
+    m_answerHead.clear();
+    m_headComplete = false;
+    m_leftover = false;
+    m_paused = false;
+
+    std::array<uv_buf_t, 2> buffers{uv_buf_init(m_requestHead.data(), static_cast<unsigned>(m_requestHead.size())), uv_buf_init(nullptr, 0)};
+    unsigned count = 1;
+    if (m_requestBody && !m_requestBody->empty()) {
+        buffers[1] = uv_buf_init(const_cast<char *>(m_requestBody->data()), static_cast<unsigned>(m_requestBody->size()));
+        count = 2;
+    }
+    const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(&m_socket), buffers.data(), count);
+    if (written < 0 && written != UV_EAGAIN) {
+        return false;
+    }
+    m_state = State::Busy;
+    writeRest(static_cast<std::size_t>(std::max(0, written)));
+    startReading();
+    noteProgress();
+    armTimer();
+    return true;
+}
+
+void HttpClientConnection::writeRest(std::size_t written)
+{
+    std::array<uv_buf_t, 2> buffers{};
+    unsigned count = 0;
+    if (written < m_requestHead.size()) {
+        buffers[count++] = uv_buf_init(m_requestHead.data() + written, static_cast<unsigned>(m_requestHead.size() - written));
+    }
+    const std::size_t bodyWritten = std::max(written, m_requestHead.size()) - m_requestHead.size();
+    if (m_requestBody && bodyWritten < m_requestBody->size()) {
+        buffers[count++] = uv_buf_init(const_cast<char *>(m_requestBody->data()) + bodyWritten, static_cast<unsigned>(m_requestBody->size() - bodyWritten));
+    }
+    if (count == 0) {
+        return;
+    }
+    // After a failed write the connection is not reused; reading tells how it ended.
+    const auto onWritten = [](uv_write_t *request, int status) {
+        auto *connection = static_cast<HttpClientConnection *>(request->data);
+        connection->m_writing = status < 0;
+        connection->noteProgress();
+    };
+    m_writing = true;
+    uv_write(&m_write, reinterpret_cast<uv_stream_t *>(&m_socket), buffers.data(), count, onWritten);
+    m_unsent = uv_stream_get_write_queue_size(reinterpret_cast<uv_stream_t *>(&m_socket));
+}
+
+void HttpClientConnection::startReading()
+{
+    const auto allocate = [](uv_handle_t *handle, std::size_t, uv_buf_t *buffer) {
+        const std::span<char> memory = static_cast<HttpClientConnection *>(handle->data)->m_owner.readBuffer();
+        *buffer = uv_buf_init(memory.data(), static_cast<unsigned>(memory.size()));
+    };
+    const auto onRead = [](uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer) {
+        static_cast<HttpClientConnection *>(stream->data)->received(size, buffer->base);
+    };
+    uv_read_start(reinterpret_cast<uv_stream_t *>(&m_socket), allocate, onRead);
+}
+
+void HttpClientConnection::received(ssize_t size, char *data)
+{
+    if (size == 0 || m_state == State::Closed) {
+        return;
+    }
+    if (m_state == State::Idle) {
+        close();
+        m_owner.idleClosed(*this);
+        return;
+    }
+    if (size < 0) {
+        connectionEnded(size == UV_EOF);
+        return;
+    }
+    noteProgress();
+    const std::span<char> bytes(data, static_cast<std::size_t>(size));
+    if (m_headComplete) {
+        receivedBody(bytes);
+    } else {
+        receivedHead(bytes);
+    }
+}
+
+void HttpClientConnection::receivedHead(std::span<char> bytes)
+{
+    if (!m_answerHead.empty()) {
+        m_answerHead.append(bytes.data(), bytes.size());
+        bytes = m_answerHead;
+    }
+    auto parsed = m_parser->parseHead({bytes.data(), bytes.size()});
+    if (std::holds_alternative<HttpAnswerParser::Malformed>(parsed) || bytes.size() > maxHeadBytes + m_owner.readBuffer().size()) {
+        end(HttpCallResult::Malformed);
+        return;
+    }
+    if (std::holds_alternative<HttpAnswerParser::Incomplete>(parsed)) {
+        if (bytes.size() > maxHeadBytes) {
+            end(HttpCallResult::Malformed);
+        } else if (m_answerHead.empty()) {
+            m_answerHead.assign(bytes.data(), bytes.size());
+        }
+        return;
+    }
+    const auto &head = std::get<HttpAnswerParser::Head>(parsed);
+    m_headComplete = true;
+    m_exchange->receiver->headReceived(head.head);
+    if (m_state != State::Busy) {
+        return;
+    }
+    receivedBody(bytes.subspan(head.headSize));
+}
+
+void HttpClientConnection::receivedBody(std::span<char> bytes)
+{
+    const HttpAnswerParser::BodyPart part = m_parser->parseBody(bytes);
+    m_leftover = part.leftover;
+    if (!part.data.empty()) {
+        const bool wantsMore = m_exchange->receiver->bodyReceived(part.data);
+        if (m_state != State::Busy) {
+            return;
+        }
+        m_paused = !wantsMore;
+    }
+    if (part.malformed) {
+        end(HttpCallResult::Truncated);
+    } else if (part.complete) {
+        end(HttpCallResult::Complete);
+    } else if (m_paused) {
+        uv_read_stop(reinterpret_cast<uv_stream_t *>(&m_socket));
+    }
+}
+
+void HttpClientConnection::connectionEnded(bool cleanly)
+{
+    if (!m_headComplete) {
+        end(HttpCallResult::ConnectionLost);
+    } else if (cleanly && m_parser->endsWithConnection()) {
+        end(HttpCallResult::Complete);
+    } else {
+        end(HttpCallResult::Truncated);
+    }
+}
+
+void HttpClientConnection::resume()
+{
+    if (m_state != State::Busy || !m_paused) {
+        return;
+    }
+    m_paused = false;
+    noteProgress();
+    startReading();
+    armTimer();
+}
+
+void HttpClientConnection::noteProgress()
+{
+    m_lastProgress = m_loop.now();
+    m_lastChance = false;
+}
+
+void HttpClientConnection::armTimer()
+{
+    Duration wait = idleLifetime;
+    if (m_state != State::Idle) {
+        const HttpClientRequest &request = m_exchange->request;
+        const MonotonicTime now = m_loop.now();
+        const Duration patience = m_state == State::Connecting ? request.connectTimeout : request.progressTimeout;
+        wait = std::min(m_lastProgress + patience, request.deadline) - now;
+        if (m_paused) {
+            wait = std::min(request.deadline - now, patience);
+        }
+    }
+    const auto onTimer = [](uv_timer_t *timer) { static_cast<HttpClientConnection *>(timer->data)->timerFired(); };
+    uv_timer_start(&m_timer, onTimer, millisecondsUntil(wait), 0);
+}
+
+void HttpClientConnection::timerFired()
+{
+    if (m_state == State::Idle) {
+        close();
+        m_owner.idleClosed(*this);
+        return;
+    }
+    const HttpClientRequest &request = m_exchange->request;
+    const MonotonicTime now = m_loop.now();
+    if (m_state == State::Connecting) {
+        if (now >= std::min(request.deadline, m_lastProgress + request.connectTimeout)) {
+            end(HttpCallResult::NotConnected);
+            return;
+        }
+        armTimer();
+        return;
+    }
+    const std::size_t unsent = uv_stream_get_write_queue_size(reinterpret_cast<uv_stream_t *>(&m_socket));
+    if (unsent != m_unsent) {
+        m_unsent = unsent;
+        noteProgress();
+    }
+    if (now >= request.deadline) {
+        end(HttpCallResult::DeadlineExpired);
+    } else if (!m_paused && now >= m_lastProgress + request.progressTimeout) {
+        progressExpired();
+    } else {
+        armTimer();
+    }
+}
+
+void HttpClientConnection::progressExpired()
+{
+    if (m_lastChance) {
+        end(HttpCallResult::NoProgress);
+        return;
+    }
+    // After a pause of this process timers run before the sockets are looked at.
+    m_lastChance = true;
+    const auto onTimer = [](uv_timer_t *timer) { static_cast<HttpClientConnection *>(timer->data)->timerFired(); };
+    uv_timer_start(&m_timer, onTimer, 1, 0);
+}
+
+void HttpClientConnection::end(HttpCallResult result)
+{
+    const bool reusable = result == HttpCallResult::Complete && m_parser->isPersistent() && !m_leftover && !m_writing;
+    Exchange exchange = std::move(*m_exchange);
+    m_exchange.reset();
+    m_requestBody.reset();
+    if (reusable) {
+        m_state = State::Idle;
+        if (m_paused) {
+            m_paused = false;
+            startReading();
+        }
+        armTimer();
+    } else {
+        close();
+    }
+    m_owner.exchangeEnded(*this, std::move(exchange), result, reusable);
+}
+
+HttpClientConnection::Exchange HttpClientConnection::abandon()
+{
+    Exchange exchange = std::move(*m_exchange);
+    m_exchange.reset();
+    close();
+    return exchange;
+}
+
+void HttpClientConnection::close()
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    m_state = State::Closed;
+    const auto onClose = [](uv_handle_t *handle) {
+        auto *connection = static_cast<HttpClientConnection *>(handle->data);
+        if (--connection->m_openHandles == 0) {
+            delete connection;
+        }
+    };
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_socket), onClose);
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_timer), onClose);
+}
+
+bool HttpClientConnection::isAlive() const
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_socket), &descriptor) != 0) {
+        return false;
+    }
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -0,0 +1,334 @@
+#include "httpserver.h"
+
+#include "eventloop.h"
+#include "httpserverexchange.h"
+#include "requestframing.h"
+
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <netinet/tcp.h>
+#include <unistd.h>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr int listenBacklog = 1024;
+constexpr int http2Version = 0x200;
+/** Time that a running answer may stay unacknowledged by the client. */
+constexpr int clientTimeoutMs = 60000;
+/** Time at the start of a shutdown in which idle clients may still learn of it from an answer. */
+constexpr std::uint64_t idleGraceMs = 250;
+constexpr std::uint64_t idleCheckIntervalMs = 50;
+constexpr int drainTurns = 64;
+
+std::variant<Endpoint, ListenFault> endpointInUse(const uv_tcp_t *listener, const Endpoint &asked)
+{
+    sockaddr_storage address{};
+    int size = sizeof(address);
+    const int result = uv_tcp_getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+    if (result != 0) {
+        return ListenFault{asked, uv_strerror(result)};
+    }
+    return Endpoint{asked.address, static_cast<std::uint16_t>(h2o_socket_getport(reinterpret_cast<sockaddr *>(&address)))};
+}
+
+void setTimeouts(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &clientTimeoutMs, sizeof(clientTimeoutMs));
+}
+
+bool isUpgradedFromHttp1(const h2o_req_t &request)
+{
+    return request.version >= http2Version && h2o_find_header_by_str(&request.headers, H2O_STRLIT("http2-settings"), -1) != -1;
+}
+
+/** Whether the request's length could only be read in one way. */
+bool isWellFramed(h2o_req_t &request)
+{
+    if (isUpgradedFromHttp1(request)) {
+        // The head that framed the body is no longer at hand.
+        return request.entity.base == nullptr;
+    }
+    if (request.version >= http2Version) {
+        return true;
+    }
+    const h2o_buffer_t *input = request.conn->callbacks->get_socket(request.conn)->input;
+    return hasSingleFraming({input->bytes, input->size});
+}
+
+} // namespace
+
+struct HttpServer::Private {
+    /** A client's connection. The watch reports that the client closed it, which h2o does not notice while a request runs. */
+    struct Connection {
+        Private *server = nullptr;
+        h2o_socket_t *socket = nullptr;
+        uv_poll_t *watch = nullptr;
+        int watchedDescriptor = -1;
+        bool isHttp2 = false;
+        bool clientGone = false;
+        std::unordered_set<HttpServerExchange *> running;
+    };
+    struct RequestHandler {
+        h2o_handler_t super;
+        Private *server;
+    };
+
+    Private(EventLoop &usedLoop, Options usedOptions, Handler usedHandler);
+    ~Private();
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    void acceptConnection();
+    void watchConnection(Connection &connection);
+    void clientClosed(Connection &connection);
+    void connectionClosed(Connection &connection);
+    int handle(h2o_req_t &request);
+    void closeIdle();
+    void stopListening();
+    void finishShutdown();
+
+    EventLoop &loop;
+    Options options;
+    Handler handler;
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+    h2o_accept_ctx_t acceptContext{};
+    uv_tcp_t *listener = nullptr;
+    uv_timer_t *idleCheck = nullptr;
+    std::unordered_map<h2o_socket_t *, std::unique_ptr<Connection>> connections;
+    std::function<void()> shutdownFinished;
+    bool destroying = false;
+};
+
+HttpServer::Private::Private(EventLoop &usedLoop, Options usedOptions, Handler usedHandler)
+    : loop(usedLoop)
+    , options(std::move(usedOptions))
+    , handler(std::move(usedHandler))
+{
+    h2o_config_init(&config);
+    config.max_request_entity_size = options.bodyLimit;
+    config.server_name = h2o_iovec_init(H2O_STRLIT("nutmeghinge"));
+    h2o_hostconf_t *host = h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    auto *requestHandler = reinterpret_cast<RequestHandler *>(h2o_create_handler(path, sizeof(RequestHandler)));
+    requestHandler->server = this;
+    requestHandler->super.on_req = [](h2o_handler_t *self, h2o_req_t *request) { return reinterpret_cast<RequestHandler *>(self)->server->handle(*request); };
+    h2o_context_init(&context, loop.handle(), &config);
+    acceptContext.ctx = &context;
+    acceptContext.hosts = config.hosts;
+    idleCheck = new uv_timer_t;
+    uv_timer_init(loop.handle(), idleCheck);
+    idleCheck->data = this;
+}
+
+HttpServer::Private::~Private()
+{
+    destroying = true;
+    stopListening();
+    uv_close(reinterpret_cast<uv_handle_t *>(idleCheck), [](uv_handle_t *handle) { delete reinterpret_cast<uv_timer_t *>(handle); });
+    for (auto &[socket, connection] : connections) {
+        const std::unordered_set<HttpServerExchange *> running = connection->running;
+        shutdown(connection->watchedDescriptor, SHUT_RDWR);
+        for (HttpServerExchange *exchange : running) {
+            exchange->setClosedFunction(nullptr);
+            exchange->reset();
+        }
+    }
+    for (int turn = 0; turn < drainTurns && !connections.empty(); ++turn) {
+        uv_run(loop.handle(), UV_RUN_NOWAIT);
+    }
+    if (h2o_timeout_is_linked(&context.http2._graceful_shutdown_timeout)) {
+        h2o_timeout_unlink(&context.http2._graceful_shutdown_timeout);
+    }
+    h2o_context_dispose(&context);
+    // The context's timers are part of it; they close in a turn of the loop.
+    uv_run(loop.handle(), UV_RUN_NOWAIT);
+    h2o_config_dispose(&config);
+}
+
+void HttpServer::Private::acceptConnection()
+{
+    auto *stream = new uv_tcp_t;
+    uv_tcp_init(loop.handle(), stream);
+    const auto release = [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); };
+    if (uv_accept(reinterpret_cast<uv_stream_t *>(listener), reinterpret_cast<uv_stream_t *>(stream)) != 0) {
+        uv_close(reinterpret_cast<uv_handle_t *>(stream), release);
+        return;
+    }
+    auto connection = std::make_unique<Connection>();
+    connection->server = this;
+    connection->socket = h2o_uv_socket_create(reinterpret_cast<uv_stream_t *>(stream), release);
+    connection->socket->on_close.cb = [](void *data) {
+        auto *closed = static_cast<Connection *>(data);
+        closed->server->connectionClosed(*closed);
+    };
+    connection->socket->on_close.data = connection.get();
+    setTimeouts(h2o_socket_get_fd(connection->socket));
+    watchConnection(*connection);
+    h2o_socket_t *socket = connection->socket;
+    connections.emplace(socket, std::move(connection));
+    h2o_accept(&acceptContext, socket);
+}
+
+void HttpServer::Private::watchConnection(Connection &connection)
+{
+    connection.watchedDescriptor = dup(h2o_socket_get_fd(connection.socket));
+    connection.watch = new uv_poll_t;
+    uv_poll_init(loop.handle(), connection.watch, connection.watchedDescriptor);
+    connection.watch->data = &connection;
+    uv_poll_start(connection.watch, UV_DISCONNECT, [](uv_poll_t *watch, int, int) {
+        auto *closed = static_cast<Connection *>(watch->data);
+        closed->server->clientClosed(*closed);
+    });
+}
+
+void HttpServer::Private::clientClosed(Connection &connection)
+{
+    uv_poll_stop(connection.watch);
+    connection.clientGone = true;
+    if (connection.isHttp2) {
+        return;
+    }
+    const std::unordered_set<HttpServerExchange *> running = connection.running;
+    for (HttpServerExchange *exchange : running) {
+        exchange->clientGone();
+    }
+}
+
+void HttpServer::Private::connectionClosed(Connection &connection)
+{
+    uv_close(reinterpret_cast<uv_handle_t *>(connection.watch), [](uv_handle_t *handle) { delete reinterpret_cast<uv_poll_t *>(handle); });
+    ::close(connection.watchedDescriptor);
+    connections.erase(connection.socket);
+    if (connections.empty() && !destroying) {
+        finishShutdown();
+    }
+}
+
+int HttpServer::Private::handle(h2o_req_t &request)
+{
+    h2o_socket_t *socket = request.conn->callbacks->get_socket(request.conn);
+    Connection &connection = *connections.at(socket);
+    connection.isHttp2 = request.version >= http2Version;
+    if (!isWellFramed(request)) {
+        spdlog::warn("{}: refused a request with two lengths", options.name);
+        request.http1_is_persistent = 0;
+        h2o_send_error_400(&request, "Bad Request", "the length of the request is stated more than once\n", 0);
+        return 0;
+    }
+    const std::shared_ptr<HttpServerExchange> exchange = HttpServerExchange::create(request);
+    HttpServerExchange *key = exchange.get();
+    connection.running.insert(key);
+    exchange->setEndedFunction([this, socket, key] {
+        if (const auto found = connections.find(socket); found != connections.end()) {
+            found->second->running.erase(key);
+        }
+    });
+    if (destroying || (connection.clientGone && !connection.isHttp2)) {
+        exchange->reset();
+        return 0;
+    }
+    handler(exchange);
+    return 0;
+}
+
+void HttpServer::Private::closeIdle()
+{
+    for (auto &[socket, connection] : connections) {
+        if (connection->isHttp2 || !connection->running.empty() || socket->input->size != 0) {
+            continue;
+        }
+        // A request that is already in the socket's buffer is still read and answered.
+        uv_poll_stop(connection->watch);
+        shutdown(connection->watchedDescriptor, SHUT_RD);
+    }
+}
+
+void HttpServer::Private::stopListening()
+{
+    if (listener == nullptr) {
+        return;
+    }
+    uv_close(reinterpret_cast<uv_handle_t *>(listener), [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
+    listener = nullptr;
+}
+
+void HttpServer::Private::finishShutdown()
+{
+    if (!shutdownFinished) {
+        return;
+    }
+    uv_timer_stop(idleCheck);
+    const std::function<void()> finished = std::exchange(shutdownFinished, nullptr);
+    finished();
+}
+
+HttpServer::HttpServer(EventLoop &loop, Options options, Handler handler)
+    : m_d(std::make_unique<Private>(loop, std::move(options), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+std::variant<Endpoint, ListenFault> HttpServer::listen(const Endpoint &endpoint)
+{
+    sockaddr_storage address{};
+    if (uv_ip4_addr(endpoint.address.c_str(), endpoint.port, reinterpret_cast<sockaddr_in *>(&address)) != 0
+        && uv_ip6_addr(endpoint.address.c_str(), endpoint.port, reinterpret_cast<sockaddr_in6 *>(&address)) != 0) {
+        return ListenFault{endpoint, "not an IP number"};
+    }
+    m_d->listener = new uv_tcp_t;
+    uv_tcp_init(m_d->loop.handle(), m_d->listener);
+    m_d->listener->data = m_d.get();
+    int result = uv_tcp_bind(m_d->listener, reinterpret_cast<sockaddr *>(&address), 0);
+    if (result == 0) {
+        result = uv_listen(reinterpret_cast<uv_stream_t *>(m_d->listener), listenBacklog, [](uv_stream_t *stream, int status) {
+            if (status == 0) {
+                static_cast<Private *>(stream->data)->acceptConnection();
+            }
+        });
+    }
+    if (result != 0) {
+        m_d->stopListening();
+        return ListenFault{endpoint, uv_strerror(result)};
+    }
+    return endpointInUse(m_d->listener, endpoint);
+}
+
+void HttpServer::shutDown(std::function<void()> closed)
+{
+    m_d->stopListening();
+    m_d->shutdownFinished = std::move(closed);
+    h2o_context_request_shutdown(&m_d->context);
+    uv_timer_start(
+        m_d->idleCheck,
+        [](uv_timer_t *timer) {
+            auto *server = static_cast<Private *>(timer->data);
+            server->closeIdle();
+            if (server->connections.empty()) {
+                server->finishShutdown();
+            }
+        },
+        m_d->connections.empty() ? 0 : idleGraceMs,
+        idleCheckIntervalMs);
+}
+
+std::size_t HttpServer::openConnections() const
+{
+    return m_d->connections.size();
+}
+
+std::uint64_t HttpServer::refusedInputs() const
+{
+    return m_d->context.emitted_error_status[H2O_STATUS_ERROR_400] + m_d->context.emitted_error_status[H2O_STATUS_ERROR_413];
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/requestframing.cpp
@@ -0,0 +1,51 @@
+#include "requestframing.h"
+
+#include <algorithm>
+#include <strings.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+std::string_view takeLine(std::string_view &bytes)
+{
+    const std::size_t end = std::min(bytes.find('\n'), bytes.size());
+    std::string_view line = bytes.substr(0, end);
+    bytes.remove_prefix(std::min(end + 1, bytes.size()));
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+bool isHeader(std::string_view line, std::string_view name)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    std::string_view found = line.substr(0, colon);
+    while (found.ends_with(' ') || found.ends_with('\t')) {
+        found.remove_suffix(1);
+    }
+    return found.size() == name.size() && strncasecmp(found.data(), name.data(), name.size()) == 0;
+}
+
+} // namespace
+
+bool hasSingleFraming(std::string_view bytesFromHead)
+{
+    std::string_view line = takeLine(bytesFromHead);
+    while (line.empty() && !bytesFromHead.empty()) {
+        line = takeLine(bytesFromHead);
+    }
+    int framings = 0;
+    for (line = takeLine(bytesFromHead); !line.empty(); line = takeLine(bytesFromHead)) {
+        if (isHeader(line, "content-length") || isHeader(line, "transfer-encoding")) {
+            ++framings;
+        }
+    }
+    return framings <= 1;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/requestframing.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string_view>
+
+namespace nutmeghinge {
+
+/**
+ * Whether the head of an HTTP/1 request states the length of its body at most
+ * once. Two lengths, or a length beside a transfer encoding, are read
+ * differently by different servers and serve to smuggle requests.
+ */
+bool hasSingleFraming(std::string_view bytesFromHead);
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/tests/io/httpclienttest.cpp
@@ -0,0 +1,334 @@
+#include "eventloop.h"
+#include "rawserver.h"
+#include "recordingreceiver.h"
+#include "rununtil.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <utility>
+
+using namespace nutmeghinge;
+
+namespace {
+
+/** A client and a server that answers each request with the next of the given answers. */
+struct Setup {
+    Setup()
+        : server(loop,
+                 [this](RawConnection &connection) {
+                     if (connection.received().find("\r\n\r\n") == std::string::npos) {
+                         return;
+                     }
+                     requests.push_back(std::exchange(connection.received(), {}));
+                     if (onRequest) {
+                         onRequest(connection);
+                     }
+                 })
+        , client(loop, 4)
+    {
+    }
+
+    HttpClientRequest request() const { return {.to = server.endpoint(), .method = "GET", .path = "/", .headers = {}, .body = nullptr}; }
+
+    HttpClient::CallId send(HttpClientRequest toSend)
+    {
+        receiver = std::make_shared<RecordingReceiver>();
+        return client.send(std::move(toSend), receiver);
+    }
+
+    HttpCallResult run(HttpClientRequest toSend)
+    {
+        send(std::move(toSend));
+        REQUIRE(runUntil(loop, [&] { return receiver->result.has_value(); }));
+        return *receiver->result;
+    }
+
+    EventLoop loop;
+    std::vector<std::string> requests;
+    std::function<void(RawConnection &)> onRequest;
+    RawServer server;
+    HttpClient client;
+    std::shared_ptr<RecordingReceiver> receiver;
+};
+
+} // namespace
+
+TEST_CASE("The client tells whole answers from broken ones")
+{
+    struct Answer {
+        std::string bytes;
+        bool closes;
+        HttpCallResult result;
+        std::string body;
+        bool reusable;
+    };
+    using enum HttpCallResult;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const auto answer = GENERATE_COPY(Answer{head + "Content-Length: 4\r\n\r\nteak", false, Complete, "teak", true},
+                                      Answer{head + "Content-Length: 0\r\n\r\n", false, Complete, "", true},
+                                      Answer{head + "Transfer-Encoding: chunked\r\n\r\n4\r\nteak\r\n2\r\n!!\r\n0\r\n\r\n", false, Complete, "teak!!", true},
+                                      Answer{head + "Content-Length: 4\r\nConnection: close\r\n\r\nteak", false, Complete, "teak", false},
+                                      Answer{"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nteak", false, Complete, "teak", false},
+                                      Answer{"HTTP/1.0 200 OK\r\n\r\nteak", true, Complete, "teak", false},
+                                      Answer{"HTTP/1.1 204 No Content\r\n\r\n", false, Complete, "", true},
+                                      Answer{"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", false, Complete, "", true},
+                                      Answer{"HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", false, Complete, "ok", true},
+                                      Answer{head + "Content-Length: 4\r\n\r\nteak and more", false, Complete, "teak", false},
+                                      Answer{head + "Transfer-Encoding: chunked\r\n\r\n4\r\nteak\r\n0\r\n\r\nmore", false, Complete, "teak", false},
+                                      Answer{head + "Content-Length: 8\r\n\r\nteak", true, Truncated, "teak", false},
+                                      Answer{head + "Transfer-Encoding: chunked\r\n\r\n4\r\nteak\r\n", true, Truncated, "teak", false},
+                                      Answer{head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nteak\r\n", false, Truncated, "", false},
+                                      Answer{"", true, ConnectionLost, "", false},
+                                      Answer{"HTTP/1.1 200 O", true, ConnectionLost, "", false},
+                                      Answer{"no answer\r\n\r\n", false, Malformed, "", false},
+                                      Answer{head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nteak!", false, Malformed, "", false},
+                                      Answer{head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false, Malformed, "", false},
+                                      Answer{head + "Content-Length: -4\r\n\r\n", false, Malformed, "", false},
+                                      Answer{head + "Transfer-Encoding: gzip\r\n\r\n", false, Malformed, "", false},
+                                      Answer{"HTTP/1.1 101 Switching Protocols\r\n\r\n", false, Malformed, "", false},
+                                      Answer{head + "X: " + std::string(200000, 'x'), false, Malformed, "", false});
+    // The answer arrives in one part or in two.
+    const std::size_t split = GENERATE(std::size_t(0), std::size_t(1), std::size_t(30));
+    INFO(answer.bytes.substr(0, 100) << " split at " << split);
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) {
+        connection.send(std::string_view(answer.bytes).substr(0, split));
+        setup.loop.callLater(std::chrono::milliseconds(1), [&] {
+            connection.send(std::string_view(answer.bytes).substr(std::min(split, answer.bytes.size())));
+            if (answer.closes) {
+                connection.halfClose();
+            }
+        });
+    };
+    CHECK(setup.run(setup.request()) == answer.result);
+    CHECK(setup.receiver->body == answer.body);
+
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    CHECK(setup.run(setup.request()) == Complete);
+    CHECK(setup.server.connections().size() == (answer.reusable ? 1 : 2));
+}
+
+TEST_CASE("The client sends the request as given")
+{
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n"); };
+    HttpClientRequest request = setup.request();
+    request.method = "HEAD";
+    request.path = "/x?y";
+    request.headers = {{"host", "desk"}, {"x-a", "b"}};
+    CHECK(setup.run(request) == HttpCallResult::Complete);
+    CHECK(setup.requests[0] == "HEAD /x?y HTTP/1.1\r\nhost: desk\r\nx-a: b\r\n\r\n");
+    CHECK(setup.receiver->head->contentLength == 2000);
+
+    // The answer to HEAD left the connection usable.
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    request = setup.request();
+    request.method = "POST";
+    request.body = std::make_shared<const std::string>("teak");
+    CHECK(setup.run(request) == HttpCallResult::Complete);
+    CHECK(setup.requests[1].ends_with("content-length: 4\r\n\r\nteak"));
+    CHECK(setup.server.connections().size() == 1);
+}
+
+TEST_CASE("A large request body is written whole")
+{
+    Setup setup;
+    const auto body = std::make_shared<const std::string>(8000000, 'x');
+    RawServer server(setup.loop, [&](RawConnection &connection) {
+        if (connection.received().size() > body->size()) {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    HttpClientRequest request = setup.request();
+    request.to = server.endpoint();
+    request.method = "POST";
+    request.body = body;
+    CHECK(setup.run(request) == HttpCallResult::Complete);
+    CHECK(server.connections()[0]->received().ends_with("\r\n\r\n" + *body));
+}
+
+TEST_CASE("Requests at one time use connections of their own")
+{
+    Setup setup;
+    std::vector<RawConnection *> waiting;
+    setup.onRequest = [&](RawConnection &connection) { waiting.push_back(&connection); };
+    const auto first = std::make_shared<RecordingReceiver>();
+    const auto second = std::make_shared<RecordingReceiver>();
+    setup.client.send(setup.request(), first);
+    setup.client.send(setup.request(), second);
+    CHECK_FALSE(first->result);
+    REQUIRE(runUntil(setup.loop, [&] { return waiting.size() == 2; }));
+    CHECK(waiting[0] != waiting[1]);
+    for (RawConnection *connection : waiting) {
+        connection->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    CHECK(runUntil(setup.loop, [&] { return first->result && second->result; }));
+}
+
+TEST_CASE("NotConnected means that no byte was sent")
+{
+    Setup setup;
+    HttpClientRequest request = setup.request();
+
+    SECTION("refused")
+    {
+        auto gone = std::make_unique<RawServer>(setup.loop, [](RawConnection &) {});
+        request.to = gone->endpoint();
+        gone.reset();
+        CHECK(setup.run(request) == HttpCallResult::NotConnected);
+    }
+    SECTION("no IP number")
+    {
+        request.to.address = "no address";
+        setup.send(request);
+        CHECK_FALSE(setup.receiver->result);
+        CHECK(runUntil(setup.loop, [&] { return setup.receiver->result == HttpCallResult::NotConnected; }));
+    }
+    SECTION("deadline before the connection")
+    {
+        request.deadline = setup.loop.now() - std::chrono::seconds(1);
+        const auto result = setup.run(request);
+        CHECK((result == HttpCallResult::NotConnected || result == HttpCallResult::DeadlineExpired));
+        CHECK((result == HttpCallResult::NotConnected) == setup.requests.empty());
+    }
+}
+
+TEST_CASE("Time limits end a request and its connection")
+{
+    Setup setup;
+    HttpClientRequest request = setup.request();
+    HttpCallResult expected = HttpCallResult::NoProgress;
+
+    SECTION("no answer")
+    {
+        request.progressTimeout = std::chrono::milliseconds(30);
+    }
+    SECTION("answer stops in its middle")
+    {
+        request.progressTimeout = std::chrono::milliseconds(30);
+        setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nteak"); };
+    }
+    SECTION("request cannot be written")
+    {
+        request.progressTimeout = std::chrono::milliseconds(30);
+        request.method = "POST";
+        request.body = std::make_shared<const std::string>(30000000, 'x');
+        setup.onRequest = [&](RawConnection &connection) { connection.pause(); };
+    }
+    SECTION("deadline")
+    {
+        expected = HttpCallResult::DeadlineExpired;
+        request.deadline = setup.loop.now() + std::chrono::milliseconds(30);
+    }
+    CHECK(setup.run(request) == expected);
+    setup.server.connections()[0]->resume();
+    CHECK(runUntil(setup.loop, [&] { return setup.server.connections()[0]->isEnded(); }));
+}
+
+TEST_CASE("A paused receiver stops the reading and is under no progress timeout")
+{
+    constexpr std::size_t bodyBytes = 30000000;
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+    };
+    HttpClientRequest request = setup.request();
+    request.progressTimeout = std::chrono::milliseconds(20);
+    const HttpClient::CallId call = setup.send(request);
+    setup.receiver->wantsMore = false;
+    setup.receiver->keepsBody = false;
+    REQUIRE(runUntil(setup.loop, [&] { return setup.receiver->bodyBytes > 0; }));
+    const std::size_t read = setup.receiver->bodyBytes;
+    bool waited = false;
+    setup.loop.callLater(std::chrono::milliseconds(80), [&] { waited = true; });
+    REQUIRE(runUntil(setup.loop, [&] { return waited; }));
+    CHECK(setup.receiver->bodyBytes == read);
+    CHECK_FALSE(setup.receiver->result);
+    setup.receiver->wantsMore = true;
+    setup.client.resume(call);
+    CHECK(runUntil(setup.loop, [&] { return setup.receiver->result.has_value(); }));
+    CHECK(setup.receiver->result == HttpCallResult::Complete);
+    CHECK(setup.receiver->bodyBytes == bodyBytes);
+}
+
+TEST_CASE("A cancelled request closes its connection")
+{
+    Setup setup;
+    const HttpClient::CallId call = setup.send(setup.request());
+    REQUIRE(runUntil(setup.loop, [&] { return !setup.requests.empty(); }));
+    setup.client.cancel(call);
+    CHECK_FALSE(setup.receiver->result);
+    CHECK(runUntil(setup.loop, [&] { return setup.receiver->result == HttpCallResult::Cancelled; }));
+    CHECK(runUntil(setup.loop, [&] { return setup.server.connections()[0]->isEnded(); }));
+}
+
+TEST_CASE("Pooled connections that the server closed are not used")
+{
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    REQUIRE(setup.run(setup.request()) == HttpCallResult::Complete);
+
+    SECTION("closed, before the loop has seen it")
+    {
+        setup.server.connections()[0]->halfClose();
+    }
+    SECTION("reset")
+    {
+        setup.server.connections()[0]->reset();
+    }
+    SECTION("closed earlier")
+    {
+        setup.server.connections()[0]->close();
+        runTurns(setup.loop, 3);
+    }
+    SECTION("sent bytes that nobody asked for")
+    {
+        setup.server.connections()[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    CHECK(setup.run(setup.request()) == HttpCallResult::Complete);
+    CHECK(setup.server.connections().size() == 2);
+}
+
+TEST_CASE("A pooled connection that dies under a request is not retried")
+{
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    REQUIRE(setup.run(setup.request()) == HttpCallResult::Complete);
+    setup.onRequest = [&](RawConnection &connection) { connection.reset(); };
+    CHECK(setup.run(setup.request()) == HttpCallResult::ConnectionLost);
+    CHECK(setup.requests.size() == 2);
+}
+
+TEST_CASE("New connections work while the pooled ones are silent")
+{
+    Setup setup;
+    const auto answer = [](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    std::vector<RawConnection *> silent;
+    setup.onRequest = [&](RawConnection &connection) {
+        if (std::ranges::find(silent, &connection) == silent.end()) {
+            answer(connection);
+        }
+    };
+    REQUIRE(setup.run(setup.request()) == HttpCallResult::Complete);
+    silent.push_back(setup.server.connections()[0].get());
+
+    SECTION("by a fresh connection")
+    {
+        HttpClientRequest request = setup.request();
+        request.freshConnection = true;
+        CHECK(setup.run(request) == HttpCallResult::Complete);
+    }
+    SECTION("by dropping the idle ones")
+    {
+        setup.client.dropIdle(setup.server.endpoint());
+        CHECK(setup.run(setup.request()) == HttpCallResult::Complete);
+    }
+    SECTION("after one request without progress")
+    {
+        HttpClientRequest request = setup.request();
+        request.progressTimeout = std::chrono::milliseconds(30);
+        CHECK(setup.run(request) == HttpCallResult::NoProgress);
+        CHECK(setup.run(request) == HttpCallResult::Complete);
+    }
+    CHECK(setup.server.connections().size() == 2);
+}
--- /dev/null
+++ b/tests/io/rununtil.cpp
@@ -0,0 +1,57 @@
+#include "rununtil.h"
+
+#include "eventloop.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::uint64_t pollIntervalMs = 5;
+constexpr Duration patience = std::chrono::minutes(1);
+
+/** Wakes the loop up at intervals, so that a turn never blocks for long. */
+class Waker
+{
+public:
+    explicit Waker(EventLoop &loop)
+        : m_timer(new uv_timer_t)
+    {
+        uv_timer_init(loop.handle(), m_timer);
+        uv_timer_start(
+            m_timer, [](uv_timer_t *) {}, pollIntervalMs, pollIntervalMs);
+    }
+    ~Waker()
+    {
+        uv_close(reinterpret_cast<uv_handle_t *>(m_timer), [](uv_handle_t *handle) { delete reinterpret_cast<uv_timer_t *>(handle); });
+    }
+    Waker(const Waker &) = delete;
+    Waker &operator=(const Waker &) = delete;
+
+private:
+    uv_timer_t *m_timer;
+};
+
+} // namespace
+
+bool runUntil(EventLoop &loop, const std::function<bool()> &condition)
+{
+    const Waker waker(loop);
+    const MonotonicTime end = loop.now() + patience;
+    while (!condition()) {
+        if (loop.now() > end) {
+            return false;
+        }
+        uv_run(loop.handle(), UV_RUN_ONCE);
+    }
+    return true;
+}
+
+void runTurns(EventLoop &loop, int turns)
+{
+    const Waker waker(loop);
+    for (int turn = 0; turn < turns; ++turn) {
+        uv_run(loop.handle(), UV_RUN_ONCE);
+    }
+}
+
+} // namespace nutmeghinge
