--- a/src/libnutmeghinge/strongtype.h
+++ b/src/libnutmeghinge/strongtype.h
@@ -23,7 +23,7 @@
 
     constexpr const Rep &value() const { return m_value; }
 
-    friend constexpr auto operator<=>(const StrongType &, const StrongType &) = default;
+    friend constexpr auto operator<=>(const StrongType &, const StrongType &) = default; // NOLINT(modernize-use-nullptr)
     friend constexpr bool operator==(const StrongType &, const StrongType &) = default;
 
 private:
--- /dev/null
+++ b/src/libnutmeghingeio/cellrowcodec.cpp
@@ -0,0 +1,155 @@
+#include "cellrowcodec.h"
+
+#include "membercodec.h"
+
+#include <map>
+
+namespace nutmeghinge {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t ownershipFields = 5;
+
+json toJson(const ShardOwnership &shard)
+{
+    return {static_cast<std::uint64_t>(shard.state), shard.owner.value(), shard.next.value(), shard.fence.term.value(), shard.fence.sequence};
+}
+
+json toJson(const std::vector<MemberSlot> &slots)
+{
+    json result = json::array();
+    for (const MemberSlot slot : slots) {
+        result.push_back(slot.value());
+    }
+    return result;
+}
+
+/** Writes the distinct entries to one field and the index of each entry to another. */
+template <typename Entry>
+void writeIndexed(json &to, const char *distinctField, const char *indexField, const std::vector<Entry> &entries)
+{
+    json distinct = json::array();
+    json indexes = json::array();
+    std::map<json, std::size_t> known;
+    for (const Entry &entry : entries) {
+        json value = toJson(entry);
+        const auto [position, isNew] = known.emplace(value, distinct.size());
+        if (isNew) {
+            distinct.push_back(std::move(value));
+        }
+        indexes.push_back(position->second);
+    }
+    to[distinctField] = std::move(distinct);
+    to[indexField] = std::move(indexes);
+}
+
+ShardOwnership ownershipOf(JsonReader &reader, const json &from)
+{
+    const bool complete = from.is_array() && from.size() == ownershipFields;
+    reader.check(complete, "ownerships");
+    if (!complete) {
+        return {};
+    }
+    ShardOwnership shard;
+    const auto lastState = static_cast<std::uint64_t>(ShardOwnership::State::Releasing);
+    const std::uint64_t lastSlot = std::numeric_limits<std::uint32_t>::max();
+    shard.state = static_cast<ShardOwnership::State>(reader.element(from[0], "state", lastState));
+    shard.owner = MemberSlot(static_cast<std::uint32_t>(reader.element(from[1], "owner", lastSlot)));
+    shard.next = MemberSlot(static_cast<std::uint32_t>(reader.element(from[2], "next", lastSlot)));
+    shard.fence = {Term(reader.element(from[3], "term")), reader.element(from[4], "sequence")};
+    return shard;
+}
+
+std::vector<MemberSlot> slotsOf(JsonReader &reader, const json &from)
+{
+    reader.check(from.is_array(), "successorLists");
+    std::vector<MemberSlot> slots;
+    if (from.is_array()) {
+        for (const json &slot : from) {
+            slots.emplace_back(static_cast<std::uint32_t>(reader.element(slot, "successor", std::numeric_limits<std::uint32_t>::max())));
+        }
+    }
+    return slots;
+}
+
+template <typename Entry>
+std::vector<Entry>
+readIndexed(JsonReader &reader, const json &from, const char *distinctField, const char *indexField, Entry (*read)(JsonReader &, const json &))
+{
+    std::vector<Entry> distinct;
+    for (const json &entry : reader.list(from, distinctField)) {
+        distinct.push_back(read(reader, entry));
+    }
+    std::vector<Entry> entries;
+    for (const json &element : reader.list(from, indexField)) {
+        const std::uint64_t index = reader.element(element, indexField);
+        reader.check(index < distinct.size(), indexField);
+        if (reader.fault()) {
+            return {};
+        }
+        entries.push_back(distinct[index]);
+    }
+    return entries;
+}
+
+json toJson(const OwnershipMap &map)
+{
+    json result = {{"term", map.version.term.value()}, {"sequence", map.version.sequence}, {"hotKeys", map.hotKeys}};
+    writeIndexed(result, "ownerships", "shards", map.shards);
+    return result;
+}
+
+OwnershipMap mapOf(JsonReader &reader, const json &from)
+{
+    OwnershipMap map;
+    map.version = {Term(reader.number(from, "term")), reader.number(from, "sequence")};
+    map.shards = readIndexed<ShardOwnership>(reader, from, "ownerships", "shards", ownershipOf);
+    for (const json &hash : reader.list(from, "hotKeys")) {
+        map.hotKeys.push_back(reader.element(hash, "hotKeys"));
+    }
+    return map;
+}
+
+} // namespace
+
+std::string CellRowCodec::toText(const CellRow &row)
+{
+    json members = json::array();
+    for (const Member &member : row.members) {
+        members.push_back(MemberCodec::toJson(member));
+    }
+    json result = {{"service", row.service.value()},
+                   {"revision", row.revision.value()},
+                   {"nextSlot", row.nextSlot.value()},
+                   {"members", std::move(members)},
+                   {"map", toJson(row.map)},
+                   {"mark", row.mark},
+                   {"document", row.document.value()}};
+    writeIndexed(result, "successorLists", "successors", row.successors);
+    return jsonToText(result);
+}
+
+std::variant<CellRow, JsonFault> CellRowCodec::fromText(std::string_view text)
+{
+    JsonReader reader;
+    const json from = reader.parse(text);
+    CellRow row;
+    row.service = ServiceName(reader.text(from, "service"));
+    row.revision = CellRevision(reader.number(from, "revision"));
+    row.nextSlot = MemberSlot(reader.number32(from, "nextSlot"));
+    for (const json &member : reader.list(from, "members")) {
+        row.members.push_back(MemberCodec::fromJson(reader, member));
+    }
+    row.map = mapOf(reader, reader.object(from, "map"));
+    row.successors = readIndexed<std::vector<MemberSlot>>(reader, from, "successorLists", "successors", slotsOf);
+    row.mark = reader.number(from, "mark");
+    row.document = DocumentRevision(reader.number(from, "document"));
+    if (reader.fault()) {
+        return JsonFault{*reader.fault()};
+    }
+    return row;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/membercodec.cpp
@@ -0,0 +1,66 @@
+#include "membercodec.h"
+
+#include "endpointtext.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+Endpoint endpointOf(JsonReader &reader, const nlohmann::json &json, const char *field)
+{
+    const std::optional<Endpoint> endpoint = endpointFromText(reader.text(json, field));
+    reader.check(endpoint.has_value(), field);
+    return endpoint.value_or(Endpoint());
+}
+
+} // namespace
+
+nlohmann::json MemberCodec::toJson(const Member &member)
+{
+    return {{"slot", member.slot.value()},
+            {"node", member.node.value()},
+            {"incarnation", member.incarnation.value()},
+            {"target", member.target.value()},
+            {"zone", member.zone.value()},
+            {"region", member.region.value()},
+            {"peer", endpointToText(member.peerEndpoint)},
+            {"control", endpointToText(member.controlEndpoint)},
+            {"operations", endpointToText(member.operationsEndpoint)},
+            {"slots", member.slots},
+            {"leaving", member.leaving}};
+}
+
+Member MemberCodec::fromJson(JsonReader &reader, const nlohmann::json &json)
+{
+    Member member;
+    member.slot = MemberSlot(reader.number32(json, "slot"));
+    member.node = NodeName(reader.text(json, "node"));
+    member.incarnation = Incarnation(reader.number(json, "incarnation"));
+    member.target = TargetName(reader.text(json, "target"));
+    member.zone = ZoneName(reader.text(json, "zone"));
+    member.region = RegionName(reader.text(json, "region"));
+    member.peerEndpoint = endpointOf(reader, json, "peer");
+    member.controlEndpoint = endpointOf(reader, json, "control");
+    member.operationsEndpoint = endpointOf(reader, json, "operations");
+    member.slots = reader.number32(json, "slots");
+    member.leaving = reader.flag(json, "leaving");
+    return member;
+}
+
+std::string MemberCodec::toText(const Member &member)
+{
+    return jsonToText(toJson(member));
+}
+
+std::variant<Member, JsonFault> MemberCodec::fromText(std::string_view text)
+{
+    JsonReader reader;
+    const nlohmann::json json = reader.parse(text);
+    Member member = fromJson(reader, json);
+    if (reader.fault()) {
+        return JsonFault{*reader.fault()};
+    }
+    return member;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/platformclient.cpp
@@ -0,0 +1,205 @@
+#include "platformclient.h"
+
+#include "cellrowcodec.h"
+#include "httpclient.h"
+#include "membercodec.h"
+#include "peermessagecodec.h"
+#include "platformkeys.h"
+#include "platformtable.h"
+
+#include <spdlog/spdlog.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+/** What the row of a document says. */
+struct DocumentPointer {
+    DocumentRevision revision;
+    std::string object;
+};
+
+std::variant<DocumentPointer, JsonFault> documentPointerOf(const std::string &text)
+{
+    JsonReader reader;
+    const nlohmann::json json = reader.parse(text);
+    DocumentPointer pointer{DocumentRevision(reader.number(json, "revision")), reader.text(json, "object")};
+    if (reader.fault()) {
+        return JsonFault{*reader.fault()};
+    }
+    return pointer;
+}
+
+/** Reads the values of many rows; a faulty one is logged and left out, so that it hides no other. */
+template <typename Value>
+std::vector<Value> valuesOf(const std::vector<TableRow> &rows, std::variant<Value, JsonFault> (*read)(std::string_view))
+{
+    std::vector<Value> values;
+    for (const TableRow &row : rows) {
+        auto value = read(row.value);
+        if (const auto *fault = std::get_if<JsonFault>(&value)) {
+            spdlog::error("platform: row {} left out: {}", row.key, fault->reason);
+            continue;
+        }
+        values.push_back(std::get<Value>(std::move(value)));
+    }
+    return values;
+}
+
+PlatformUnavailable faultyRow(const std::string &key, const JsonFault &fault)
+{
+    spdlog::error("platform: row {} is unreadable: {}", key, fault.reason);
+    return {};
+}
+
+std::variant<VersionedCellRow, RowAbsent, PlatformUnavailable> cellRowOf(const std::variant<TableRow, RowAbsent, PlatformUnavailable> &result)
+{
+    if (std::holds_alternative<RowAbsent>(result)) {
+        return RowAbsent();
+    }
+    const auto *row = std::get_if<TableRow>(&result);
+    if (row == nullptr) {
+        return PlatformUnavailable();
+    }
+    auto cell = CellRowCodec::fromText(row->value);
+    if (const auto *fault = std::get_if<JsonFault>(&cell)) {
+        return faultyRow(row->key, *fault);
+    }
+    return VersionedCellRow{std::get<CellRow>(std::move(cell)), row->version};
+}
+
+} // namespace
+
+struct PlatformClient::Private {
+    Private(EventLoop &loop, HttpClient &client, Endpoint platform, EventFunction eventFunction)
+        : table(loop, client, std::move(platform))
+        , events(std::move(eventFunction))
+    {
+    }
+
+    /** A function that passes a call's result on while this exists. */
+    template <typename Function>
+    auto whileAlive(Function function)
+    {
+        return [this, exists = std::weak_ptr<void>(alive), function = std::move(function)](auto result) {
+            if (!exists.expired()) {
+                function(*this, std::move(result));
+            }
+        };
+    }
+
+    void readDocument(const ServiceName &service, DocumentRevision known, const TableRow &row)
+    {
+        const auto read = documentPointerOf(row.value);
+        if (const auto *fault = std::get_if<JsonFault>(&read)) {
+            events(DocumentRead{service, faultyRow(row.key, *fault)});
+            return;
+        }
+        const auto &pointer = std::get<DocumentPointer>(read);
+        if (pointer.revision <= known) {
+            events(DocumentRead{service, DocumentCopy{pointer.revision, {}}});
+            return;
+        }
+        table.readObject(pointer.object,
+                         whileAlive([service, revision = pointer.revision](Private &self, std::variant<std::string, PlatformUnavailable> result) {
+                             self.documentReceived(service, revision, std::move(result));
+                         }));
+    }
+
+    void documentReceived(const ServiceName &service, DocumentRevision revision, std::variant<std::string, PlatformUnavailable> result)
+    {
+        auto *text = std::get_if<std::string>(&result);
+        if (text == nullptr) {
+            events(DocumentRead{service, PlatformUnavailable()});
+            return;
+        }
+        if (text->size() > PeerMessageCodec::maxDocumentBytes) {
+            spdlog::error("platform: document {} of service {} is too large", revision.value(), service.value());
+            events(DocumentRead{service, PlatformUnavailable()});
+            return;
+        }
+        events(DocumentRead{service, DocumentCopy{revision, std::move(*text)}});
+    }
+
+    PlatformTable table;
+    EventFunction events;
+    /** Calls under way hold it weakly: answers after the client's end do nothing. */
+    std::shared_ptr<void> alive = std::make_shared<char>();
+};
+
+PlatformClient::PlatformClient(EventLoop &loop, HttpClient &client, Endpoint platform, EventFunction events)
+    : m_d(std::make_unique<Private>(loop, client, std::move(platform), std::move(events)))
+{
+}
+
+PlatformClient::~PlatformClient() = default;
+
+void PlatformClient::run(const ReadCellRow &effect)
+{
+    m_d->table.readRow(platformkeys::cellRow(effect.service), m_d->whileAlive([service = effect.service](Private &self, const auto &result) {
+        self.events(CellRowRead{service, cellRowOf(result)});
+    }));
+}
+
+void PlatformClient::run(const WriteCellRow &effect)
+{
+    const std::string key = platformkeys::cellRow(effect.row.service);
+    const auto finished = [service = effect.row.service](Private &self, const auto &result) { self.events(CellRowWriteFinished{service, result}); };
+    m_d->table.write({{key, effect.expected}}, {key, CellRowCodec::toText(effect.row)}, m_d->whileAlive(finished));
+}
+
+void PlatformClient::run(const ReadMemberRows &effect)
+{
+    const auto finished = [service = effect.service](Private &self, const std::variant<std::vector<TableRow>, PlatformUnavailable> &result) {
+        if (const auto *rows = std::get_if<std::vector<TableRow>>(&result)) {
+            self.events(MemberRowsRead{service, valuesOf<Member>(*rows, MemberCodec::fromText)});
+            return;
+        }
+        self.events(MemberRowsRead{service, PlatformUnavailable()});
+    };
+    m_d->table.readRows(platformkeys::memberPrefix(effect.service), m_d->whileAlive(finished));
+}
+
+void PlatformClient::run(const WriteMemberRow &effect)
+{
+    const auto finished = [](Private &self, const std::variant<RowWritten, WriteConflict, PlatformUnavailable> &result) {
+        if (const auto *written = std::get_if<RowWritten>(&result)) {
+            self.events(MemberRowWriteFinished{*written});
+            return;
+        }
+        self.events(MemberRowWriteFinished{PlatformUnavailable()});
+    };
+    const std::string key = platformkeys::memberRow(effect.service, effect.member.node);
+    m_d->table.write({}, {key, MemberCodec::toText(effect.member)}, m_d->whileAlive(finished));
+}
+
+void PlatformClient::run(const ReadDocument &effect)
+{
+    const auto finished = [service = effect.service, known = effect.known](Private &self,
+                                                                           const std::variant<TableRow, RowAbsent, PlatformUnavailable> &result) {
+        if (const auto *row = std::get_if<TableRow>(&result)) {
+            self.readDocument(service, known, *row);
+            return;
+        }
+        if (std::holds_alternative<RowAbsent>(result)) {
+            self.events(DocumentRead{service, RowAbsent()});
+            return;
+        }
+        self.events(DocumentRead{service, PlatformUnavailable()});
+    };
+    m_d->table.readRow(platformkeys::documentRow(effect.service), m_d->whileAlive(finished));
+}
+
+void PlatformClient::run(const ReadCells &)
+{
+    const auto finished = [](Private &self, const std::variant<std::vector<TableRow>, PlatformUnavailable> &result) {
+        if (const auto *rows = std::get_if<std::vector<TableRow>>(&result)) {
+            self.events(CellsRead{valuesOf<CellRow>(*rows, CellRowCodec::fromText)});
+            return;
+        }
+        self.events(CellsRead{PlatformUnavailable()});
+    };
+    m_d->table.readRows(platformkeys::cellPrefix, m_d->whileAlive(finished));
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/platformtable.cpp
@@ -0,0 +1,151 @@
+#include "platformtable.h"
+
+#include "eventloop.h"
+#include "jsonreader.h"
+#include "percentencoding.h"
+
+#include <spdlog/spdlog.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr Duration requestTimeout = std::chrono::seconds(2);
+constexpr std::size_t answerLimitBytes = std::size_t(32) << 20U;
+
+TableRow rowOf(JsonReader &reader, const nlohmann::json &json)
+{
+    return {reader.text(json, "key"), RowVersion(reader.number(json, "version")), reader.text(json, "value")};
+}
+
+PlatformUnavailable unavailable(const std::string &what, const CollectedAnswer &answer)
+{
+    spdlog::warn("platform: {} failed with result {} and status {}", what, static_cast<int>(answer.result), answer.status);
+    return {};
+}
+
+PlatformUnavailable unreadable(const std::string &what, const JsonReader &reader)
+{
+    spdlog::warn("platform: answer to {} is unreadable: {}", what, *reader.fault());
+    return {};
+}
+
+std::string transactionBody(const std::vector<RowCondition> &conditions, const RowWrite &row)
+{
+    nlohmann::json body = {{"conditions", nlohmann::json::array()}, {"writes", nlohmann::json::array()}, {"deletes", nlohmann::json::array()}};
+    for (const RowCondition &condition : conditions) {
+        body["conditions"].push_back({{"key", condition.key}, {"version", condition.version.value()}});
+    }
+    body["writes"].push_back({{"key", row.key}, {"value", row.value}});
+    return jsonToText(body);
+}
+
+} // namespace
+
+PlatformTable::PlatformTable(EventLoop &loop, HttpClient &client, Endpoint platform)
+    : m_loop(loop)
+    , m_client(client)
+    , m_platform(std::move(platform))
+{
+}
+
+void PlatformTable::readRow(const std::string &key, Function<TableRow, RowAbsent> function)
+{
+    send("GET", "/table/rows/" + percentEncode(key), {}, [key, function = std::move(function)](const CollectedAnswer &answer) {
+        if (answer.isWhole(404)) {
+            function(RowAbsent());
+            return;
+        }
+        if (!answer.isWhole(200)) {
+            function(unavailable("reading row " + key, answer));
+            return;
+        }
+        JsonReader reader;
+        TableRow row = rowOf(reader, reader.parse(answer.body));
+        if (reader.fault()) {
+            function(unreadable("reading row " + key, reader));
+            return;
+        }
+        function(std::move(row));
+    });
+}
+
+void PlatformTable::readRows(const std::string &prefix, Function<std::vector<TableRow>> function)
+{
+    send("GET", "/table/rows?prefix=" + percentEncode(prefix), {}, [prefix, function = std::move(function)](const CollectedAnswer &answer) {
+        if (!answer.isWhole(200)) {
+            function(unavailable("reading rows " + prefix, answer));
+            return;
+        }
+        JsonReader reader;
+        std::vector<TableRow> rows;
+        const nlohmann::json json = reader.parse(answer.body);
+        for (const nlohmann::json &row : reader.list(json, "rows")) {
+            rows.push_back(rowOf(reader, row));
+        }
+        if (reader.fault()) {
+            function(unreadable("reading rows " + prefix, reader));
+            return;
+        }
+        function(std::move(rows));
+    });
+}
+
+void PlatformTable::write(const std::vector<RowCondition> &conditions, const RowWrite &row, Function<RowWritten, WriteConflict> function)
+{
+    const auto finished = [key = row.key, function = std::move(function)](const CollectedAnswer &answer) {
+        if (answer.isWhole(409)) {
+            function(WriteConflict());
+            return;
+        }
+        if (!answer.isWhole(200)) {
+            function(unavailable("writing row " + key, answer));
+            return;
+        }
+        JsonReader reader;
+        const nlohmann::json json = reader.parse(answer.body);
+        const RowVersion version(reader.number(reader.object(json, "versions"), key.c_str()));
+        if (reader.fault()) {
+            function(unreadable("writing row " + key, reader));
+            return;
+        }
+        function(RowWritten{version});
+    };
+    send("POST", "/table/transact", transactionBody(conditions, row), finished);
+}
+
+void PlatformTable::readObject(const std::string &name, Function<std::string> function)
+{
+    send("GET", "/objects/" + percentEncode(name), {}, [name, function = std::move(function)](CollectedAnswer answer) {
+        if (!answer.isWhole(200)) {
+            function(unavailable("reading object " + name, answer));
+            return;
+        }
+        function(std::move(answer.body));
+    });
+}
+
+void PlatformTable::send(std::string method, std::string path, std::string body, HttpAnswerCollector::Function function)
+{
+    HttpClientRequest request;
+    request.to = m_platform;
+    request.method = std::move(method);
+    request.path = std::move(path);
+    request.headers = {{"host", m_platform.address + ':' + std::to_string(m_platform.port)}};
+    if (!body.empty()) {
+        request.headers.emplace_back("content-type", "application/json");
+        request.body = std::make_shared<const std::string>(std::move(body));
+    }
+    request.deadline = m_loop.now() + requestTimeout;
+    request.progressTimeout = requestTimeout;
+    const auto finished = [&client = m_client, platform = m_platform, function = std::move(function)](CollectedAnswer answer) {
+        if (answer.result != HttpCallResult::Complete) {
+            // The other idle connections may have gone silent too.
+            client.dropIdle(platform);
+        }
+        function(std::move(answer));
+    };
+    m_client.send(std::move(request), std::make_shared<HttpAnswerCollector>(answerLimitBytes, finished));
+}
+
+} // namespace nutmeghinge
--- a/tests/io/peerlinktest.cpp
+++ b/tests/io/peerlinktest.cpp
@@ -1,6 +1,7 @@
 #include "peerlink.h"
 #include "looprunner.h"
 #include "peerlimits.h"
+#include "rawconnection.h"
 #include "tcprelay.h"
 
 #include <catch2/catch.hpp>
@@ -203,35 +204,11 @@
     Fixture fixture;
     fixture.send(1, fixture.receiverEndpoint);
     REQUIRE(fixture.arrives(1));
-    uv_tcp_t socket;
-    uv_tcp_init(fixture.loop.handle(), &socket);
-    bool closed = false;
-    socket.data = &closed;
-    uv_connect_t connect;
-    const auto connected = [](uv_connect_t *request, int) {
-        static std::string text = "GET / HTTP/1.1\r\nhost: peer\r\n\r\n";
-        const uv_buf_t buffer = uv_buf_init(text.data(), static_cast<unsigned>(text.size()));
-        uv_try_write(request->handle, &buffer, 1);
-        const auto allocate = [](uv_handle_t *, std::size_t, uv_buf_t *room) {
-            static std::array<char, 1024> chunk;
-            *room = uv_buf_init(chunk.data(), chunk.size());
-        };
-        const auto received = [](uv_stream_t *handle, ssize_t size, const uv_buf_t *) {
-            if (size < 0) {
-                *static_cast<bool *>(handle->data) = true;
-                uv_read_stop(handle);
-            }
-        };
-        uv_read_start(request->handle, allocate, received);
-    };
-    sockaddr_in address;
-    uv_ip4_addr("127.0.0.1", fixture.receiverEndpoint.port, &address);
-    uv_tcp_connect(&connect, &socket, reinterpret_cast<const sockaddr *>(&address), connected);
-    CHECK(fixture.runner.runUntil([&] { return closed; }));
-    uv_close(reinterpret_cast<uv_handle_t *>(&socket), nullptr);
+    RawConnection connection(fixture.loop, fixture.receiverEndpoint);
+    connection.send("GET / HTTP/1.1\r\nhost: peer\r\n\r\n");
+    CHECK(fixture.runner.runUntil([&] { return connection.isEnded(); }));
     fixture.send(2, fixture.receiverEndpoint);
     CHECK(fixture.arrives(2));
-    fixture.runner.runFor(5ms);
 }
 
 TEST_CASE("An address that is no IP number is a fault")
--- /dev/null
+++ b/tests/io/scriptedserver.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "httpexchange.h"
+#include "httpserver.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace nutmeghinge {
+
+/** An answer that a test gives. */
+struct ScriptedAnswer {
+    std::uint16_t status = 200;
+    std::string body;
+    /** The server says nothing at all. */
+    bool isSilent = false;
+};
+
+/** An HTTP server on loopback that answers as the test says and keeps the requests. */
+class ScriptedServer
+{
+public:
+    using Script = std::function<ScriptedAnswer(const HttpRequest &)>;
+
+    explicit ScriptedServer(EventLoop &loop);
+
+    const Endpoint &endpoint() const { return m_endpoint; }
+    void setScript(Script script) { m_script = std::move(script); }
+    const std::vector<HttpRequest> &requests() const { return m_requests; }
+
+private:
+    void answer(const std::shared_ptr<HttpExchange> &exchange);
+
+    Script m_script;
+    std::vector<HttpRequest> m_requests;
+    /** Held so that they stay without an answer. */
+    std::vector<std::shared_ptr<HttpExchange>> m_silent;
+    HttpServer m_server;
+    Endpoint m_endpoint;
+};
+
+} // namespace nutmeghinge
