Prove HTTP/2 streams, resets and the shutdown of the server

Cause: callers may speak cleartext HTTP/2, for which h2o brings no client.

Change: tests with hand-built frames: streams at one time, reset of one stream, cancelled stream, body limit, flow control, GOAWAY, upgrade; an upgraded request with a body is refused since its head can't be checked.

--- /dev/null
+++ b/tests/io/http2frames.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/** Hand-built HTTP/2 frames (RFC 9113) for tests of the server. */
+namespace nutmeghinge::http2 {
+
+enum class FrameType : std::uint8_t {
+    Data = 0,
+    Headers = 1,
+    ResetStream = 3,
+    Settings = 4,
+    GoAway = 7,
+    WindowUpdate = 8,
+};
+
+inline constexpr std::uint8_t endStream = 1;
+inline constexpr std::uint8_t endHeaders = 4;
+
+struct Frame {
+    FrameType type = FrameType::Data;
+    std::uint8_t flags = 0;
+    std::uint32_t stream = 0;
+    std::string payload;
+};
+
+std::string encode(const Frame &frame);
+/** Takes the whole frames off the start of the bytes. */
+std::vector<Frame> takeFrames(std::string &bytes);
+
+/** Connection preface with empty settings. */
+std::string preface();
+/** HEADERS of a request to http://d/. */
+std::string request(std::uint32_t stream, std::string_view method, bool hasBody);
+std::string windowUpdate(std::uint32_t stream, std::uint32_t bytes);
+
+} // namespace nutmeghinge::http2
--- a/tests/io/httpservertest.cpp
+++ b/tests/io/httpservertest.cpp
@@ -2,6 +2,7 @@
 #include "eventloop.h"
 #include "httpexchange.h"
 #include "rawconnection.h"
+#include "recordingserver.h"
 #include "rununtil.h"
 
 #include <catch2/catch.hpp>
@@ -10,29 +11,6 @@
 
 namespace {
 
-constexpr std::uint64_t bodyLimit = 100000;
-
-/** A server whose requests the test answers. */
-struct Server {
-    explicit Server(EventLoop &loop)
-        : server(loop, {.bodyLimit = bodyLimit, .name = "test"}, [this](std::shared_ptr<HttpExchange> exchange) {
-            exchange->setClosedFunction([this] { ++closed; });
-            exchanges.push_back(std::move(exchange));
-            if (onRequest) {
-                onRequest(*exchanges.back());
-            }
-        })
-    {
-        endpoint = std::get<Endpoint>(server.listen({"127.0.0.1", 0}));
-    }
-
-    std::vector<std::shared_ptr<HttpExchange>> exchanges;
-    std::function<void(HttpExchange &)> onRequest;
-    int closed = 0;
-    Endpoint endpoint;
-    HttpServer server;
-};
-
 bool endsWith(const std::string &text, std::string_view end)
 {
     return text.ends_with(end);
@@ -48,7 +26,7 @@
 TEST_CASE("A request is handed over whole and its answer sent on a kept connection")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {{"x-test", "yes"}}, "echo " + exchange.request().body); };
     RawConnection client(loop, server.endpoint);
     client.send("POST /a?b=c HTTP/1.1\r\nHost: Desk.example:81\r\nX-Name: v\r\nContent-Length: 4\r\n\r\nteak");
@@ -76,7 +54,7 @@
         std::string request;
         std::string status;
     };
-    const std::string body(bodyLimit + 1, 'x');
+    const std::string body(RecordingServer::bodyLimit + 1, 'x');
     const auto fault = GENERATE_COPY(
         Fault{"two lengths", "POST / HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nteak", "400"},
         Fault{"one length twice", "POST / HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\ncontent-length: 4\r\n\r\nteak", "400"},
@@ -91,7 +69,7 @@
         Fault{"head without end", "GET / HTTP/1.1\r\nHost: d\r\nX: " + std::string(1000000, 'x') + "\r\n\r\n", ""});
     INFO(fault.name);
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {}, "ok"); };
     RawConnection other(loop, server.endpoint);
     RawConnection client(loop, server.endpoint);
@@ -109,7 +87,7 @@
 TEST_CASE("A streamed answer ends cleanly only when it is whole")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     RawConnection client(loop, server.endpoint);
     client.send("GET / HTTP/1.1\r\nHost: d\r\n\r\n");
     REQUIRE(runUntil(loop, [&] { return !server.exchanges.empty(); }));
@@ -162,7 +140,7 @@
 TEST_CASE("The head of an answer goes out before its body")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     RawConnection client(loop, server.endpoint);
     client.send("GET / HTTP/1.1\r\nHost: d\r\n\r\n");
     REQUIRE(runUntil(loop, [&] { return !server.exchanges.empty(); }));
@@ -176,7 +154,7 @@
 TEST_CASE("Answers to HEAD have a length and no body")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {}, "teak"); };
     RawConnection client(loop, server.endpoint);
     client.send("HEAD / HTTP/1.1\r\nHost: d\r\n\r\nHEAD / HTTP/1.1\r\nHost: d\r\n\r\n");
@@ -189,7 +167,7 @@
 TEST_CASE("The holder of an exchange learns that the client has gone")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     RawConnection client(loop, server.endpoint);
 
     SECTION("before the request is whole")
@@ -226,7 +204,7 @@
 TEST_CASE("A slow reader holds the writer back")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     RawConnection client(loop, server.endpoint);
     client.discardReceived();
     client.send("GET / HTTP/1.1\r\nHost: d\r\n\r\n");
@@ -259,7 +237,7 @@
 TEST_CASE("A shutdown lets running answers finish and ends idle connections")
 {
     EventLoop loop;
-    Server server(loop);
+    RecordingServer server(loop);
     RawConnection idle(loop, server.endpoint);
     RawConnection client(loop, server.endpoint);
     client.send("GET / HTTP/1.1\r\nHost: d\r\n\r\n");
