Carry the time left of the hold limit between nodes

Cause: a coordinator elected in an outage of the platform cannot know how long it may act without the table. The field holdLeft of a heartbeat's answer tells it, but the wire had no place for it.

--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -85,10 +85,10 @@
     DocumentRevision document;
     /** Document, where the member's revision is lower. */
     std::optional<DocumentCopy> newerDocument;
-    /** Time for which a successor of the coordinator may act without a write to the table, counted from sentAt. */
-    Duration holdLeft{0};
     /** Load of all members, for services that are not divided by key. */
     std::vector<MemberLoad> loads;
+    /** Time for which a successor of the coordinator may act without a write to the table, counted from sentAt. */
+    Duration holdLeft{0};
 
     friend bool operator==(const HeartbeatAnswer &, const HeartbeatAnswer &) = default;
 };
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -171,6 +171,7 @@
         to.setRevision(message.revision.value());
         to.setSentAt(microsecondsOf(message.sentAt));
         to.setLease(message.lease.count());
+        to.setHoldLeft(message.holdLeft.count());
         if (message.map) {
             writeMap(to.initMap(), *message.map);
         }
@@ -424,6 +425,7 @@
         message.revision = cellRevision(from.getRevision());
         message.sentAt = time(from.getSentAt());
         message.lease = duration(from.getLease(), Codec::maxLease, "lease");
+        message.holdLeft = duration(from.getHoldLeft(), Codec::maxHoldLeft, "time left of the hold limit");
         if (from.hasMap()) {
             message.map = map(from.getMap());
         }
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -154,7 +154,8 @@
                            perhaps(map),
                            DocumentRevision(counter()),
                            perhaps(document),
-                           listOf(load)};
+                           listOf(load),
+                           Duration(upTo<std::int64_t>(Codec::maxHoldLeft.count()))};
 }
 
 PeerMessage handoverOffer()
