--- a/tests/core/cellharness.cpp
+++ b/tests/core/cellharness.cpp
@@ -90,6 +90,7 @@
     ++entry.incarnation;
     entry.pausedUntil = m_now;
     entry.accepted.clear();
+    entry.stopping = false;
     NodeIdentity identity;
     identity.node = NodeName("node" + std::to_string(node));
     identity.incarnation = Incarnation(entry.incarnation);
@@ -139,6 +140,7 @@
 
 void CellHarness::stop(std::size_t node)
 {
+    m_nodes[node].stopping = true;
     deliver(node, m_nodes[node].incarnation, StopRequested{});
 }
 
--- a/tests/core/cellharness.h
+++ b/tests/core/cellharness.h
@@ -62,6 +62,7 @@
     // What is seen.
     std::size_t size() const { return m_nodes.size(); }
     bool isUp(std::size_t node) const { return m_nodes[node].cell != nullptr; }
+    bool isStopping(std::size_t node) const { return m_nodes[node].stopping; }
     const Cell &cell(std::size_t node) const { return *m_nodes[node].cell; }
     FakeActivity &activity(std::size_t node) { return *m_nodes[node].activity; }
     MonotonicTime clock(std::size_t node) const;
@@ -87,6 +88,7 @@
         Duration clockOffset{0};
         double clockRate = 1.0;
         bool draining = false;
+        bool stopping = false;
         std::set<Fence> accepted;
     };
     struct Timer {
