--- a/tests/core/cellharness.cpp
+++ b/tests/core/cellharness.cpp
@@ -91,6 +91,7 @@
     entry.pausedUntil = m_now;
     entry.accepted.clear();
     entry.stopping = false;
+    entry.draining = false;
     NodeIdentity identity;
     identity.node = NodeName("node" + std::to_string(node));
     identity.incarnation = Incarnation(entry.incarnation);
@@ -144,6 +145,12 @@
     deliver(node, m_nodes[node].incarnation, StopRequested{});
 }
 
+void CellHarness::drain(std::size_t node)
+{
+    m_nodes[node].draining = true;
+    announce(node);
+}
+
 void CellHarness::tickLoop(std::size_t node, std::uint64_t incarnation)
 {
     if (m_nodes[node].incarnation != incarnation || !isUp(node)) {
@@ -158,16 +165,21 @@
     if (m_nodes[node].incarnation != incarnation || !isUp(node)) {
         return;
     }
+    announce(node);
+    schedule(announceInterval, [this, node, incarnation] { announceLoop(node, incarnation); });
+}
+
+void CellHarness::announce(std::size_t node)
+{
     TargetAnnounced announcement;
     announcement.service = testService;
     announcement.target = TargetName("target" + std::to_string(node));
     announcement.endpoint = Endpoint{"10.0.0.2", static_cast<std::uint16_t>(node + 1)};
     announcement.slots = 20;
     announcement.connections = 130;
-    announcement.targetIncarnation = incarnation;
+    announcement.targetIncarnation = m_nodes[node].incarnation;
     announcement.draining = m_nodes[node].draining;
-    deliver(node, incarnation, announcement);
-    schedule(announceInterval, [this, node, incarnation] { announceLoop(node, incarnation); });
+    deliver(node, m_nodes[node].incarnation, announcement);
 }
 
 void CellHarness::deliver(std::size_t node, std::uint64_t incarnation, EventBody body)
@@ -278,7 +290,7 @@
     const std::uint64_t incarnation = m_nodes[node].incarnation;
     const Duration delay = platform.delay;
     schedule(delay / 2, [this, node, incarnation, delay, access = std::move(access)] {
-        EventBody answer = access(platform.down);
+        EventBody answer = access(platform.down || cutFromPlatform.contains(node));
         schedule(delay / 2, [this, node, incarnation, answer = std::move(answer)] { deliver(node, incarnation, answer); });
     });
 }
--- a/tests/core/cellharness.h
+++ b/tests/core/cellharness.h
@@ -50,6 +50,8 @@
     void isolate(std::size_t node, bool isCut);
     void healNetwork();
     void stop(std::size_t node);
+    /** The node's target announces that it wants to end. */
+    void drain(std::size_t node);
     std::string documentText(const std::string &leaving = {}) const;
 
     FakePlatform platform;
@@ -59,6 +61,9 @@
     unsigned lossPerMille = 0;
     unsigned duplicatePerMille = 0;
 
+    /** Nodes that cannot reach the platform. */
+    std::set<std::size_t> cutFromPlatform;
+
     // What is seen.
     std::size_t size() const { return m_nodes.size(); }
     bool isUp(std::size_t node) const { return m_nodes[node].cell != nullptr; }
@@ -106,6 +111,7 @@
     void answerLater(std::size_t node, std::function<EventBody(bool down)> access);
     void tickLoop(std::size_t node, std::uint64_t incarnation);
     void announceLoop(std::size_t node, std::uint64_t incarnation);
+    void announce(std::size_t node);
     void startWork(std::size_t node);
     /** Every shard has the same load. */
     void reportLoad(std::size_t node);
--- a/tests/core/cellpropertytest.cpp
+++ b/tests/core/cellpropertytest.cpp
@@ -27,6 +27,8 @@
         KeepAnswers,
         SlowNetwork,
         FastNetwork,
+        CutFromPlatform,
+        ReachPlatform,
         Stop,
     };
     Kind kind = Kind::Pause;
@@ -121,6 +123,13 @@
         harness.lossPerMille = 0;
         harness.duplicatePerMille = 0;
         break;
+    case Fault::Kind::CutFromPlatform:
+        harness.cutFromPlatform.insert(a);
+        harness.cutFromPlatform.insert(target);
+        break;
+    case Fault::Kind::ReachPlatform:
+        harness.cutFromPlatform.clear();
+        break;
     case Fault::Kind::Stop:
         if (harness.isUp(a)) {
             harness.stop(a);
@@ -134,6 +143,7 @@
     harness.healNetwork();
     harness.platform.down = false;
     harness.platform.losesAnswers = false;
+    harness.cutFromPlatform.clear();
     for (std::size_t node = 0; node < harness.size(); ++node) {
         if (!harness.isUp(node) || harness.isStopping(node)) {
             harness.restart(node);
@@ -152,6 +162,7 @@
         options.seed = seed;
         options.checksFence = checksFence;
         options.startsWork = true;
+        options.holdLimit = *rc::gen::element<Duration>(2s, 20s);
         options.nodes = *within<std::size_t>(1, 5);
         const auto faults = *rc::gen::container<std::vector<Fault>>(*within<std::size_t>(0, most), anyFault());
         CellHarness harness(options);
