Carry the time line's clock and request fingerprints between nodes

Cause: records of two nodes were ordered by their wall clocks alone, and a deduplication entry lost its fingerprint on the way to the next owner. Change: deliver() has the sender's hybrid time; entries have the fingerprint. Ruled out: a message of its own for the clock, which would cost a call more. Conclusion: round trip of every message holds in the rapidcheck test.

--- a/src/libnutmeghinge/deduplicationentry.h
+++ b/src/libnutmeghinge/deduplicationentry.h
@@ -20,10 +20,10 @@
     std::string key;
     /** Empty where the request's outcome is unknown, or its answer was too large to keep. */
     std::optional<StoredAnswer> answer;
-    /** Hash of method, path and size of the body; 0 where it is not known. */
-    std::uint64_t fingerprint = 0;
     /** Age when the entry was exported. */
     Duration age{0};
+    /** Hash of method, path and size of the body; 0 where it is not known. */
+    std::uint64_t fingerprint = 0;
 
     friend bool operator==(const DeduplicationEntry &, const DeduplicationEntry &) = default;
 };
--- a/src/libnutmeghingeio/peerconnection.cpp
+++ b/src/libnutmeghingeio/peerconnection.cpp
@@ -45,7 +45,7 @@
         return DeliverResult::Full;
     }
     auto request = m_peerControl.deliverRequest();
-    PeerMessageCodec::write(request, effect.from, effect.service, effect.message);
+    PeerMessageCodec::write(request, effect);
     if (request.totalSize().wordCount > peerlimits::messageWords / 2) {
         return DeliverResult::TooLarge;
     }
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -106,6 +106,7 @@
         writeAnswer(to.initAnswer(), *entry.answer);
     }
     to.setAge(entry.age.count());
+    to.setFingerprint(entry.fingerprint);
 }
 
 /** Writes each kind of message into its member of the union. */
@@ -221,6 +222,8 @@
         arrived.service = ServiceName(stringOf(from.getService()));
         check(!arrived.service.value().empty(), "service name");
         arrived.message = message(from.getMessage());
+        check(from.getWallMs() >= 0 && static_cast<std::uint64_t>(from.getWallMs()) <= Codec::maxCounter, "wall time");
+        arrived.time = HybridTime{WallTime(std::chrono::milliseconds(from.getWallMs())), from.getCounter()};
         return arrived;
     }
 
@@ -368,6 +371,7 @@
             entry.answer = answer(from.getAnswer());
         }
         entry.age = duration(from.getAge(), Codec::maxAge, "age");
+        entry.fingerprint = from.getFingerprint();
         return entry;
     }
 
@@ -479,11 +483,13 @@
 
 } // namespace
 
-void PeerMessageCodec::write(wire::PeerControl::DeliverParams::Builder to, MemberSlot from, const ServiceName &service, const PeerMessage &message)
+void PeerMessageCodec::write(wire::PeerControl::DeliverParams::Builder to, const SendPeerMessage &effect)
 {
-    to.setFrom(from.value());
-    to.setService(pointerTo(service.value()));
-    std::visit(MessageWriter(to.initMessage()), message);
+    to.setFrom(effect.from.value());
+    to.setService(pointerTo(effect.service.value()));
+    to.setWallMs(effect.time.wall.time_since_epoch().count());
+    to.setCounter(effect.time.counter);
+    std::visit(MessageWriter(to.initMessage()), effect.message);
 }
 
 std::variant<PeerMessageArrived, PeerMessageFault> PeerMessageCodec::read(wire::PeerControl::DeliverParams::Reader from)
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "effects.h"
 #include "events.h"
 
 #include <peercontrol.capnp.h>
@@ -38,7 +39,7 @@
     static constexpr std::size_t maxHeaders = 256;
     static constexpr std::size_t maxServiceNameBytes = 255;
 
-    static void write(wire::PeerControl::DeliverParams::Builder to, MemberSlot from, const ServiceName &service, const PeerMessage &message);
+    static void write(wire::PeerControl::DeliverParams::Builder to, const SendPeerMessage &effect);
     static std::variant<PeerMessageArrived, PeerMessageFault> read(wire::PeerControl::DeliverParams::Reader from);
 };
 
--- a/tests/io/peermessagecodectest.cpp
+++ b/tests/io/peermessagecodectest.cpp
@@ -14,7 +14,7 @@
 kj::Array<capnp::word> wordsOf(const PeerMessage &message, MemberSlot from = MemberSlot(3))
 {
     capnp::MallocMessageBuilder builder;
-    Codec::write(builder.initRoot<Params>(), from, ServiceName("advice-desk"), message);
+    Codec::write(builder.initRoot<Params>(), SendPeerMessage{Endpoint(), from, ServiceName("advice-desk"), message, HybridTime()});
     return capnp::messageToFlatArray(builder);
 }
 
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -112,7 +112,7 @@
 
 DeduplicationEntry entry()
 {
-    return {shard(), bytes(), perhaps(answer), Duration(upTo<std::int64_t>(Codec::maxAge.count()))};
+    return {shard(), bytes(), perhaps(answer), Duration(upTo<std::int64_t>(Codec::maxAge.count())), counter()};
 }
 
 std::pair<ShardIndex, Fence> released()
