--- a/src/libnutmeghinge/balancestrategy.h
+++ b/src/libnutmeghinge/balancestrategy.h
@@ -38,6 +38,8 @@
     const std::vector<bool> &cooling;
     /** Moves that may be started now, beside those of leaving members. */
     std::uint32_t moveBudget = 0;
+    /** Time of day. Members that leave long after it count as staying; without it every leavesAt counts. */
+    std::optional<WallTime> now;
 };
 
 /** A shard and the member that is to own it. */
