--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -3,6 +3,7 @@
 #include "cellrow.h"
 #include "endpoint.h"
 #include "fence.h"
+#include "hybridtime.h"
 #include "ids.h"
 #include "member.h"
 #include "notrunreason.h"
@@ -102,6 +103,8 @@
     MemberSlot from;
     ServiceName service;
     PeerMessage message;
+    /** Sender's clock when it sent the message. */
+    HybridTime time{};
 };
 
 // Target.
@@ -150,6 +153,8 @@
     /** Times that the request was forwarded between nodes. */
     std::uint32_t hops = 0;
     std::uint64_t bodySize = 0;
+    /** Clock of the node that forwarded the request; zero for callers. */
+    HybridTime time{};
 };
 
 /** The caller has gone before its answer was complete. */
@@ -177,6 +182,8 @@
     std::optional<Duration> retryAfter;
     /** Newer fence that the target knows, with StaleFence. */
     std::optional<Fence> newerFence;
+    /** Status of the other node's refusal; 0 where there was none. */
+    std::uint16_t status = 0;
 };
 
 /** Bytes may have reached the target and no whole answer came, or it came broken. */
@@ -193,6 +200,8 @@
     Reason reason = Reason::ConnectionLost;
     /** Part of the answer has gone to the caller: its stream was reset, no other answer is possible. */
     bool answerBegun = false;
+    /** Status of the other node's refusal, with PeerUnknown; 0 where there was none. */
+    std::uint16_t status = 0;
 };
 
 /** An attempt has ended. Every attempt ends with just one, also after CancelAttempt. */
