Carry requests to targets and peers and their answers back

Cause: the reducer's request effects had no adapter.

Change: RequestForwarder strips forged and hop-by-hop headers, makes the events of requests and attempts, reads refusals of targets and peers, keeps short answers on request, and resets the caller's stream where an answer breaks off. Requests that HTTP/1 would read as another one (blanks or control characters in an HTTP/2 path) are refused. Client sockets have a kernel limit of 3 s without acknowledgement, and idle connections to an endpoint are dropped after an attempt on which nothing was heard.

--- /dev/null
+++ b/src/libnutmeghingeio/endtoendheaders.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "httpmessage.h"
+
+namespace nutmeghinge {
+
+/**
+ * Headers that may be passed on: without the hop-by-hop headers (RFC 9110,
+ * 7.6.1), those that "connection" names, the length, which each connection
+ * states anew, and those of the system's namespace.
+ */
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -0,0 +1,176 @@
+#include "forwardedattempt.h"
+
+#include "endtoendheaders.h"
+#include "forwardedrequest.h"
+#include "wireheaders.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+AttemptUnknown::Reason reasonOf(HttpCallResult result)
+{
+    switch (result) {
+    case HttpCallResult::Truncated:
+        return AttemptUnknown::Reason::TruncatedAnswer;
+    case HttpCallResult::NoProgress:
+        return AttemptUnknown::Reason::NoProgress;
+    case HttpCallResult::DeadlineExpired:
+        return AttemptUnknown::Reason::DeadlineExpired;
+    case HttpCallResult::Malformed:
+        return AttemptUnknown::Reason::WrongAnswer;
+    case HttpCallResult::Complete:
+    case HttpCallResult::NotConnected:
+    case HttpCallResult::ConnectionLost:
+    case HttpCallResult::Cancelled:
+        break;
+    }
+    return AttemptUnknown::Reason::ConnectionLost;
+}
+
+} // namespace
+
+ForwardedAttempt::ForwardedAttempt(HttpClient &client, std::shared_ptr<ForwardedRequest> request, Options options, EventFunction events, EndFunction ended)
+    : m_client(client)
+    , m_request(std::move(request))
+    , m_options(std::move(options))
+    , m_events(std::move(events))
+    , m_ended(std::move(ended))
+{
+}
+
+void ForwardedAttempt::send(HttpClientRequest request)
+{
+    m_call = m_client.send(std::move(request), shared_from_this());
+}
+
+void ForwardedAttempt::cancel()
+{
+    m_client.cancel(m_call);
+}
+
+void ForwardedAttempt::abandon()
+{
+    m_state = State::Over;
+    m_events = nullptr;
+    m_ended = nullptr;
+    m_client.cancel(m_call);
+}
+
+void ForwardedAttempt::callerGone()
+{
+    m_client.resume(m_call);
+}
+
+void ForwardedAttempt::headReceived(const HttpAnswerHead &head)
+{
+    if (m_state == State::Over) {
+        return;
+    }
+    if (!isOwnAnswer(head)) {
+        m_client.cancel(m_call);
+        finish(AttemptUnknown{.reason = AttemptUnknown::Reason::WrongAnswer, .answerBegun = false});
+        return;
+    }
+    if (const auto refusal = refusalOf(head, m_options.destination)) {
+        std::visit([this](const auto &result) { finish(result); }, *refusal);
+        return;
+    }
+    takeAnswer(head);
+}
+
+bool ForwardedAttempt::isOwnAnswer(const HttpAnswerHead &head) const
+{
+    return findHeader(head.headers, wire::requestId).value_or(m_options.requestId) == m_options.requestId;
+}
+
+void ForwardedAttempt::takeAnswer(const HttpAnswerHead &head)
+{
+    m_head = {.status = head.status, .headers = endToEndHeaders(head.headers), .contentLength = head.contentLength};
+    const bool fits = head.contentLength.value_or(0) <= m_options.keepLimit;
+    m_state = State::Holding;
+    if (!m_options.keepAnswer || !fits) {
+        startStreaming();
+    }
+    m_events(AttemptAnswering{.attempt = m_options.id, .status = head.status});
+}
+
+void ForwardedAttempt::startStreaming()
+{
+    if (m_request->answerBegun()) {
+        m_state = State::Dropping;
+        return;
+    }
+    m_state = State::Streaming;
+    m_request->beginAnswer(m_head);
+    m_request->setWritableFunction([this] { m_client.resume(m_call); });
+}
+
+bool ForwardedAttempt::bodyReceived(std::string_view data)
+{
+    if (m_state == State::Holding) {
+        return hold(data);
+    }
+    return m_state != State::Streaming || m_request->write(data);
+}
+
+bool ForwardedAttempt::hold(std::string_view data)
+{
+    m_heldBody += data;
+    if (m_heldBody.size() <= m_options.keepLimit) {
+        return true;
+    }
+    startStreaming();
+    const std::string held = std::exchange(m_heldBody, {});
+    return m_state != State::Streaming || m_request->write(held);
+}
+
+void ForwardedAttempt::finished(HttpCallResult result)
+{
+    const std::shared_ptr<ForwardedAttempt> self = shared_from_this();
+    if (const EndFunction ended = std::exchange(m_ended, nullptr)) {
+        ended(result);
+    }
+    if (m_state == State::Over) {
+        return;
+    }
+    if (result == HttpCallResult::Complete) {
+        answerComplete();
+    } else {
+        answerBroken(result);
+    }
+}
+
+void ForwardedAttempt::answerComplete()
+{
+    AttemptAnswered answered{.status = m_head.status, .answer = {}};
+    if (m_state == State::Holding) {
+        answered.answer = StoredAnswer{.status = m_head.status, .headers = m_head.headers, .body = std::move(m_heldBody)};
+        m_request->answer(*answered.answer);
+    } else if (m_state == State::Streaming) {
+        m_request->finishAnswer();
+    }
+    finish(std::move(answered));
+}
+
+void ForwardedAttempt::answerBroken(HttpCallResult result)
+{
+    if (result == HttpCallResult::NotConnected) {
+        finish(AttemptNotRun{.reason = NotRunReason::NotConnected, .retryAfter = {}, .newerFence = {}});
+        return;
+    }
+    const bool begun = m_state == State::Streaming;
+    if (begun) {
+        m_request->reset();
+    }
+    finish(AttemptUnknown{.reason = reasonOf(result), .answerBegun = begun});
+}
+
+void ForwardedAttempt::finish(std::variant<AttemptAnswered, AttemptNotRun, AttemptUnknown> result)
+{
+    m_state = State::Over;
+    const EventFunction events = m_events;
+    events(AttemptFinished{.attempt = m_options.id, .result = std::move(result)});
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghingeio/httpanswerparser.cpp
+++ b/src/libnutmeghingeio/httpanswerparser.cpp
@@ -1,8 +1,9 @@
 #include "httpanswerparser.h"
 
+#include "numberparsing.h"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace nutmeghinge {
 
@@ -12,37 +13,21 @@
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 
-std::string lowerCase(std::string_view text)
+bool hasItem(const std::optional<std::string_view> &list, std::string_view item)
 {
-    std::string lower(text);
-    std::ranges::transform(lower, lower.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
-    return lower;
+    const std::vector<std::string> items = listItems(list.value_or(""));
+    return std::ranges::find(items, item) != items.end();
 }
 
-bool hasToken(std::string_view list, std::string_view token)
+std::size_t countHeaders(const HttpHeaders &headers, std::string_view name)
 {
-    const std::string lower = lowerCase(list);
-    std::string_view rest = lower;
-    while (!rest.empty()) {
-        const std::size_t comma = std::min(rest.find(','), rest.size());
-        std::string_view item = rest.substr(0, comma);
-        while (!item.empty() && (item.front() == ' ' || item.front() == '\t')) {
-            item.remove_prefix(1);
-        }
-        while (!item.empty() && (item.back() == ' ' || item.back() == '\t')) {
-            item.remove_suffix(1);
-        }
-        if (item == token) {
-            return true;
-        }
-        rest.remove_prefix(std::min(comma + 1, rest.size()));
-    }
-    return false;
+    return static_cast<std::size_t>(std::ranges::count(headers, name, [](const auto &header) { return std::string_view(header.first); }));
 }
 
-std::size_t countHeaders(const HttpHeaders &headers, std::string_view name)
+bool takeLength(HttpAnswerHead &head)
 {
-    return static_cast<std::size_t>(std::ranges::count(headers, name, [](const auto &header) { return std::string_view(header.first); }));
+    head.contentLength = parseNumber(*findHeader(head.headers, "content-length"));
+    return head.contentLength.has_value();
 }
 
 bool isBodyless(int status)
@@ -93,7 +78,7 @@
 bool HttpAnswerParser::takeHead(int minorVersion, HttpAnswerHead &head)
 {
     const std::optional<std::string_view> connection = findHeader(head.headers, "connection");
-    m_persistent = minorVersion >= 1 ? !hasToken(connection.value_or(""), "close") : hasToken(connection.value_or(""), "keep-alive");
+    m_persistent = minorVersion >= 1 ? !hasItem(connection, "close") : hasItem(connection, "keep-alive");
     const std::size_t encodings = countHeaders(head.headers, "transfer-encoding");
     const std::size_t lengths = countHeaders(head.headers, "content-length");
     if (encodings + lengths > 1) {
@@ -109,18 +94,6 @@
     return true;
 }
 
-bool HttpAnswerParser::takeLength(HttpAnswerHead &head) const
-{
-    const std::string_view text = *findHeader(head.headers, "content-length");
-    std::uint64_t length = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
-    if (error != std::errc() || end != text.data() + text.size()) {
-        return false;
-    }
-    head.contentLength = length;
-    return true;
-}
-
 void HttpAnswerParser::chooseFraming(const HttpAnswerHead &head, bool chunked)
 {
     if (m_answersHead || isBodyless(head.status)) {
--- a/src/libnutmeghingeio/httpanswerparser.h
+++ b/src/libnutmeghingeio/httpanswerparser.h
@@ -61,7 +61,6 @@
     };
 
     bool takeHead(int minorVersion, HttpAnswerHead &head);
-    bool takeLength(HttpAnswerHead &head) const;
     void chooseFraming(const HttpAnswerHead &head, bool chunked);
     BodyPart parseChunks(std::span<char> bytes);
 
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -6,12 +6,17 @@
 #include <array>
 #include <cassert>
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace nutmeghinge {
 
 namespace {
 
+/** Time without an acknowledgement by the other side's kernel after which a connection is lost. */
+constexpr int silenceTimeoutMs = 3000;
+constexpr int keepAliveIntervalS = 1;
 constexpr std::size_t maxHeadBytes = 65536;
 /** Shorter than the time after which servers close idle connections, so that a request rarely meets the close. */
 constexpr Duration idleLifetime = std::chrono::seconds(5);
@@ -43,6 +48,11 @@
     return head + "\r\n";
 }
 
+void setTcpOption(int descriptor, int option, int value)
+{
+    setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
 std::uint64_t millisecondsUntil(Duration duration)
 {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(duration).count()));
@@ -70,13 +80,23 @@
     if (!makeAddress(m_endpoint, address) || uv_tcp_connect(&m_connect, &m_socket, reinterpret_cast<sockaddr *>(&address), onConnect) != 0) {
         return false;
     }
-    uv_tcp_nodelay(&m_socket, 1);
+    configureSocket();
     m_exchange = std::move(exchange);
     noteProgress();
     armTimer();
     return true;
 }
 
+void HttpClientConnection::configureSocket()
+{
+    uv_tcp_nodelay(&m_socket, 1);
+    uv_tcp_keepalive(&m_socket, 1, keepAliveIntervalS);
+    uv_os_fd_t descriptor = -1;
+    uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_socket), &descriptor);
+    setTcpOption(descriptor, TCP_KEEPINTVL, keepAliveIntervalS);
+    setTcpOption(descriptor, TCP_USER_TIMEOUT, silenceTimeoutMs);
+}
+
 bool HttpClientConnection::reuse(Exchange &exchange)
 {
     assert(m_state == State::Idle);
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -62,6 +62,7 @@
 
     ~HttpClientConnection() = default;
 
+    void configureSocket();
     void connected(int status);
     /** Returns false if no byte could be written. */
     bool sendRequest();
--- a/src/libnutmeghingeio/httpmessage.cpp
+++ b/src/libnutmeghingeio/httpmessage.cpp
@@ -1,7 +1,20 @@
 #include "httpmessage.h"
 
+#include <algorithm>
+
 namespace nutmeghinge {
 
+namespace {
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const std::size_t begin = std::min(text.find_first_not_of(blanks), text.size());
+    return text.substr(begin, text.find_last_not_of(blanks) + 1 - begin);
+}
+
+} // namespace
+
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view lowerCaseName)
 {
     for (const auto &[name, value] : headers) {
@@ -12,4 +25,25 @@
     return std::nullopt;
 }
 
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::ranges::transform(lower, lower.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return lower;
+}
+
+std::vector<std::string> listItems(std::string_view value)
+{
+    std::vector<std::string> items;
+    while (!value.empty()) {
+        const std::size_t comma = std::min(value.find(','), value.size());
+        const std::string_view item = trimmed(value.substr(0, comma));
+        if (!item.empty()) {
+            items.push_back(lowerCase(item));
+        }
+        value.remove_prefix(std::min(comma + 1, value.size()));
+    }
+    return items;
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/httpmessage.h
+++ b/src/libnutmeghingeio/httpmessage.h
@@ -15,6 +15,12 @@
 /** Value of the first header of that name; nothing where there is none. */
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view lowerCaseName);
 
+/** Text with the letters A to Z in lower case. */
+std::string lowerCase(std::string_view text);
+
+/** Items of a comma-separated header value, in lower case without blanks around them. */
+std::vector<std::string> listItems(std::string_view value);
+
 /** A whole request, as a server received it. */
 struct HttpRequest {
     std::string method;
--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -6,7 +6,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include <array>
+#include <cstring>
 #include <netinet/tcp.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -91,6 +91,7 @@
     void clientClosed(Connection &connection);
     void connectionClosed(Connection &connection);
     int handle(h2o_req_t &request);
+    void refuse(h2o_req_t &request, const char *reason) const;
     void closeIdle();
     void stopListening();
     void finishShutdown();
@@ -213,18 +214,27 @@
     }
 }
 
+void HttpServer::Private::refuse(h2o_req_t &request, const char *reason) const
+{
+    spdlog::warn("{}: refused a request: {}", options.name, std::string_view(reason, std::strlen(reason) - 1));
+    request.http1_is_persistent = 0;
+    h2o_send_error_400(&request, "Bad Request", reason, 0);
+}
+
 int HttpServer::Private::handle(h2o_req_t &request)
 {
     h2o_socket_t *socket = request.conn->callbacks->get_socket(request.conn);
     Connection &connection = *connections.at(socket);
     connection.isHttp2 = request.version >= http2Version;
     if (!isWellFramed(request)) {
-        spdlog::warn("{}: refused a request with two lengths", options.name);
-        request.http1_is_persistent = 0;
-        h2o_send_error_400(&request, "Bad Request", "the length of the request is stated more than once\n", 0);
+        refuse(request, "the framing of the request is ambiguous\n");
         return 0;
     }
     const std::shared_ptr<HttpServerExchange> exchange = HttpServerExchange::create(request);
+    if (!isWritableAsHttp1(exchange->request())) {
+        refuse(request, "the head of the request has forbidden characters\n");
+        return 0;
+    }
     HttpServerExchange *key = exchange.get();
     connection.running.insert(key);
     exchange->setEndedFunction([this, socket, key] {
--- /dev/null
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -0,0 +1,237 @@
+#include "requestforwarder.h"
+
+#include "eventloop.h"
+#include "forwardedattempt.h"
+#include "forwardedrequest.h"
+#include "httpclient.h"
+#include "wireheaders.h"
+
+#include <algorithm>
+#include <random>
+#include <unordered_map>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t keepLimitBytes = 65536;
+
+std::string formatFence(const Fence &fence)
+{
+    return std::to_string(fence.term.value()) + '.' + std::to_string(fence.sequence);
+}
+
+/** Makes ids of attempts differ between processes that share a target. */
+std::string makeIdPrefix()
+{
+    std::random_device device;
+    return std::to_string(device()) + '-';
+}
+
+/** Whether the connection may be silent: nothing was heard on it. */
+bool suggestsSilence(HttpCallResult result)
+{
+    return result == HttpCallResult::NoProgress || result == HttpCallResult::DeadlineExpired;
+}
+
+} // namespace
+
+struct RequestForwarder::Private {
+    using Request = std::shared_ptr<ForwardedRequest>;
+
+    /** What is the same for targets and peers. */
+    struct Destination {
+        AttemptDestination kind;
+        Endpoint endpoint;
+        MonotonicTime deadline;
+        bool freshConnection;
+        bool keepAnswer;
+    };
+
+    Private(EventLoop &usedLoop, HttpClient &usedClient, EventFunction eventFunction)
+        : loop(usedLoop)
+        , client(usedClient)
+        , events(std::move(eventFunction))
+        , idPrefix(makeIdPrefix())
+    {
+    }
+
+    Request find(RequestId id) const;
+    void callerGone(RequestId id);
+    void start(RequestId id, AttemptId attempt, const Destination &destination, HttpHeaders headers);
+    HttpClientRequest makeRequest(const ForwardedRequest &request, const Destination &destination, HttpHeaders headers) const;
+    void attemptEnded(AttemptId attempt, const Endpoint &endpoint, HttpCallResult result);
+    void refuseLater(AttemptId attempt);
+    void forgetIfOver(RequestId id);
+
+    EventLoop &loop;
+    HttpClient &client;
+    EventFunction events;
+    std::string idPrefix;
+    std::uint64_t lastRequest = 0;
+    std::unordered_map<RequestId, Request> requests;
+    std::unordered_map<AttemptId, std::pair<RequestId, std::shared_ptr<ForwardedAttempt>>> attempts;
+    /** Gone with the forwarder, for functions that the loop calls later. */
+    std::shared_ptr<Private *> alive = std::make_shared<Private *>(this);
+};
+
+RequestForwarder::Private::Request RequestForwarder::Private::find(RequestId id) const
+{
+    const auto found = requests.find(id);
+    return found == requests.end() ? nullptr : found->second;
+}
+
+void RequestForwarder::Private::callerGone(RequestId id)
+{
+    const Request request = find(id);
+    if (!request) {
+        return;
+    }
+    request->callerGone();
+    requests.erase(id);
+    for (auto &[attempt, running] : attempts) {
+        if (running.first == id) {
+            running.second->callerGone();
+        }
+    }
+    events(RequestCancelled{id});
+}
+
+void RequestForwarder::Private::start(RequestId id, AttemptId attempt, const Destination &destination, HttpHeaders headers)
+{
+    const Request request = find(id);
+    if (!request) {
+        refuseLater(attempt);
+        return;
+    }
+    const std::string requestId = idPrefix + std::to_string(attempt.value());
+    headers.emplace_back(wire::requestId, requestId);
+    const auto sent = std::make_shared<ForwardedAttempt>(
+        client,
+        request,
+        ForwardedAttempt::Options{
+            .id = attempt, .destination = destination.kind, .requestId = requestId, .keepAnswer = destination.keepAnswer, .keepLimit = keepLimitBytes},
+        [this, id](EventBody event) {
+            forgetIfOver(id);
+            events(std::move(event));
+        },
+        [this, attempt, endpoint = destination.endpoint](HttpCallResult result) { attemptEnded(attempt, endpoint, result); });
+    attempts.emplace(attempt, std::pair(id, sent));
+    sent->send(makeRequest(*request, destination, std::move(headers)));
+}
+
+HttpClientRequest RequestForwarder::Private::makeRequest(const ForwardedRequest &request, const Destination &destination, HttpHeaders headers) const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(destination.deadline - loop.now());
+    headers.emplace_back(wire::deadline, std::to_string(std::max<std::int64_t>(0, left.count())));
+    headers.emplace_back("host", request.host());
+    std::ranges::copy(request.headers(), std::back_inserter(headers));
+    return {.to = destination.endpoint,
+            .method = request.method(),
+            .path = request.path(),
+            .headers = std::move(headers),
+            .body = request.body(),
+            .freshConnection = destination.freshConnection,
+            .deadline = destination.deadline};
+}
+
+void RequestForwarder::Private::attemptEnded(AttemptId attempt, const Endpoint &endpoint, HttpCallResult result)
+{
+    attempts.erase(attempt);
+    if (suggestsSilence(result)) {
+        client.dropIdle(endpoint);
+    }
+}
+
+void RequestForwarder::Private::refuseLater(AttemptId attempt)
+{
+    loop.callLater(Duration::zero(), [weak = std::weak_ptr(alive), attempt] {
+        if (const auto self = weak.lock()) {
+            (*self)->events(AttemptFinished{.attempt = attempt, .result = AttemptNotRun()});
+        }
+    });
+}
+
+void RequestForwarder::Private::forgetIfOver(RequestId id)
+{
+    const Request request = find(id);
+    if (request && request->isOver()) {
+        requests.erase(id);
+    }
+}
+
+RequestForwarder::RequestForwarder(EventLoop &loop, HttpClient &client, EventFunction events)
+    : m_d(std::make_unique<Private>(loop, client, std::move(events)))
+{
+}
+
+RequestForwarder::~RequestForwarder()
+{
+    const auto attempts = std::exchange(m_d->attempts, {});
+    for (const auto &[id, attempt] : attempts) {
+        attempt.second->abandon();
+    }
+    const auto requests = std::exchange(m_d->requests, {});
+    for (const auto &[id, request] : requests) {
+        request->reset();
+    }
+}
+
+void RequestForwarder::accept(std::shared_ptr<HttpExchange> exchange, Source source)
+{
+    const RequestId id(++m_d->lastRequest);
+    const auto request = std::make_shared<ForwardedRequest>(id, source, std::move(exchange));
+    m_d->requests.emplace(id, request);
+    request->setClosedFunction([this, id] { m_d->callerGone(id); });
+    m_d->events(request->arrival());
+}
+
+void RequestForwarder::run(const SendToTarget &effect)
+{
+    const HttpHeaders headers{{std::string(wire::shard), std::to_string(effect.shard.value())}, {std::string(wire::fence), formatFence(effect.fence)}};
+    const Private::Destination target{.kind = AttemptDestination::Target,
+                                      .endpoint = effect.endpoint,
+                                      .deadline = effect.deadline,
+                                      .freshConnection = effect.freshConnection,
+                                      .keepAnswer = effect.keepAnswer};
+    m_d->start(effect.request, effect.attempt, target, headers);
+}
+
+void RequestForwarder::run(const ForwardRequest &effect)
+{
+    const HttpHeaders headers{{std::string(wire::hops), std::to_string(effect.hops)}};
+    const Private::Destination peer{
+        .kind = AttemptDestination::Peer, .endpoint = effect.peer, .deadline = effect.deadline, .freshConnection = effect.freshConnection, .keepAnswer = false};
+    m_d->start(effect.request, effect.attempt, peer, headers);
+}
+
+void RequestForwarder::run(const CancelAttempt &effect)
+{
+    const auto found = m_d->attempts.find(effect.attempt);
+    if (found != m_d->attempts.end()) {
+        found->second.second->cancel();
+    }
+}
+
+void RequestForwarder::run(const RefuseRequest &effect)
+{
+    if (const auto request = m_d->find(effect.request)) {
+        request->refuse(effect);
+        m_d->requests.erase(effect.request);
+    }
+}
+
+void RequestForwarder::run(const AnswerFromStore &effect)
+{
+    if (const auto request = m_d->find(effect.request)) {
+        request->answer(effect.answer);
+        m_d->requests.erase(effect.request);
+    }
+}
+
+std::size_t RequestForwarder::openRequests() const
+{
+    return m_d->requests.size();
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghingeio/requestframing.cpp
+++ b/src/libnutmeghingeio/requestframing.cpp
@@ -31,6 +31,27 @@
     return found.size() == name.size() && strncasecmp(found.data(), name.data(), name.size()) == 0;
 }
 
+bool isControl(char c)
+{
+    return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+}
+
+/** No blank or control character, as the parts of a request line and the names of headers must be. */
+bool isOneWord(std::string_view text)
+{
+    return std::ranges::none_of(text, [](char c) { return c == ' ' || isControl(c); });
+}
+
+bool isHeaderName(std::string_view name)
+{
+    return !name.empty() && isOneWord(name) && name.find(':') == std::string_view::npos;
+}
+
+bool isHeaderValue(std::string_view value)
+{
+    return std::ranges::none_of(value, [](char c) { return c != '\t' && isControl(c); });
+}
+
 } // namespace
 
 bool hasSingleFraming(std::string_view bytesFromHead)
@@ -48,4 +69,12 @@
     return framings <= 1;
 }
 
+bool isWritableAsHttp1(const HttpRequest &request)
+{
+    if (request.method.empty() || request.path.empty() || !isOneWord(request.method) || !isOneWord(request.path) || !isOneWord(request.host)) {
+        return false;
+    }
+    return std::ranges::all_of(request.headers, [](const auto &header) { return isHeaderName(header.first) && isHeaderValue(header.second); });
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/requestframing.h
+++ b/src/libnutmeghingeio/requestframing.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "httpmessage.h"
+
 #include <string_view>
 
 namespace nutmeghinge {
@@ -11,4 +13,7 @@
  */
 bool hasSingleFraming(std::string_view bytesFromHead);
 
+/** Whether the request can be written as an HTTP/1 head that means the same; HTTP/2 allows more characters. */
+bool isWritableAsHttp1(const HttpRequest &request);
+
 } // namespace nutmeghinge
--- /dev/null
+++ b/tests/io/downloadmemorytest.cpp
@@ -0,0 +1,105 @@
+#include "forwardersetup.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+
+using namespace nutmeghinge;
+
+namespace {
+
+constexpr std::size_t blockBytes = 65536;
+constexpr std::size_t warmUpBytes = 256 * blockBytes;
+constexpr std::size_t downloadBytes = 16384 * blockBytes;
+constexpr std::size_t bytesBetweenPauses = 8388608;
+constexpr std::size_t growthLimitKilobytes = 1024;
+
+/** Peak resident memory since the last call of resetPeak(). */
+std::size_t peakKilobytes()
+{
+    std::ifstream status("/proc/self/status");
+    std::string word;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            std::size_t kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes;
+        }
+    }
+    return 0;
+}
+
+void resetPeak()
+{
+    std::ofstream("/proc/self/clear_refs") << "5";
+}
+
+/** Answers with a body of the given size, a block whenever the last one is written. */
+class Download
+{
+public:
+    explicit Download(ForwarderSetup &setup)
+        : m_setup(setup)
+    {
+        setup.onTargetRequest = [this](RawConnection &connection) {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(m_size) + "\r\n\r\n");
+            m_left = m_size;
+            m_connection = &connection;
+        };
+    }
+
+    void setSize(std::size_t size) { m_size = size; }
+    void sendOn()
+    {
+        if (m_left > 0 && !m_connection->isWriting()) {
+            m_connection->send(m_block);
+            m_left -= blockBytes;
+        }
+    }
+
+private:
+    ForwarderSetup &m_setup;
+    std::string m_block = std::string(blockBytes, 'x');
+    std::size_t m_size = 0;
+    std::size_t m_left = 0;
+    RawConnection *m_connection = nullptr;
+};
+
+/** Downloads by a reader that stops again and again. */
+void downloadSlowly(ForwarderSetup &setup, Download &download, std::size_t size)
+{
+    download.setSize(size);
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.discardReceived();
+    std::size_t nextPause = bytesBetweenPauses;
+    caller.setReceivedFunction([&] {
+        if (caller.receivedBytes() >= nextPause) {
+            nextPause += bytesBetweenPauses;
+            caller.pause();
+            setup.loop.callLater(std::chrono::milliseconds(2), [&] { caller.resume(); });
+        }
+    });
+    caller.send("GET / HTTP/1.1\r\nHost: d\r\n\r\n");
+    REQUIRE(runUntil(setup.loop, [&] {
+        download.sendOn();
+        return caller.receivedBytes() > size || caller.isEnded();
+    }));
+    REQUIRE_FALSE(caller.isEnded());
+}
+
+} // namespace
+
+TEST_CASE("A download of 1 GB by a slow reader raises the peak memory by no more than 1 MB")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    Download download(setup);
+    downloadSlowly(setup, download, warmUpBytes);
+    resetPeak();
+    const std::size_t before = peakKilobytes();
+    downloadSlowly(setup, download, downloadBytes);
+    const std::size_t after = peakKilobytes();
+    INFO("peak before " << before << " kB, after " << after << " kB");
+    REQUIRE(before > 0);
+    CHECK(after - before <= growthLimitKilobytes);
+    CHECK(setup.all<AttemptFinished>().size() == 2);
+}
--- a/tests/io/http2frames.cpp
+++ b/tests/io/http2frames.cpp
@@ -57,14 +57,11 @@
     return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + encode({.type = FrameType::Settings, .flags = 0, .stream = 0, .payload = {}});
 }
 
-std::string request(std::uint32_t stream, std::string_view method, bool hasBody)
+std::string request(std::uint32_t stream, std::string_view method, bool hasBody, std::string_view path)
 {
-    // HPACK: indexed :scheme http and :path /, literals without indexing for :authority and :method.
-    std::string block = "\x86\x84";
-    block += std::string("\x01\x01", 2) + "d";
-    block += "\x02";
-    block += static_cast<char>(method.size());
-    block += method;
+    // HPACK: indexed :scheme http, then literals without indexing for :authority, :method and :path.
+    const auto literal = [](char name, std::string_view value) { return std::string{name, static_cast<char>(value.size())} + std::string(value); };
+    const std::string block = "\x86" + literal(1, "d") + literal(2, method) + literal(4, path);
     const std::uint8_t flags = hasBody ? endHeaders : endHeaders | endStream;
     return encode({.type = FrameType::Headers, .flags = flags, .stream = stream, .payload = block});
 }
--- a/tests/io/http2frames.h
+++ b/tests/io/http2frames.h
@@ -33,8 +33,8 @@
 
 /** Connection preface with empty settings. */
 std::string preface();
-/** HEADERS of a request to http://d/. */
-std::string request(std::uint32_t stream, std::string_view method, bool hasBody);
+/** HEADERS of a request to the host d. */
+std::string request(std::uint32_t stream, std::string_view method, bool hasBody, std::string_view path = "/");
 std::string windowUpdate(std::uint32_t stream, std::uint32_t bytes);
 
 } // namespace nutmeghinge::http2
--- a/tests/io/http2servertest.cpp
+++ b/tests/io/http2servertest.cpp
@@ -146,6 +146,30 @@
     CHECK(server.exchanges.empty());
 }
 
+TEST_CASE("HTTP/2: a request that would be another one in HTTP/1 is never handed over")
+{
+    const auto *const path = GENERATE("/ HTTP/1.1", "/ HTTP/1.1\r\nHost: x\r\n\r\nGET /b", "/\x01", "/a\tb");
+    EventLoop loop;
+    RecordingServer server(loop);
+    Client client(loop, server.endpoint);
+    client.connection.send(http2::request(1, "GET", false, path));
+    CHECK(runUntil(loop, [&] { return client.isEnded(1) || client.find(FrameType::ResetStream) != nullptr || client.connection.isEnded(); }));
+    CHECK(server.exchanges.empty());
+}
+
+TEST_CASE("HTTP/2: bytes that are no frames end their connection alone")
+{
+    EventLoop loop;
+    RecordingServer server(loop);
+    server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {}, "ok"); };
+    Client other(loop, server.endpoint);
+    Client client(loop, server.endpoint);
+    client.connection.send(std::string(1000, '\xff'));
+    CHECK(runUntil(loop, [&] { return client.connection.isEnded(); }));
+    other.connection.send(http2::request(1, "GET", false));
+    CHECK(runUntil(loop, [&] { return other.isEnded(1); }));
+}
+
 TEST_CASE("HTTP/2: a download waits for the client's window")
 {
     constexpr std::size_t blockBytes = 30000;
--- /dev/null
+++ b/tests/io/requestforwardertest.cpp
@@ -0,0 +1,408 @@
+#include "forwardersetup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+
+namespace {
+
+const std::string getRequest = "GET /a HTTP/1.1\r\nHost: d\r\n\r\n";
+const std::string okHead = "HTTP/1.1 200 OK\r\n";
+
+bool contains(std::string_view text, std::string_view part)
+{
+    return text.find(part) != std::string_view::npos;
+}
+
+std::string valueOf(const std::string &head, const std::string &name)
+{
+    const std::size_t begin = head.find("\r\n" + name + ": ");
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const std::size_t value = begin + name.size() + 4;
+    return head.substr(value, head.find("\r\n", value) - value);
+}
+
+} // namespace
+
+TEST_CASE("A caller's request goes to the target without forged and hop-by-hop headers")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    setup.onTargetRequest = [](RawConnection &connection) {
+        connection.send(okHead + "Content-Length: 4\r\nX-A: b\r\nKeep-Alive: 5\r\nNutmeghinge-Load: 3\r\n\r\nteak");
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send("POST /a?b HTTP/1.1\r\nHost: Desk.Example:8080\r\nContent-Length: 3\r\nX-Own: kept\r\nPrefer: respond-async, wait=7\r\n"
+                "Nutmeghinge-Hops: 0\r\nNUTMEGHINGE-Fence: 99.99\r\nnutmeghinge-deadline-ms: 1\r\n"
+                "Connection: keep-alive, X-Hop\r\nX-Hop: x\r\nTE: trailers\r\nProxy-Authorization: x\r\n\r\noak");
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("teak"); }));
+
+    const RequestArrived arrived = setup.all<RequestArrived>().at(0);
+    CHECK(arrived.host == "desk.example");
+    CHECK(arrived.method == "POST");
+    CHECK(arrived.path == "/a?b");
+    CHECK(arrived.timeout == std::chrono::seconds(7));
+    CHECK(arrived.hops == 0);
+    CHECK(arrived.bodySize == 3);
+    CHECK(arrived.headers == HttpHeaders{{"x-own", "kept"}, {"prefer", "respond-async, wait=7"}});
+
+    const std::string &sent = setup.targetRequests.at(0);
+    CHECK(sent.starts_with("POST /a?b HTTP/1.1\r\n"));
+    CHECK(sent.ends_with("\r\n\r\noak"));
+    CHECK(valueOf(sent, "nutmeghinge-fence") == "3.9");
+    CHECK(valueOf(sent, "nutmeghinge-shard") == "5");
+    CHECK(valueOf(sent, "host") == "Desk.Example:8080");
+    CHECK(valueOf(sent, "x-own") == "kept");
+    CHECK(std::stoi(valueOf(sent, "nutmeghinge-deadline-ms")) > 1000);
+    CHECK(valueOf(sent, "nutmeghinge-request-id").ends_with("-1"));
+    for (const char *dropped : {"hops", "x-hop", "te:", "proxy-", "99.99", "connection"}) {
+        CHECK_FALSE(contains(sent, dropped));
+    }
+
+    CHECK(contains(caller.received(), "x-a: b\r\n"));
+    CHECK_FALSE(contains(caller.received(), "keep-alive: 5"));
+    CHECK_FALSE(contains(caller.received(), "nutmeghinge-load"));
+    CHECK(setup.all<AttemptAnswering>().size() == 1);
+    REQUIRE(setup.result<AttemptAnswered>());
+    CHECK(setup.result<AttemptAnswered>()->status == 200);
+    CHECK_FALSE(setup.result<AttemptAnswered>()->answer);
+    CHECK(setup.forwarder.openRequests() == 0);
+}
+
+TEST_CASE("A peer's request carries its deadline and hops, and its answer repeats the id")
+{
+    ForwarderSetup setup;
+    setup.sendToPeer();
+    setup.onTargetRequest = [](RawConnection &connection) { connection.send(okHead + "Content-Length: 0\r\n\r\n"); };
+    RawConnection peer(setup.loop, setup.peerEndpoint);
+    peer.send("GET /a HTTP/1.1\r\nHost: d\r\nnutmeghinge-deadline-ms: 1500\r\nnutmeghinge-hops: 2\r\nnutmeghinge-request-id: a-1\r\n\r\n");
+    REQUIRE(setup.await<AttemptFinished>());
+    REQUIRE(runUntil(setup.loop, [&] { return contains(peer.received(), "\r\n\r\n"); }));
+    const RequestArrived arrived = setup.all<RequestArrived>().at(0);
+    CHECK(arrived.timeout == std::chrono::milliseconds(1500));
+    CHECK(arrived.hops == 2);
+    CHECK(arrived.headers.empty());
+    CHECK(contains(peer.received(), "nutmeghinge-request-id: a-1\r\n"));
+    CHECK(valueOf(setup.targetRequests.at(0), "nutmeghinge-hops") == "1");
+    CHECK(valueOf(setup.targetRequests.at(0), "nutmeghinge-fence").empty());
+    CHECK(valueOf(setup.targetRequests.at(0), "host") == "d");
+}
+
+TEST_CASE("Refusals of targets and peers are read and not passed on")
+{
+    struct Refusal {
+        bool fromPeer;
+        std::string head;
+        std::optional<NotRunReason> reason;
+        std::optional<Duration> retryAfter;
+        std::optional<Fence> newerFence;
+    };
+    const std::string notRun = "nutmeghinge-outcome: not-run\r\n";
+    const auto refusal =
+        GENERATE_COPY(Refusal{false, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n" + notRun, NotRunReason::Overloaded, std::chrono::seconds(2), {}},
+                      Refusal{false, "HTTP/1.1 409 Conflict\r\nnutmeghinge-newer-fence: 4.1\r\n" + notRun, NotRunReason::StaleFence, {}, Fence{Term(4), 1}},
+                      Refusal{false, "HTTP/1.1 409 Conflict\r\nnutmeghinge-newer-fence: 4.x\r\n" + notRun, NotRunReason::StaleFence, {}, {}},
+                      // A reason counts from peers only.
+                      Refusal{false, "HTTP/1.1 503 Busy\r\nnutmeghinge-reason: not-owner\r\n" + notRun, NotRunReason::Overloaded, {}, {}},
+                      Refusal{true, "HTTP/1.1 503 Busy\r\nnutmeghinge-reason: not-owner\r\n" + notRun, NotRunReason::NotOwner, {}, {}},
+                      Refusal{true, "HTTP/1.1 503 Busy\r\nRetry-After: soon\r\nnutmeghinge-reason: stopping\r\n" + notRun, NotRunReason::Stopping, {}, {}},
+                      Refusal{true, "HTTP/1.1 503 Busy\r\nnutmeghinge-reason: made-up\r\n" + notRun, NotRunReason::Overloaded, {}, {}},
+                      Refusal{true, "HTTP/1.1 502 Bad\r\nnutmeghinge-outcome: unknown\r\n", {}, {}, {}});
+    ForwarderSetup setup;
+    if (refusal.fromPeer) {
+        setup.sendToPeer();
+    } else {
+        setup.sendToTarget();
+    }
+    setup.onTargetRequest = [&](RawConnection &connection) { connection.send(refusal.head + "Content-Length: 4\r\n\r\nbusy"); };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>());
+    if (refusal.reason) {
+        REQUIRE(setup.result<AttemptNotRun>());
+        CHECK(setup.result<AttemptNotRun>()->reason == refusal.reason);
+        CHECK(setup.result<AttemptNotRun>()->retryAfter == refusal.retryAfter);
+        CHECK(setup.result<AttemptNotRun>()->newerFence == refusal.newerFence);
+    } else {
+        REQUIRE(setup.result<AttemptUnknown>());
+        CHECK(setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::PeerUnknown);
+        CHECK_FALSE(setup.result<AttemptUnknown>()->answerBegun);
+    }
+    runTurns(setup.loop, 3);
+    CHECK(caller.received().empty());
+    CHECK(setup.forwarder.openRequests() == 1);
+
+    // The request is still there for another try, which the same connection serves.
+    setup.onTargetRequest = [&](RawConnection &connection) { connection.send(okHead + "Content-Length: 2\r\n\r\nok"); };
+    setup.forwarder.run(setup.toTarget(RequestId(1), 8));
+    CHECK(runUntil(setup.loop, [&] { return caller.received().ends_with("ok"); }));
+    CHECK(setup.target.connections().size() == 1);
+}
+
+TEST_CASE("An answer to another attempt is not passed on, and its connection not used again")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    setup.onTargetRequest = [](RawConnection &connection) { connection.send(okHead + "nutmeghinge-request-id: 1-1\r\nContent-Length: 4\r\n\r\nteak"); };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>());
+    REQUIRE(setup.result<AttemptUnknown>());
+    CHECK(setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::WrongAnswer);
+    CHECK_FALSE(setup.result<AttemptUnknown>()->answerBegun);
+    CHECK(runUntil(setup.loop, [&] { return setup.target.connections()[0]->isEnded(); }));
+    CHECK(caller.received().empty());
+    CHECK(setup.all<AttemptFinished>().size() == 1);
+
+    // The target's repeat of the right id is accepted.
+    setup.onTargetRequest = [&](RawConnection &connection) {
+        connection.send(okHead + "nutmeghinge-request-id: " + valueOf(setup.targetRequests.back(), "nutmeghinge-request-id")
+                        + "\r\nContent-Length: 4\r\n\r\nteak");
+    };
+    setup.forwarder.run(setup.toTarget(RequestId(1), 8));
+    CHECK(runUntil(setup.loop, [&] { return caller.received().ends_with("teak"); }));
+}
+
+TEST_CASE("A target that closes at any point of its answer never makes a whole one")
+{
+    const std::string answer =
+        GENERATE(as<std::string>(), okHead + "Content-Length: 4\r\n\r\nteak", okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nteak\r\n0\r\n\r\n");
+    const bool keepAnswer = GENERATE(false, true);
+    const std::size_t headBytes = answer.find("\r\n\r\n") + 4;
+    for (std::size_t cut = 0; cut < answer.size(); ++cut) {
+        ForwarderSetup setup;
+        setup.sendToTarget(keepAnswer);
+        setup.onTargetRequest = [&](RawConnection &connection) {
+            connection.send(answer.substr(0, cut));
+            connection.halfClose();
+        };
+        RawConnection caller(setup.loop, setup.callerEndpoint);
+        caller.send(getRequest);
+        REQUIRE(setup.await<AttemptFinished>());
+        INFO("cut at " << cut);
+        REQUIRE(setup.result<AttemptUnknown>());
+        const bool begun = cut >= headBytes && !keepAnswer;
+        CHECK(setup.result<AttemptUnknown>()->answerBegun == begun);
+        CHECK((setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::TruncatedAnswer) == (cut >= headBytes));
+        if (begun) {
+            REQUIRE(runUntil(setup.loop, [&] { return caller.isEnded(); }));
+            CHECK(caller.wasReset());
+            CHECK_FALSE(caller.received().ends_with("0\r\n\r\n"));
+            CHECK(setup.forwarder.openRequests() == 0);
+        } else {
+            CHECK(caller.received().empty());
+            CHECK(setup.forwarder.openRequests() == 1);
+        }
+    }
+}
+
+TEST_CASE("A kept answer is passed on whole and returned, if it fits")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget(true);
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    SECTION("it fits")
+    {
+        setup.onTargetRequest = [](RawConnection &connection) { connection.send(okHead + "X-A: b\r\nContent-Length: 4\r\n\r\nteak"); };
+        caller.send(getRequest);
+        REQUIRE(setup.await<AttemptFinished>());
+        REQUIRE(setup.result<AttemptAnswered>());
+        CHECK(setup.result<AttemptAnswered>()->answer == StoredAnswer{200, {{"x-a", "b"}}, "teak"});
+        CHECK(runUntil(setup.loop, [&] { return caller.received().ends_with("\r\n\r\nteak"); }));
+    }
+    SECTION("it is too long")
+    {
+        const bool chunked = GENERATE(false, true);
+        const std::string body(200000, 'x');
+        setup.onTargetRequest = [&](RawConnection &connection) {
+            connection.send(chunked ? okHead + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + body + "\r\n0\r\n\r\n"
+                                    : okHead + "Content-Length: 200000\r\n\r\n" + body);
+        };
+        caller.send(getRequest);
+        REQUIRE(setup.await<AttemptFinished>());
+        REQUIRE(setup.result<AttemptAnswered>());
+        CHECK_FALSE(setup.result<AttemptAnswered>()->answer);
+        CHECK(runUntil(setup.loop, [&] { return caller.receivedBytes() > body.size(); }));
+    }
+    SECTION("the caller has gone")
+    {
+        setup.onTargetRequest = [&](RawConnection &) { caller.close(); };
+        caller.send(getRequest);
+        REQUIRE(setup.await<RequestCancelled>());
+        setup.target.connections()[0]->send(okHead + "Content-Length: 4\r\n\r\nteak");
+        REQUIRE(setup.await<AttemptFinished>());
+        REQUIRE(setup.result<AttemptAnswered>());
+        CHECK(setup.result<AttemptAnswered>()->answer->body == "teak");
+    }
+    CHECK(setup.forwarder.openRequests() == 0);
+}
+
+TEST_CASE("A caller that goes cancels its request once")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    SECTION("while the target works")
+    {
+        caller.send(getRequest);
+        REQUIRE(runUntil(setup.loop, [&] { return !setup.targetRequests.empty(); }));
+        caller.close();
+        REQUIRE(setup.await<RequestCancelled>());
+        CHECK(setup.all<AttemptFinished>().empty());
+        setup.forwarder.run(CancelAttempt{AttemptId(1)});
+        CHECK(setup.all<AttemptFinished>().empty());
+        REQUIRE(setup.await<AttemptFinished>());
+        CHECK_FALSE(setup.result<AttemptUnknown>()->answerBegun);
+    }
+    SECTION("in the middle of the answer")
+    {
+        setup.onTargetRequest = [&](RawConnection &connection) { connection.send(okHead + "Content-Length: 8\r\n\r\nteak"); };
+        caller.send(getRequest);
+        REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("teak"); }));
+        caller.reset();
+        REQUIRE(setup.await<RequestCancelled>());
+        setup.forwarder.run(CancelAttempt{AttemptId(1)});
+        REQUIRE(setup.await<AttemptFinished>());
+    }
+    CHECK(runUntil(setup.loop, [&] { return setup.target.connections()[0]->isEnded(); }));
+    CHECK(setup.all<RequestCancelled>().size() == 1);
+    CHECK(setup.all<AttemptFinished>().size() == 1);
+    CHECK(setup.forwarder.openRequests() == 0);
+    setup.forwarder.run(AnswerFromStore{RequestId(1), {200, {}, "late"}});
+
+    // An attempt for a request that is gone ends too, and sends nothing.
+    setup.forwarder.run(setup.toTarget(RequestId(1), 8));
+    CHECK(setup.all<AttemptFinished>().size() == 1);
+    REQUIRE(setup.await<AttemptFinished>(2));
+    CHECK(std::holds_alternative<AttemptNotRun>(setup.all<AttemptFinished>()[1].result));
+    CHECK(setup.targetRequests.size() == 1);
+}
+
+TEST_CASE("The system's own refusals state outcome and time to come again")
+{
+    ForwarderSetup setup;
+    RefuseRequest refusal;
+    refusal.reason = NotRunReason::NotOwner;
+    refusal.retryAfter = std::chrono::milliseconds(1200);
+    refusal.detail = "no \"owner\"";
+    setup.onEvent = [&](const EventBody &event) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+            refusal.request = arrived->request;
+            setup.forwarder.run(refusal);
+        }
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("}\n"); }));
+    CHECK(caller.received().starts_with("HTTP/1.1 503 "));
+    CHECK(caller.received().ends_with("\r\n\r\n{\"error\":\"no \\\"owner\\\"\",\"outcome\":\"not-run\"}\n"));
+    CHECK(contains(caller.received(), "nutmeghinge-outcome: not-run\r\n"));
+    CHECK(contains(caller.received(), "retry-after: 2\r\n"));
+    CHECK_FALSE(contains(caller.received(), "not-owner"));
+
+    RawConnection peer(setup.loop, setup.peerEndpoint);
+    peer.send("GET /a HTTP/1.1\r\nHost: d\r\nnutmeghinge-request-id: a-7\r\n\r\n");
+    REQUIRE(runUntil(setup.loop, [&] { return peer.received().ends_with("}\n"); }));
+    CHECK(contains(peer.received(), "nutmeghinge-reason: not-owner\r\n"));
+    CHECK(contains(peer.received(), "nutmeghinge-request-id: a-7\r\n"));
+
+    refusal.status = 504;
+    refusal.outcome = Outcome::Unknown;
+    refusal.retryAfter = Duration::zero();
+    refusal.detail = "broken \xff text";
+    caller.received().clear();
+    caller.send(getRequest);
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("}\n"); }));
+    CHECK(contains(caller.received(), "nutmeghinge-outcome: unknown\r\n"));
+    CHECK_FALSE(contains(caller.received(), "retry-after"));
+    CHECK(setup.forwarder.openRequests() == 0);
+}
+
+TEST_CASE("A stored answer is given again")
+{
+    ForwarderSetup setup;
+    setup.onEvent = [&](const EventBody &event) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+            setup.forwarder.run(AnswerFromStore{arrived->request, {201, {{"x-a", "b"}}, "made"}});
+        }
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("made"); }));
+    CHECK(caller.received().starts_with("HTTP/1.1 201 Created\r\n"));
+    CHECK(contains(caller.received(), "x-a: b\r\n"));
+}
+
+TEST_CASE("Attempts that reached nothing were not run")
+{
+    ForwarderSetup setup;
+    setup.onEvent = [&](const EventBody &event) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+            SendToTarget effect = setup.toTarget(arrived->request);
+            RawServer gone(setup.loop, [](RawConnection &) {});
+            effect.endpoint = gone.endpoint();
+            setup.forwarder.run(effect);
+        }
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>());
+    REQUIRE(setup.result<AttemptNotRun>());
+    CHECK(setup.result<AttemptNotRun>()->reason == NotRunReason::NotConnected);
+}
+
+TEST_CASE("Requests succeed after one deadline when all pooled connections are silent")
+{
+    constexpr std::size_t pooled = 3;
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    std::vector<RawConnection *> waiting;
+    std::vector<RawConnection *> silent;
+    setup.onTargetRequest = [&](RawConnection &connection) { waiting.push_back(&connection); };
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (std::size_t i = 0; i < pooled; ++i) {
+        callers.push_back(std::make_unique<RawConnection>(setup.loop, setup.callerEndpoint));
+        callers.back()->send(getRequest);
+    }
+    REQUIRE(runUntil(setup.loop, [&] { return waiting.size() == pooled; }));
+    const auto answer = [](RawConnection &connection) { connection.send(okHead + "Content-Length: 4\r\n\r\nteak"); };
+    std::ranges::for_each(waiting, [&](RawConnection *connection) { answer(*connection); });
+    REQUIRE(setup.await<AttemptFinished>(pooled));
+    silent = waiting;
+    setup.onTargetRequest = [&](RawConnection &connection) {
+        if (std::ranges::find(silent, &connection) == silent.end()) {
+            answer(connection);
+        }
+    };
+
+    setup.timeout = std::chrono::milliseconds(50);
+    callers[0]->send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>(pooled + 1));
+    CHECK(std::holds_alternative<AttemptUnknown>(setup.all<AttemptFinished>().back().result));
+    setup.timeout = std::chrono::seconds(30);
+    callers[1]->send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>(pooled + 2));
+    CHECK(std::holds_alternative<AttemptAnswered>(setup.all<AttemptFinished>().back().result));
+    CHECK(setup.target.connections().size() == pooled + 1);
+}
+
+TEST_CASE("A shutdown waits for a download through the forwarder")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    setup.onTargetRequest = [](RawConnection &connection) { connection.send(okHead + "Content-Length: 8\r\n\r\nwood"); };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("wood"); }));
+    bool closed = false;
+    setup.callers.shutDown([&] { closed = true; });
+    RawConnection late(setup.loop, setup.callerEndpoint);
+    REQUIRE(runUntil(setup.loop, [&] { return late.isEnded(); }));
+    CHECK_FALSE(closed);
+    setup.target.connections()[0]->send("glue");
+    CHECK(runUntil(setup.loop, [&] { return closed; }));
+    CHECK(caller.received().ends_with("woodglue"));
+    CHECK_FALSE(caller.wasReset());
+}
