--- a/src/libnutmeghinge/replicachoice.cpp
+++ b/src/libnutmeghinge/replicachoice.cpp
@@ -112,8 +112,14 @@
 
 std::optional<MemberSlot> ReplicaChoice::betterOfTwo(const std::vector<const Candidate *> &candidates)
 {
-    const Candidate *first = candidates[m_random.below(candidates.size())];
-    const Candidate *second = candidates[m_random.below(candidates.size())];
+    const std::size_t count = candidates.size();
+    if (count == 1) {
+        return candidates.front()->slot;
+    }
+    const std::size_t firstIndex = m_random.below(count);
+    const std::size_t secondIndex = (firstIndex + 1 + m_random.below(count - 1)) % count;
+    const Candidate *first = candidates[firstIndex];
+    const Candidate *second = candidates[secondIndex];
     return isFuller(*first, *second) ? second->slot : first->slot;
 }
 
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -73,6 +73,7 @@
     void beginAttempt(Request &request, Request::Destination destination, MemberSlot member, Fence fence, const Context &context);
     void endAttempt(Request &request, const AttemptFinished &finished, const Context &context);
     void noteTarget(const Request &request, const AttemptFinished &finished, const Context &context);
+    bool isTargetsFault(const Request &request, const AttemptUnknown &result, const Context &context) const;
     void finished(Request &request, const AttemptAnswered &result, const Context &context);
     void finished(Request &request, const AttemptNotRun &result, const Context &context);
     void finished(Request &request, const AttemptUnknown &result, const Context &context);
@@ -480,12 +481,20 @@
         admission.health().refusedAsFull(admission.inFlight());
         return;
     }
-    const bool isTargetsFault = notRun ? notRun->reason == NotRunReason::NotConnected : !request.cancelled;
-    if (isTargetsFault) {
+    if (notRun ? notRun->reason == NotRunReason::NotConnected : isTargetsFault(request, std::get<AttemptUnknown>(finished.result), context)) {
         admission.health().failed(context.now);
     }
 }
 
+bool RequestRouter::Private::isTargetsFault(const Request &request, const AttemptUnknown &result, const Context &context) const
+{
+    if (request.cancelled) {
+        return false;
+    }
+    // A caller in a hurry says nothing about the target.
+    return result.reason != AttemptUnknown::Reason::DeadlineExpired || context.now - request.sentAt >= document().executionLimit;
+}
+
 void RequestRouter::Private::finished(Request &request, const AttemptAnswered &result, const Context &context)
 {
     if (isFirstOfKey(request)) {
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -122,22 +122,24 @@
     const Effects &arrive(const RequestArrived &arrived) { return apply(&RequestRouter::requestArrived, arrived); }
     const Effects &cancel(std::uint64_t id) { return apply(&RequestRouter::requestCancelled, RequestCancelled{RequestId(id)}); }
     const Effects &answering(AttemptId attempt) { return apply(&RequestRouter::attemptAnswering, AttemptAnswering{attempt, 200}); }
-    const Effects &answered(AttemptId attempt, std::optional<StoredAnswer> answer = {})
+    template <typename Result>
+    const Effects &finish(AttemptId attempt, Result result)
     {
-        return apply(&RequestRouter::attemptFinished, AttemptFinished{attempt, AttemptAnswered{200, std::move(answer)}});
+        return apply(&RequestRouter::attemptFinished, AttemptFinished{attempt, std::move(result)});
     }
+    const Effects &answered(AttemptId attempt, std::optional<StoredAnswer> answer = {}) { return finish(attempt, AttemptAnswered{200, std::move(answer)}); }
     const Effects &notRun(AttemptId attempt, NotRunReason reason)
     {
         AttemptNotRun result;
         result.reason = reason;
-        return apply(&RequestRouter::attemptFinished, AttemptFinished{attempt, result});
+        return finish(attempt, result);
     }
     const Effects &unknown(AttemptId attempt, AttemptUnknown::Reason reason = AttemptUnknown::Reason::ConnectionLost, bool answerBegun = false)
     {
         AttemptUnknown result;
         result.reason = reason;
         result.answerBegun = answerBegun;
-        return apply(&RequestRouter::attemptFinished, AttemptFinished{attempt, result});
+        return finish(attempt, result);
     }
     const Effects &ownershipChanged() { return apply(&RequestRouter::ownershipChanged, Tick{}); }
     const Effects &tickAfter(Duration duration)
--- /dev/null
+++ b/tests/core/requestreplicatest.cpp
@@ -0,0 +1,107 @@
+#include "requestfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace nutmeghinge;
+using namespace nutmeghinge::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Node 1 of an undivided service; members 1 and 2 in zone north, 3 and 4 in zone south, 10 slots each. */
+class ReplicaFixture : public RouterFixture
+{
+public:
+    ReplicaFixture()
+        : RouterFixture(false, 10)
+    {
+        m_ownership.m_members.clear();
+        for (std::uint32_t slot = 1; slot <= 4; ++slot) {
+            m_ownership.addMember(MemberSlot(slot), slot <= 2 ? "north" : "south");
+            MemberLoad load;
+            load.slot = MemberSlot(slot);
+            load.slots = 10;
+            m_ownership.m_loads.push_back(load);
+        }
+        ownershipChanged();
+    }
+
+    /** Sends requests that do not end; counts them by member. */
+    std::map<std::uint32_t, std::uint32_t> spread(std::uint64_t requests)
+    {
+        std::map<std::uint32_t, std::uint32_t> counts;
+        for (std::uint64_t i = 0; i < requests; ++i) {
+            arrive(request(++m_lastRequest));
+            counts[1] += static_cast<std::uint32_t>(all<SendToTarget>().size());
+            for (const auto &forwarded : all<ForwardRequest>()) {
+                m_lastForwarded = forwarded;
+                ++counts[static_cast<std::uint32_t>(forwarded.peer.address.back() - '0')];
+            }
+        }
+        return counts;
+    }
+
+    ForwardRequest m_lastForwarded;
+
+private:
+    std::uint64_t m_lastRequest = 0;
+};
+
+} // namespace
+
+TEST_CASE("Replicas share requests evenly by slot", "[request]")
+{
+    ReplicaFixture node;
+    const auto counts = node.spread(36);
+    for (std::uint32_t slot = 1; slot <= 4; ++slot) {
+        CHECK(counts.at(slot) >= 7);
+        CHECK(counts.at(slot) <= 11);
+    }
+}
+
+TEST_CASE("Replicas of the own zone come first until they are fuller than the rest", "[request]")
+{
+    ReplicaFixture node;
+    node.m_ownership.m_loads[2].inFlight = 5;
+    node.m_ownership.m_loads[3].inFlight = 5;
+    node.ownershipChanged();
+    const auto counts = node.spread(10);
+    CHECK(counts.at(1) + counts.at(2) == 10);
+}
+
+TEST_CASE("Leaving, unhealthy and disallowed replicas get nothing", "[request]")
+{
+    ReplicaFixture node;
+    node.m_ownership.m_members[1].leaving = true;
+    node.m_ownership.m_loads[2].healthy = false;
+    node.m_ownership.m_document->shrink = {{WallTime(1s), {"target-4"}}};
+    node.ownershipChanged();
+    const auto counts = node.spread(8);
+    CHECK(counts.size() == 1);
+    CHECK(counts.at(1) == 8);
+}
+
+TEST_CASE("A replica that did not take the request is passed over", "[request]")
+{
+    ReplicaFixture node;
+    node.m_ownership.m_leaseHolds = false;
+    node.ownershipChanged();
+    node.spread(1);
+    const auto first = node.m_lastForwarded;
+    node.notRun(first.attempt, NotRunReason::Overloaded);
+    CHECK(node.only<ForwardRequest>().peer != first.peer);
+}
+
+TEST_CASE("A full target passes requests on to another replica", "[request]")
+{
+    ReplicaFixture node;
+    node.m_ownership.m_document->queue = 0;
+    node.m_ownership.m_members.resize(2);
+    node.m_ownership.m_loads[1].inFlight = 100;
+    node.ownershipChanged();
+    const auto counts = node.spread(12);
+    CHECK(counts.at(1) == 10);
+    CHECK(counts.at(2) == 2);
+}
