Read the download test's answer to its end

Cause: the test counted the head as body and could end before the answer, which a run under ASan showed as a use of a reader that was gone.

Change: the slow reader is an HttpClient receiver; the result must be Complete and the bytes exact.

--- a/tests/io/downloadmemorytest.cpp
+++ b/tests/io/downloadmemorytest.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t blockBytes = 65536;
 constexpr std::size_t warmUpBytes = 256 * blockBytes;
 constexpr std::size_t downloadBytes = 16384 * blockBytes;
-constexpr std::size_t bytesBetweenPauses = 8388608;
+constexpr std::size_t bytesBetweenPauses = 8000000;
 constexpr std::size_t growthLimitKilobytes = 1024;
 
 /** Peak resident memory since the last call of resetPeak(). */
@@ -38,7 +38,6 @@
 {
 public:
     explicit Download(ForwarderSetup &setup)
-        : m_setup(setup)
     {
         setup.onTargetRequest = [this](RawConnection &connection) {
             connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(m_size) + "\r\n\r\n");
@@ -57,33 +56,60 @@
     }
 
 private:
-    ForwarderSetup &m_setup;
     std::string m_block = std::string(blockBytes, 'x');
     std::size_t m_size = 0;
     std::size_t m_left = 0;
     RawConnection *m_connection = nullptr;
 };
 
-/** Downloads by a reader that stops again and again. */
+/** Stops reading again and again. */
+class SlowReader final : public HttpAnswerReceiver
+{
+public:
+    explicit SlowReader(ForwarderSetup &setup)
+        : m_setup(setup)
+    {
+    }
+
+    void start(const std::shared_ptr<HttpAnswerReceiver> &self)
+    {
+        m_call = m_setup.client.send({.to = m_setup.callerEndpoint, .headers = {}, .body = {}}, self);
+    }
+    void headReceived(const HttpAnswerHead &) override { }
+    bool bodyReceived(std::string_view data) override
+    {
+        m_bytes += data.size();
+        if (m_bytes < m_nextPause) {
+            return true;
+        }
+        m_nextPause += bytesBetweenPauses;
+        m_setup.loop.callLater(std::chrono::milliseconds(2), [this] { m_setup.client.resume(m_call); });
+        return false;
+    }
+    void finished(HttpCallResult result) override { m_result = result; }
+
+    std::size_t bytes() const { return m_bytes; }
+    std::optional<HttpCallResult> result() const { return m_result; }
+
+private:
+    ForwarderSetup &m_setup;
+    HttpClient::CallId m_call = 0;
+    std::size_t m_bytes = 0;
+    std::size_t m_nextPause = bytesBetweenPauses;
+    std::optional<HttpCallResult> m_result;
+};
+
 void downloadSlowly(ForwarderSetup &setup, Download &download, std::size_t size)
 {
     download.setSize(size);
-    RawConnection caller(setup.loop, setup.callerEndpoint);
-    caller.discardReceived();
-    std::size_t nextPause = bytesBetweenPauses;
-    caller.setReceivedFunction([&] {
-        if (caller.receivedBytes() >= nextPause) {
-            nextPause += bytesBetweenPauses;
-            caller.pause();
-            setup.loop.callLater(std::chrono::milliseconds(2), [&] { caller.resume(); });
-        }
-    });
-    caller.send("GET / HTTP/1.1\r\nHost: d\r\n\r\n");
+    const auto reader = std::make_shared<SlowReader>(setup);
+    reader->start(reader);
     REQUIRE(runUntil(setup.loop, [&] {
         download.sendOn();
-        return caller.receivedBytes() > size || caller.isEnded();
+        return reader->result().has_value();
     }));
-    REQUIRE_FALSE(caller.isEnded());
+    CHECK(reader->result() == HttpCallResult::Complete);
+    CHECK(reader->bytes() == size);
 }
 
 } // namespace
