Stand in for the platform and for targets with their faults

Cause: tests and the demo need a platform and targets as processes that can be down, slow, frozen, silent or wrong on demand.

Change: standin-platform keeps rows with versions, conditional transactions of many rows and immutable objects; standin-target runs requests on slots, sheds, checks fences, honours deadlines and cancellation, announces itself, streams downloads and counts each execution of an order. POST /control sets the faults; GET /control gives counts, GET /executions a flat map of order to executions. silenceConnections attaches a socket filter that drops all incoming segments, so that neither side sees an end. fence.h names a false positive of clang-tidy.

Ruled out: a relay before the target for silent connections, which would double its system calls. A check that a delayed answer takes at least 50 ms by the clock: uv counts whole milliseconds of the loop's own time and came 0.3 ms early; the test now sees that there is no answer after 40 ms and one later.

--- a/src/libnutmeghinge/fence.h
+++ b/src/libnutmeghinge/fence.h
@@ -16,7 +16,7 @@
     Term term;
     std::uint64_t sequence = 0;
 
-    friend constexpr auto operator<=>(const Fence &, const Fence &) = default;
+    friend constexpr auto operator<=>(const Fence &, const Fence &) = default; // NOLINT(modernize-use-nullptr)
     friend constexpr bool operator==(const Fence &, const Fence &) = default;
 };
 
--- /dev/null
+++ b/tests/standins/platformstandintest.cpp
@@ -0,0 +1,122 @@
+#include "platformstandin.h"
+#include "eventloop.h"
+#include "httpcaller.h"
+#include "platformclient.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using nlohmann::json;
+
+namespace {
+
+/** A stand-in and a caller on one loop. */
+class Fixture
+{
+public:
+    Fixture()
+        : endpoint(std::get<Endpoint>(platform.listen({"127.0.0.1", 0})))
+    {
+        caller.setEndpoint(endpoint);
+    }
+
+    CollectedAnswer write(const std::string &key, const std::string &value, const json &conditions = json::array())
+    {
+        return caller.post("/table/transact", {{"conditions", conditions}, {"writes", {{{"key", key}, {"value", value}}}}, {"deletes", json::array()}});
+    }
+
+    EventLoop loop;
+    PlatformStandin platform{loop};
+    HttpCaller caller{loop};
+    Endpoint endpoint;
+};
+
+} // namespace
+
+TEST_CASE("Rows have versions, and a transaction applies whole or not at all")
+{
+    Fixture fixture;
+    CHECK(fixture.caller.call("GET", "/table/rows/cell/a").status == 404);
+    REQUIRE(fixture.write("cell/a", "one").isWhole(200));
+    const json row = fixture.caller.read("/table/rows/cell/a");
+    CHECK(row.at("value") == "one");
+    const CollectedAnswer conflict =
+        fixture.caller.post("/table/transact",
+                            {{"conditions", {{{"key", "cell/a"}, {"version", row.at("version")}}, {{"key", "cell/b"}, {"version", 1}}}},
+                             {"writes", {{{"key", "cell/a"}, {"value", "two"}}, {{"key", "cell/b"}, {"value", "two"}}}},
+                             {"deletes", json::array()}});
+    CHECK(conflict.status == 409);
+    CHECK(json::parse(conflict.body).at("conflicts") == json::parse(R"([{"key":"cell/b","version":0}])"));
+    CHECK(fixture.caller.read("/table/rows/cell/a") == row);
+    REQUIRE(fixture.write("cell/b", "three", {{{"key", "cell/b"}, {"version", 0}}}).isWhole(200));
+    REQUIRE(fixture.write("member/a", "other").isWhole(200));
+    CHECK(fixture.caller.read("/table/rows?prefix=cell/").at("rows").size() == 2);
+    CHECK(fixture.caller.call("POST", "/table/transact", {}, "{}").status == 400);
+}
+
+TEST_CASE("Objects cannot be replaced")
+{
+    Fixture fixture;
+    CHECK(fixture.caller.call("GET", "/objects/documents/a/1").status == 404);
+    CHECK(fixture.caller.call("PUT", "/objects/documents/a/1", {}, "first").status == 201);
+    CHECK(fixture.caller.call("PUT", "/objects/documents/a/1", {}, "second").status == 409);
+    CHECK(fixture.caller.call("GET", "/objects/documents/a/1").body == "first");
+}
+
+TEST_CASE("The platform is down, slow, fails or loses answers as asked")
+{
+    Fixture fixture;
+    fixture.caller.post("/control", {{"failNext", 1}});
+    CHECK(fixture.write("a", "1").status == 500);
+    CHECK(fixture.caller.call("GET", "/table/rows/a").status == 404);
+    fixture.caller.post("/control", {{"dropAnswers", 1}});
+    CHECK(fixture.write("a", "2").result == HttpCallResult::ConnectionLost);
+    CHECK(fixture.caller.read("/table/rows/a").at("value") == "2");
+    fixture.caller.post("/control", {{"down", true}});
+    CHECK(fixture.caller.call("GET", "/table/rows/a").result == HttpCallResult::ConnectionLost);
+    fixture.caller.post("/control", {{"down", false}, {"delayMs", 50}});
+    const auto slow = fixture.caller.start("GET", "/table/rows/a");
+    fixture.caller.runner().runFor(std::chrono::milliseconds(40));
+    CHECK_FALSE(slow->has_value());
+    CHECK(fixture.caller.finish(slow).status == 200);
+    CHECK(fixture.caller.post("/control", {{"delayMs", -1}}).status == 400);
+    CHECK(fixture.caller.read("/control").at("writes") == 2);
+}
+
+TEST_CASE("The platform client and the stand-in agree on the protocol")
+{
+    Fixture fixture;
+    std::vector<EventBody> events;
+    PlatformClient client(fixture.loop, fixture.caller.client(), fixture.endpoint, [&](EventBody event) { events.push_back(std::move(event)); });
+    const auto next = [&] {
+        REQUIRE(fixture.caller.runner().runUntil([&] { return !events.empty(); }));
+        EventBody event = std::move(events.front());
+        events.clear();
+        return event;
+    };
+    const ServiceName service("advice desk/ä");
+    CellRow row;
+    row.service = service;
+    client.run(WriteCellRow{RowVersion(0), row});
+    const RowVersion version = std::get<RowWritten>(std::get<CellRowWriteFinished>(next()).result).version;
+    client.run(WriteCellRow{RowVersion(0), row});
+    CHECK(std::holds_alternative<WriteConflict>(std::get<CellRowWriteFinished>(next()).result));
+    client.run(ReadCellRow{service});
+    const auto read = std::get<VersionedCellRow>(std::get<CellRowRead>(next()).result);
+    CHECK(read.version == version);
+    CHECK(read.row == row);
+    client.run(ReadCells{});
+    CHECK(std::get<std::vector<CellRow>>(std::get<CellsRead>(next()).result).size() == 1);
+    Member member;
+    member.node = NodeName("node-1");
+    client.run(WriteMemberRow{service, member});
+    CHECK(std::holds_alternative<RowWritten>(std::get<MemberRowWriteFinished>(next()).result));
+    client.run(ReadMemberRows{service});
+    CHECK(std::get<std::vector<Member>>(std::get<MemberRowsRead>(next()).result) == std::vector<Member>{member});
+    client.run(ReadDocument{service, DocumentRevision(0)});
+    CHECK(std::holds_alternative<RowAbsent>(std::get<DocumentRead>(next()).result));
+    fixture.caller.call("PUT", "/objects/documents/1", {}, "text");
+    fixture.write("document/" + service.value(), R"({"revision":1,"object":"documents/1"})");
+    client.run(ReadDocument{service, DocumentRevision(0)});
+    CHECK(std::get<DocumentCopy>(std::get<DocumentRead>(next()).result) == DocumentCopy{DocumentRevision(1), "text"});
+}
--- /dev/null
+++ b/tests/standins/targetannouncer.cpp
@@ -0,0 +1,53 @@
+#include "targetannouncer.h"
+
+#include "endpointtext.h"
+#include "eventloop.h"
+#include "httpanswercollector.h"
+#include "jsonreader.h"
+
+#include <spdlog/spdlog.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr Duration interval = std::chrono::seconds(1);
+constexpr std::size_t answerLimitBytes = 4096;
+
+} // namespace
+
+TargetAnnouncer::TargetAnnouncer(EventLoop &loop, Endpoint node, ContentFunction content)
+    : m_loop(loop)
+    , m_client(loop, 0)
+    , m_node(std::move(node))
+    , m_content(std::move(content))
+{
+    m_loop.callEvery(interval, [this, alive = std::weak_ptr<void>(m_alive)] {
+        if (!alive.expired()) {
+            announce();
+        }
+    });
+}
+
+void TargetAnnouncer::announce()
+{
+    const std::optional<nlohmann::json> content = m_content();
+    if (!content) {
+        return;
+    }
+    HttpClientRequest request;
+    request.to = m_node;
+    request.method = "POST";
+    request.path = "/announce";
+    request.headers = {{"host", endpointToText(m_node)}, {"content-type", "application/json"}};
+    request.body = std::make_shared<const std::string>(jsonToText(*content));
+    request.deadline = m_loop.now() + interval;
+    const auto finished = [](const CollectedAnswer &answer) {
+        if (!answer.isWhole(204)) {
+            spdlog::warn("announcement failed with result {} and status {}: {}", static_cast<int>(answer.result), answer.status, answer.body);
+        }
+    };
+    m_client.send(std::move(request), std::make_shared<HttpAnswerCollector>(answerLimitBytes, finished));
+}
+
+} // namespace nutmeghinge
