Move the start and end of attempts out of the request router

RequestAttempts starts and ends attempts and keeps the counts that go with them; no change in behaviour.

--- /dev/null
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -0,0 +1,129 @@
+#include "requestattempts.h"
+
+#include "effectlist.h"
+#include "replicachoice.h"
+#include "requestreplies.h"
+#include "requesttable.h"
+#include "targetadmission.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+bool countsForReplica(const Request &request)
+{
+    return !request.divided && request.destination != Request::Destination::OtherCell;
+}
+
+bool isTargetsFault(const Request &request, const AttemptUnknown &result, Duration executionLimit, MonotonicTime now)
+{
+    if (request.cancelled) {
+        return false;
+    }
+    // A caller in a hurry says nothing about the target.
+    return result.reason != AttemptUnknown::Reason::DeadlineExpired || now - request.sentAt >= executionLimit;
+}
+
+} // namespace
+
+RequestAttempts::RequestAttempts(RequestTable &table, TargetAdmission &admission, ReplicaChoice &replicas, RequestReplies &replies)
+    : m_table(table)
+    , m_admission(admission)
+    , m_replicas(replicas)
+    , m_replies(replies)
+{
+}
+
+void RequestAttempts::sendToTarget(Request &request,
+                                   const RouteToTarget &target,
+                                   MemberSlot self,
+                                   MonotonicTime deadline,
+                                   MonotonicTime now,
+                                   EffectList &effects)
+{
+    request.shard = target.shard;
+    begin(request, Request::Destination::Target, self, target.fence, now, effects);
+    m_admission.started(request);
+    SendToTarget effect;
+    effect.request = request.id;
+    effect.attempt = request.attempt;
+    effect.endpoint = m_admission.health().endpoint();
+    effect.shard = target.shard;
+    effect.fence = target.fence;
+    effect.deadline = deadline;
+    effect.keepAnswer = !request.deduplicationKey.empty();
+    effect.freshConnection = request.freshConnection;
+    m_replies.record(TimelineRecord::Kind::RequestSentToTarget, request, effects);
+    effects.add(std::move(effect));
+}
+
+void RequestAttempts::forward(Request &request, const RouteToMember &to, MonotonicTime now, EffectList &effects)
+{
+    const auto destination = request.otherHost.empty() ? Request::Destination::Member : Request::Destination::OtherCell;
+    begin(request, destination, to.member->slot, to.fence, now, effects);
+    ++m_replies.counters().forwarded;
+    ForwardRequest effect;
+    effect.request = request.id;
+    effect.attempt = request.attempt;
+    effect.peer = to.member->peerEndpoint;
+    effect.deadline = request.deadline;
+    effect.hops = request.hops + 1;
+    effect.freshConnection = request.freshConnection;
+    m_replies.record(TimelineRecord::Kind::RequestForwarded, request, effects);
+    effects.add(std::move(effect));
+}
+
+void RequestAttempts::begin(Request &request, Request::Destination destination, MemberSlot member, Fence fence, MonotonicTime now, EffectList &effects)
+{
+    if (request.attempts > 0) {
+        ++m_replies.counters().retries;
+        m_replies.record(TimelineRecord::Kind::RequestRetried, request, effects);
+    }
+    m_table.beginAttempt(request);
+    request.state = Request::State::Running;
+    request.destination = destination;
+    request.member = member;
+    request.fence = fence;
+    request.sentAt = now;
+    request.answerBegun = false;
+    request.replaced = false;
+    if (countsForReplica(request)) {
+        m_replicas.started(member);
+    }
+}
+
+void RequestAttempts::end(Request &request, const AttemptFinished &finished, Duration executionLimit, MonotonicTime now)
+{
+    m_table.endAttempt(request);
+    request.state = Request::State::Routing;
+    if (countsForReplica(request)) {
+        m_replicas.ended(request.member);
+    }
+    if (request.destination == Request::Destination::Target) {
+        learnOfTarget(request, finished, executionLimit, now);
+        m_admission.ended(request);
+    }
+}
+
+void RequestAttempts::learnOfTarget(const Request &request, const AttemptFinished &finished, Duration executionLimit, MonotonicTime now)
+{
+    if (std::holds_alternative<AttemptAnswered>(finished.result)) {
+        m_admission.answered(request, now);
+        return;
+    }
+    const auto *unknown = std::get_if<AttemptUnknown>(&finished.result);
+    if (unknown) {
+        if (isTargetsFault(request, *unknown, executionLimit, now)) {
+            m_admission.health().failed(now);
+        }
+        return;
+    }
+    const NotRunReason reason = std::get<AttemptNotRun>(finished.result).reason;
+    if (reason == NotRunReason::Overloaded) {
+        m_admission.health().refusedAsFull(m_admission.inFlight());
+    } else if (reason == NotRunReason::NotConnected) {
+        m_admission.health().failed(now);
+    }
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -8,6 +8,7 @@
 #include "member.h"
 #include "ownershipmap.h"
 #include "ownershipview.h"
+#include "requestattempts.h"
 #include "requestintake.h"
 #include "requestreplies.h"
 #include "requesttable.h"
@@ -69,11 +70,6 @@
 
     // Attempts.
     void sendToTarget(Request &request, const RouteToTarget &target, const Context &context);
-    void forward(Request &request, const RouteToMember &to, const Context &context);
-    void beginAttempt(Request &request, Request::Destination destination, MemberSlot member, Fence fence, const Context &context);
-    void endAttempt(Request &request, const AttemptFinished &finished, const Context &context);
-    void noteTarget(const Request &request, const AttemptFinished &finished, const Context &context);
-    bool isTargetsFault(const Request &request, const AttemptUnknown &result, const Context &context) const;
     void finished(Request &request, const AttemptAnswered &result, const Context &context);
     void finished(Request &request, const AttemptNotRun &result, const Context &context);
     void finished(Request &request, const AttemptUnknown &result, const Context &context);
@@ -111,6 +107,7 @@
     RetryPolicy retries;
     DeduplicationMemory memory;
     RequestReplies replies;
+    RequestAttempts attempts{table, admission, planner.replicas(), replies};
     LoadMeter loadMeter;
     HeavyKeys heavyKeys;
     std::optional<MonotonicTime> loadSince;
@@ -215,7 +212,7 @@
     if (!request) {
         return;
     }
-    m_d->endAttempt(*request, finished, context);
+    m_d->attempts.end(*request, finished, m_d->document().executionLimit, event.at);
     std::visit([&](const auto &result) { m_d->finished(*request, result, context); }, finished.result);
     m_d->drainQueue(context);
 }
@@ -314,7 +311,7 @@
     }
     const auto *to = std::get_if<RouteToMember>(&route);
     if (to && request.hops < maximumHops) {
-        forward(request, *to, context);
+        attempts.forward(request, *to, context.now, context.effects);
         return;
     }
     if (request.hops > 0) {
@@ -403,96 +400,10 @@
         finished(request, result, context);
         return;
     }
-    request.shard = target.shard;
-    beginAttempt(request, Request::Destination::Target, ownership->self(), target.fence, context);
-    admission.started(request);
     if (hasMemory(request)) {
         memory.begin(request);
     }
-    SendToTarget effect;
-    effect.request = request.id;
-    effect.attempt = request.attempt;
-    effect.endpoint = admission.health().endpoint();
-    effect.shard = target.shard;
-    effect.fence = target.fence;
-    effect.deadline = deadline;
-    effect.keepAnswer = hasMemory(request);
-    effect.freshConnection = request.freshConnection;
-    replies.record(TimelineRecord::Kind::RequestSentToTarget, request, context.effects);
-    context.effects.add(std::move(effect));
-}
-
-void RequestRouter::Private::forward(Request &request, const RouteToMember &to, const Context &context)
-{
-    const auto destination = request.otherHost.empty() ? Request::Destination::Member : Request::Destination::OtherCell;
-    beginAttempt(request, destination, to.member->slot, to.fence, context);
-    ++replies.counters().forwarded;
-    ForwardRequest effect;
-    effect.request = request.id;
-    effect.attempt = request.attempt;
-    effect.peer = to.member->peerEndpoint;
-    effect.deadline = request.deadline;
-    effect.hops = request.hops + 1;
-    effect.freshConnection = request.freshConnection;
-    replies.record(TimelineRecord::Kind::RequestForwarded, request, context.effects);
-    context.effects.add(std::move(effect));
-}
-
-void RequestRouter::Private::beginAttempt(Request &request, Request::Destination destination, MemberSlot member, Fence fence, const Context &context)
-{
-    if (request.attempts > 0) {
-        ++replies.counters().retries;
-        replies.record(TimelineRecord::Kind::RequestRetried, request, context.effects);
-    }
-    table.beginAttempt(request);
-    request.state = Request::State::Running;
-    request.destination = destination;
-    request.member = member;
-    request.fence = fence;
-    request.sentAt = context.now;
-    request.answerBegun = false;
-    request.replaced = false;
-    if (!request.divided && destination != Request::Destination::OtherCell) {
-        planner.replicas().started(member);
-    }
-}
-
-void RequestRouter::Private::endAttempt(Request &request, const AttemptFinished &finished, const Context &context)
-{
-    table.endAttempt(request);
-    request.state = Request::State::Routing;
-    if (!request.divided && request.destination != Request::Destination::OtherCell) {
-        planner.replicas().ended(request.member);
-    }
-    if (request.destination == Request::Destination::Target) {
-        noteTarget(request, finished, context);
-        admission.ended(request);
-    }
-}
-
-void RequestRouter::Private::noteTarget(const Request &request, const AttemptFinished &finished, const Context &context)
-{
-    if (std::holds_alternative<AttemptAnswered>(finished.result)) {
-        admission.answered(request, context.now);
-        return;
-    }
-    const auto *notRun = std::get_if<AttemptNotRun>(&finished.result);
-    if (notRun && notRun->reason == NotRunReason::Overloaded) {
-        admission.health().refusedAsFull(admission.inFlight());
-        return;
-    }
-    if (notRun ? notRun->reason == NotRunReason::NotConnected : isTargetsFault(request, std::get<AttemptUnknown>(finished.result), context)) {
-        admission.health().failed(context.now);
-    }
-}
-
-bool RequestRouter::Private::isTargetsFault(const Request &request, const AttemptUnknown &result, const Context &context) const
-{
-    if (request.cancelled) {
-        return false;
-    }
-    // A caller in a hurry says nothing about the target.
-    return result.reason != AttemptUnknown::Reason::DeadlineExpired || context.now - request.sentAt >= document().executionLimit;
+    attempts.sendToTarget(request, target, ownership->self(), deadline, context.now, context.effects);
 }
 
 void RequestRouter::Private::finished(Request &request, const AttemptAnswered &result, const Context &context)
--- a/tests/core/requestpropertytest.cpp
+++ b/tests/core/requestpropertytest.cpp
@@ -7,7 +7,8 @@
 #include <array>
 #include <deque>
 #include <map>
-#include <set>
+#include <unordered_map>
+#include <unordered_set>
 
 using namespace nutmeghinge;
 using namespace nutmeghinge::test;
@@ -249,7 +250,7 @@
         take(node, m_nodes[node].ownershipChanged());
     }
 
-    void take(std::size_t node, Effects effects)
+    void take(std::size_t node, const Effects &effects)
     {
         for (const Effect &effect : effects) {
             std::visit([&](const auto &one) { on(node, one); }, effect);
@@ -373,9 +374,9 @@
     std::size_t m_owner = 0;
     bool m_releasing = false;
     std::vector<Origin> m_origins;
-    std::map<RequestId, std::size_t> m_originOf;
+    std::unordered_map<RequestId, std::size_t> m_originOf;
     std::deque<Attempt> m_attempts;
-    std::set<RequestId> m_ran;
+    std::unordered_set<RequestId> m_ran;
     std::map<std::string, std::uint32_t> m_runsOfKey;
     std::uint64_t m_lastRequest = 0;
 };
