Let a download outlast the deadline of its request

Cause: the deadline of an attempt, 10 s by default, also ended an answer that was on its way, so a large datasheet for a slow reader was cut. The progress timeout of 5 s cut an order that works in silence.

Change: for safe methods the deadline holds until the head of the answer; after it, time without progress is bounded. For other methods the deadline alone bounds the attempt.

Ruled out: no bound on progress at all, because a silent connection would then hold a request for ever.

--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -42,6 +42,8 @@
     /** Do not use a pooled connection. */
     bool freshConnection = false;
     MonotonicTime deadline = MonotonicTime::max();
+    /** The deadline holds for the head of the answer; its body may take longer while there is progress. */
+    bool deadlineForHeadOnly = false;
     Duration connectTimeout{std::chrono::milliseconds(500)};
     /** Longest time without a byte in either direction, while the reader is not paused. */
     Duration progressTimeout{std::chrono::seconds(5)};
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -287,6 +287,12 @@
     m_lastChance = false;
 }
 
+MonotonicTime HttpClientConnection::deadline() const
+{
+    const HttpClientRequest &request = m_exchange->request;
+    return m_headComplete && request.deadlineForHeadOnly ? MonotonicTime::max() : request.deadline;
+}
+
 void HttpClientConnection::armTimer()
 {
     Duration wait = idleLifetime;
@@ -294,10 +300,8 @@
         const HttpClientRequest &request = m_exchange->request;
         const MonotonicTime now = m_loop.now();
         const Duration patience = m_state == State::Connecting ? request.connectTimeout : request.progressTimeout;
-        wait = std::min(m_lastProgress + patience, request.deadline) - now;
-        if (m_paused) {
-            wait = std::min(request.deadline - now, patience);
-        }
+        const MonotonicTime progressEnd = (m_paused ? now : m_lastProgress) + patience;
+        wait = std::min(progressEnd, deadline()) - now;
     }
     const auto onTimer = [](uv_timer_t *timer) { static_cast<HttpClientConnection *>(timer->data)->timerFired(); };
     uv_timer_start(&m_timer, onTimer, millisecondsUntil(wait), 0);
@@ -313,7 +317,7 @@
     const HttpClientRequest &request = m_exchange->request;
     const MonotonicTime now = m_loop.now();
     if (m_state == State::Connecting) {
-        if (now >= std::min(request.deadline, m_lastProgress + request.connectTimeout)) {
+        if (now >= std::min(deadline(), m_lastProgress + request.connectTimeout)) {
             end(HttpCallResult::NotConnected);
             return;
         }
@@ -325,7 +329,7 @@
         m_unsent = unsent;
         noteProgress();
     }
-    if (now >= request.deadline) {
+    if (now >= deadline()) {
         end(HttpCallResult::DeadlineExpired);
     } else if (!m_paused && now >= m_lastProgress + request.progressTimeout) {
         progressExpired();
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -74,6 +74,8 @@
     void timerFired();
     void progressExpired();
     void noteProgress();
+    /** Deadline of what is awaited now. */
+    MonotonicTime deadline() const;
     void armTimer();
     void end(HttpCallResult result);
     bool isAlive() const;
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t keepLimitBytes = 65536;
+constexpr Duration safeProgressTimeout = std::chrono::seconds(5);
 
 std::string formatFence(const Fence &fence)
 {
@@ -28,6 +29,12 @@
     return std::to_string(device()) + '-';
 }
 
+/** Safe methods (RFC 9110, 9.2.1). */
+bool isSafe(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
 /** Whether the connection may be silent: nothing was heard on it. */
 bool suggestsSilence(HttpCallResult result)
 {
@@ -122,8 +129,10 @@
 
 HttpClientRequest RequestForwarder::Private::makeRequest(const ForwardedRequest &request, const Destination &destination, HttpHeaders headers) const
 {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(destination.deadline - loop.now());
-    headers.emplace_back(wire::deadline, std::to_string(std::max<std::int64_t>(0, left.count())));
+    const Duration timeLeft = std::max(Duration::zero(), destination.deadline - loop.now());
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft);
+    const bool safe = isSafe(request.method());
+    headers.emplace_back(wire::deadline, std::to_string(left.count()));
     headers.emplace_back("host", request.host());
     std::ranges::copy(request.headers(), std::back_inserter(headers));
     return {.to = destination.endpoint,
@@ -132,7 +141,10 @@
             .headers = std::move(headers),
             .body = request.body(),
             .freshConnection = destination.freshConnection,
-            .deadline = destination.deadline};
+            .deadline = destination.deadline,
+            // A safe request can be tried again; another one may work in silence for as long as it is allowed to.
+            .deadlineForHeadOnly = safe,
+            .progressTimeout = safe ? safeProgressTimeout : std::max(safeProgressTimeout, timeLeft)};
 }
 
 void RequestForwarder::Private::attemptEnded(AttemptId attempt, const Endpoint &endpoint, HttpCallResult result)
--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -388,6 +388,34 @@
     CHECK(setup.target.connections().size() == pooled + 1);
 }
 
+TEST_CASE("The deadline ends an answer that has begun only where the request is not safe")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    setup.timeout = std::chrono::milliseconds(60);
+    setup.onTargetRequest = [&](RawConnection &connection) {
+        connection.send(okHead + "Content-Length: 8\r\n\r\nwood");
+        setup.loop.callLater(std::chrono::milliseconds(200), [&connection] { connection.send("glue"); });
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    SECTION("safe")
+    {
+        caller.send(getRequest);
+        REQUIRE(setup.await<AttemptFinished>());
+        CHECK(setup.result<AttemptAnswered>());
+        CHECK(runUntil(setup.loop, [&] { return caller.received().ends_with("woodglue"); }));
+    }
+    SECTION("not safe")
+    {
+        caller.send("POST /a HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(setup.await<AttemptFinished>());
+        REQUIRE(setup.result<AttemptUnknown>());
+        CHECK(setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::DeadlineExpired);
+        CHECK(setup.result<AttemptUnknown>()->answerBegun);
+        CHECK(runUntil(setup.loop, [&] { return caller.wasReset(); }));
+    }
+}
+
 TEST_CASE("A shutdown waits for a download through the forwarder")
 {
     ForwarderSetup setup;
