Refuse a repeat whose first request may have run at a lost owner

An owner that takes over by loss has no memory of the keys its predecessor ran, so a caller that was told "unknown" and repeated its Idempotency-Key could have its order run twice. The node that forwarded the first request now remembers whom it asked, and a node that lost a shard still looks into its own memory before it forwards: a repeat of such a key is refused as "unknown" unless the owner is the one that knows. A repeat that comes in at a third node is still run as new; the header states the bound. Ruled out: asking the owner to run a repeat only from memory, which needs a flag between nodes and protects no more callers.

Seen to fail in a scratch copy without the check of the forwards (requestduplicatetest.cpp:132, the successor was sent the repeat).

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -16,6 +16,7 @@
 #include "routeplanner.h"
 #include "shardof.h"
 #include "targetadmission.h"
+#include "unknownforwards.h"
 #include "wakequeue.h"
 
 #include <algorithm>
@@ -77,6 +78,7 @@
 
     // Duplicates.
     bool answerAsDuplicate(Request &request, const Context &context);
+    bool mayHaveRunElsewhere(const Request &request, const Route &route, const Context &context) const;
     void join(Request &request, RequestId first, const Context &context);
     bool hasMemory(const Request &request) const { return !request.deduplicationKey.empty(); }
     /** The deduplication memory holds the request as the running one of its key. */
@@ -106,6 +108,7 @@
     RoutePlanner planner;
     RetryPolicy retries;
     DeduplicationMemory memory;
+    UnknownForwards unknownForwards;
     RequestReplies replies;
     RequestAttempts attempts{table, admission, planner.replicas(), replies};
     LoadMeter loadMeter;
@@ -292,6 +295,7 @@
 void RequestRouter::Private::setBounds()
 {
     memory.setBounds(document().deduplicationEntries, document().deduplicationWindow);
+    unknownForwards.setBounds(document().deduplicationEntries, document().deduplicationWindow);
 }
 
 void RequestRouter::Private::route(Request &request, const Context &context)
@@ -301,10 +305,18 @@
         refuse(request, {503, NotRunReason::DeadlineExpired, retryAfterWithoutOwner, "deadline expired"}, context);
         return;
     }
+    if (answerAsDuplicate(request, context)) {
+        return;
+    }
     if (!request.divided) {
         planner.replicas().setOwnTarget(admission.queue().size(), admission.health().isHealthy(context.now));
     }
     const Route route = planner.plan(request, *ownership, context.now, context.wallTime);
+    if (mayHaveRunElsewhere(request, route, context)) {
+        request.unknown = true;
+        refuse(request, {502, NotRunReason::Overloaded, {}, "the key's first request may have run at an earlier owner"}, context);
+        return;
+    }
     if (const auto *target = std::get_if<RouteToTarget>(&route)) {
         admit(request, *target, context);
         return;
@@ -331,9 +343,6 @@
             heavyKeys.count(request.keyHash);
         }
     }
-    if (answerAsDuplicate(request, context)) {
-        return;
-    }
     if (admission.queue().isEmpty() && admission.hasFreeSlot(document(), context.now)) {
         sendToTarget(request, target, context);
         return;
@@ -457,6 +466,9 @@
             refuse(joined, {502, NotRunReason::Overloaded, {}, "the outcome of the key's first request is unknown"}, context);
         });
     }
+    if (hasMemory(request) && request.destination == Request::Destination::Member) {
+        unknownForwards.remember(request.deduplicationKey, request.member, context.now);
+    }
     request.unknown = true;
     request.freshConnection = true;
     if (request.cancelled) {
@@ -528,6 +540,15 @@
     return true;
 }
 
+bool RequestRouter::Private::mayHaveRunElsewhere(const Request &request, const Route &route, const Context &context) const
+{
+    if (!hasMemory(request) || !request.divided || std::holds_alternative<NoRoute>(route)) {
+        return false;
+    }
+    const auto *to = std::get_if<RouteToMember>(&route);
+    return unknownForwards.mayHaveRunElsewhere(request.deduplicationKey, to ? to->member->slot : ownership->self(), context.now);
+}
+
 void RequestRouter::Private::join(Request &request, RequestId first, const Context &context)
 {
     Request *running = table.find(first);
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -39,9 +39,12 @@
  * A caller's own repeat of a non-idempotent request is recognised by its
  * Idempotency-Key at the node that owns the request's key. This memory moves
  * with a planned handover. It holds document.deduplicationEntries entries for
- * document.deduplicationWindow, and it is lost with its node: a repeat past
- * these bounds is run as a new request. For a service that is not divided by key
- * the memory holds for each node alone.
+ * document.deduplicationWindow, and it is lost with its node. The node that
+ * forwarded a request without learning its outcome refuses a repeat as "unknown"
+ * when the key has another owner by then. Past these bounds, also for a repeat
+ * that comes in at another node after the owner was lost, a repeat is run as a
+ * new request. For a service that is not divided by key the memory holds for
+ * each node alone.
  *
  * A request may be forwarded twice: by a node of another service to any member
  * of the cell, and by that member to the owner. A node that got the request from
--- a/tests/core/requestduplicatetest.cpp
+++ b/tests/core/requestduplicatetest.cpp
@@ -109,6 +109,44 @@
     CHECK(to.all<SendToTarget>().size() == 1);
 }
 
+TEST_CASE("A repeat is not run by a successor of the node that may have run the first", "[request]")
+{
+    RouterFixture node;
+    node.m_ownership.addMember(MemberSlot(3), "east");
+    node.m_ownership.own(MemberSlot(2));
+    node.ownershipChanged();
+    node.arrive(RouterFixture::request(1, "POST", "claim-1"));
+    node.unknown(node.only<ForwardRequest>().attempt);
+    CHECK(node.only<RefuseRequest>().outcome == Outcome::Unknown);
+
+    SECTION("the same owner knows what became of it")
+    {
+        node.arrive(RouterFixture::request(2, "POST", "claim-1"));
+        CHECK(node.all<ForwardRequest>().size() == 1);
+    }
+    SECTION("another owner is not asked, nor this node's target")
+    {
+        node.m_ownership.own(MemberSlot(GENERATE(1U, 3U)));
+        node.ownershipChanged();
+        node.arrive(RouterFixture::request(2, "POST", "claim-1"));
+        CHECK(node.only<RefuseRequest>().status == 502);
+        CHECK(node.only<RefuseRequest>().outcome == Outcome::Unknown);
+        node.arrive(RouterFixture::request(3, "POST", "claim-2"));
+        CHECK(node.all<RefuseRequest>().empty());
+    }
+}
+
+TEST_CASE("A node that lost the shard still knows what it ran", "[request]")
+{
+    RouterFixture node;
+    node.arrive(RouterFixture::request(1, "POST", "claim-1"));
+    node.unknown(node.only<SendToTarget>().attempt);
+    node.m_ownership.own(MemberSlot(2));
+    node.ownershipChanged();
+    node.arrive(RouterFixture::request(2, "POST", "claim-1"));
+    CHECK(node.only<RefuseRequest>().outcome == Outcome::Unknown);
+}
+
 TEST_CASE("The memory is bounded: the oldest finished go first, what runs stays", "[request]")
 {
     DeduplicationMemory memory;
