Tell the target's load apart from what a node forwards

runningRequests() counts also what a node forwards for its callers. Used as the load of its target, it turns requests away from a node whose callers are busy while its target is idle. targetRequests() counts what the target runs and what waits for its slots.

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -244,6 +244,11 @@
     return static_cast<std::uint32_t>(m_d->table.size());
 }
 
+std::uint32_t RequestRouter::targetRequests() const
+{
+    return m_d->admission.inFlight() + m_d->admission.queue().size();
+}
+
 MemberLoad RequestRouter::takeLoad(MonotonicTime now)
 {
     const Duration elapsed = now - m_d->loadSince.value_or(now);
--- a/src/libnutmeghinge/shardactivity.h
+++ b/src/libnutmeghinge/shardactivity.h
@@ -26,6 +26,8 @@
     virtual std::uint32_t blockingRequests(ShardIndex shard) const = 0;
     /** Requests on this node that have not ended, of any kind. */
     virtual std::uint32_t runningRequests() const = 0;
+    /** Requests that the target beside this node runs or that wait for its slots; without those forwarded to other nodes. */
+    virtual std::uint32_t targetRequests() const { return runningRequests(); }
     /** Load since the last call. */
     virtual MemberLoad takeLoad(MonotonicTime now) = 0;
     /** Deduplication memory of the shard, for a handover. */
--- a/tests/core/requestadmissiontest.cpp
+++ b/tests/core/requestadmissiontest.cpp
@@ -196,6 +196,18 @@
     }
 }
 
+TEST_CASE("Requests forwarded to other nodes are no load of the target", "[request]")
+{
+    RouterFixture node;
+    fillSlots(node, 1, 4);
+    node.arrive(RouterFixture::request(5));
+    CHECK(node.m_router.targetRequests() == 5);
+    node.m_ownership.own(MemberSlot(2));
+    node.ownershipChanged();
+    CHECK(node.m_router.targetRequests() == 4);
+    CHECK(node.m_router.runningRequests() == 5);
+}
+
 TEST_CASE("The load names rates by shard and the heaviest keys", "[request]")
 {
     RouterFixture node(true, 100);
