Run the whole path as separate processes

Cause: the packages stood side by side without a process. Ruled out: timers of the reducer's own; a tick each 10 ms serves all of them. Conclusion: the thin path stands; settings are read without checks until their parser lands.

--- a/src/libnutmeghinge/timelinerecord.cpp
+++ b/src/libnutmeghinge/timelinerecord.cpp
@@ -19,6 +19,24 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+std::string toText(const TimelineRecord &record)
+{
+    std::string text(nameOf(record.kind));
+    const auto append = [&](std::string_view name, const auto &field) {
+        if (field) {
+            text.append(" ").append(name).append("=").append(std::to_string(field->value()));
+        }
+    };
+    append("request", record.request);
+    append("shard", record.shard);
+    append("member", record.member);
+    append("document", record.document);
+    if (record.fence) {
+        text += " fence=" + std::to_string(record.fence->term.value()) + '.' + std::to_string(record.fence->sequence);
+    }
+    return record.detail.empty() ? text : text + ' ' + record.detail;
+}
+
 bool isAboutRequest(TimelineRecord::Kind kind)
 {
     return kind >= TimelineRecord::Kind::RequestArrived && kind <= TimelineRecord::Kind::DuplicateAnswered;
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -67,6 +67,8 @@
 
 /** Name of the kind, as the time line shows it. */
 std::string_view nameOf(TimelineRecord::Kind kind);
+/** One line for logs: kind, ids and detail. */
+std::string toText(const TimelineRecord &record);
 /** The kind tells of one request, and not of the node or its cell. */
 bool isAboutRequest(TimelineRecord::Kind kind);
 
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -103,6 +103,8 @@
     }
     event.timeout = timeoutOfMilliseconds(numberIn(received, wire::deadline));
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
+    event.time.wall = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(numberIn(received, wire::clockMilliseconds).value_or(0))));
+    event.time.counter = static_cast<std::uint32_t>(numberIn(received, wire::clockCounter).value_or(0));
     return event;
 }
 
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -211,7 +211,9 @@
 
 void RequestForwarder::run(const ForwardRequest &effect)
 {
-    const HttpHeaders headers{{std::string(wire::hops), std::to_string(effect.hops)}};
+    const HttpHeaders headers{{std::string(wire::hops), std::to_string(effect.hops)},
+                              {std::string(wire::clockMilliseconds), std::to_string(effect.time.wall.time_since_epoch().count())},
+                              {std::string(wire::clockCounter), std::to_string(effect.time.counter)}};
     const Private::Destination peer{
         .kind = AttemptDestination::Peer, .endpoint = effect.peer, .deadline = effect.deadline, .freshConnection = effect.freshConnection, .keepAnswer = false};
     m_d->start(effect.request, effect.attempt, peer, headers);
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -15,6 +15,9 @@
 inline constexpr std::string_view deadline = "nutmeghinge-deadline-ms";
 /** Node to node: times that the request was forwarded. */
 inline constexpr std::string_view hops = "nutmeghinge-hops";
+/** Node to node: the sender's hybrid clock, milliseconds of the time of day and counter. */
+inline constexpr std::string_view clockMilliseconds = "nutmeghinge-clock-ms";
+inline constexpr std::string_view clockCounter = "nutmeghinge-clock-counter";
 /** Node to target: shard of the request's key. */
 inline constexpr std::string_view shard = "nutmeghinge-shard";
 /** Node to target: fence of the shard's grant, "TERM.SEQUENCE". */
--- /dev/null
+++ b/src/nutmeghinge/node.cpp
@@ -0,0 +1,280 @@
+#include "node.h"
+
+#include "document.h"
+#include "httpexchange.h"
+#include "shardof.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(10);
+constexpr std::size_t idleConnectionsPerEndpoint = 64;
+/** Above any document's limit; the document's own is checked by the reducer. */
+constexpr std::uint64_t bodyLimitBytes = 16777216;
+
+/** Joins function objects into one, for std::visit. */
+template <typename... Functions>
+struct Overloaded : Functions... {
+    using Functions::operator()...;
+};
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+std::string toText(const Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
+std::uint64_t readSince(const std::string &query)
+{
+    constexpr std::string_view name = "since=";
+    std::uint64_t since = 0;
+    if (query.starts_with(name)) {
+        std::from_chars(query.data() + name.size(), query.data() + query.size(), since);
+    }
+    return since;
+}
+
+nlohmann::json toJsonObject(const Member &member)
+{
+    return {
+        {"slot", member.slot.value()},
+        {"node", member.node.value()},
+        {"incarnation", member.incarnation.value()},
+        {"target", member.target.value()},
+        {"zone", member.zone.value()},
+        {"peers", toText(member.peerEndpoint)},
+        {"control", toText(member.controlEndpoint)},
+        {"operations", toText(member.operationsEndpoint)},
+        {"leaving", member.leaving},
+    };
+}
+
+} // namespace
+
+Node::Node(EventLoop &loop, NodeSettings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_client(loop, idleConnectionsPerEndpoint)
+    , m_forwarder(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_targetClient(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_platformClient(loop, m_client, m_settings.platform, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_peerLink(loop, [this](PeerMessageArrived message) { dispatch(std::move(message)); })
+    , m_callerServer(loop,
+                     HttpServer::Options{bodyLimitBytes, "callers"},
+                     [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Caller); })
+    , m_peerServer(loop,
+                   HttpServer::Options{bodyLimitBytes, "peers"},
+                   [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); })
+    , m_announcementServer(loop, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_operationsServer(loop)
+    , m_timeline(m_settings.timelineRecords)
+{
+}
+
+Node::~Node() = default;
+
+std::optional<ListenFault> Node::start()
+{
+    m_identity.node = m_settings.node;
+    m_identity.zone = m_settings.zone;
+    m_identity.region = m_settings.region;
+    // The VM keeps nothing, so the time of day numbers the process's runs.
+    m_identity.incarnation = Incarnation(static_cast<std::uint64_t>(m_loop.wallTime().time_since_epoch().count()));
+    m_identity.seed = hashOfKey(m_identity.node.value() + '/' + std::to_string(m_identity.incarnation.value()));
+    m_identity.startedAt = m_loop.now();
+    addPages();
+    if (std::optional<ListenFault> fault = openListeners()) {
+        return fault;
+    }
+    m_reducer = std::make_unique<Reducer>(m_identity, Timings());
+    TimelineRecord started;
+    started.kind = TimelineRecord::Kind::NodeStarted;
+    started.time.wall = m_loop.wallTime();
+    runRecord(Record{std::move(started)});
+    m_loop.callEvery(tickInterval, [this] { dispatch(Tick{}); });
+    return std::nullopt;
+}
+
+std::optional<ListenFault> Node::openListeners()
+{
+    struct Listener {
+        std::variant<Endpoint, ListenFault> result;
+        Endpoint &endpoint;
+        const char *name;
+    };
+    const std::initializer_list<Listener> listeners{
+        {m_callerServer.listen(m_settings.listenCallers), m_callerEndpoint, "callers"},
+        {m_peerServer.listen(m_settings.listenPeers), m_identity.peerEndpoint, "peers"},
+        {m_peerLink.listen(m_settings.listenControl), m_identity.controlEndpoint, "control"},
+        {m_announcementServer.listen(m_settings.listenTarget), m_targetEndpoint, "target"},
+        {m_operationsServer.listen(m_settings.listenOperations), m_identity.operationsEndpoint, "operations"},
+    };
+    for (const Listener &listener : listeners) {
+        if (const auto *fault = std::get_if<ListenFault>(&listener.result)) {
+            return *fault;
+        }
+        listener.endpoint = std::get<Endpoint>(listener.result);
+        spdlog::info("listening for {} on {}", listener.name, toText(listener.endpoint));
+    }
+    return std::nullopt;
+}
+
+void Node::requestStop()
+{
+    dispatch(StopRequested{});
+}
+
+void Node::dispatch(EventBody body)
+{
+    m_pending.push_back(std::move(body));
+    if (m_handling || !m_reducer) {
+        return;
+    }
+    m_handling = true;
+    while (!m_pending.empty()) {
+        Event event{m_loop.now(), m_loop.wallTime(), std::move(m_pending.front())};
+        m_pending.pop_front();
+        handle(event);
+    }
+    m_handling = false;
+}
+
+void Node::handle(const Event &event)
+{
+    m_metrics.observeEvent(event);
+    for (const Effect &effect : m_reducer->apply(event)) {
+        m_metrics.observeEffect(effect, event.at);
+        run(effect);
+    }
+}
+
+void Node::run(const Effect &effect)
+{
+    std::visit(Overloaded{
+                   [this](const ReadCellRow &read) { m_platformClient.run(read); },
+                   [this](const WriteCellRow &write) { m_platformClient.run(write); },
+                   [this](const ReadMemberRows &read) { m_platformClient.run(read); },
+                   [this](const WriteMemberRow &write) { m_platformClient.run(write); },
+                   [this](const ReadDocument &read) { m_platformClient.run(read); },
+                   [this](const ReadCells &read) { m_platformClient.run(read); },
+                   [this](const SendPeerMessage &send) { m_peerLink.send(send); },
+                   [this](const ProbeTarget &probe) { m_targetClient.run(probe); },
+                   [this](const GrantToTarget &grant) { m_targetClient.run(grant); },
+                   [this](const SendToTarget &send) { m_forwarder.run(send); },
+                   [this](const ForwardRequest &forward) { m_forwarder.run(forward); },
+                   [this](const CancelAttempt &cancel) { m_forwarder.run(cancel); },
+                   [this](const RefuseRequest &refuse) { m_forwarder.run(refuse); },
+                   [this](const AnswerFromStore &answer) { m_forwarder.run(answer); },
+                   [this](const Record &record) { runRecord(record); },
+                   [this](const CloseListeners &) { runCloseListeners(); },
+                   [this](const Exit &exit) { runExit(exit); },
+               },
+               effect);
+}
+
+void Node::runRecord(const Record &effect)
+{
+    const TimelineRecord &record = effect.record;
+    const auto level = isAboutRequest(record.kind) ? spdlog::level::debug : spdlog::level::info;
+    if (spdlog::should_log(level)) {
+        spdlog::log(level, "{}", toText(record));
+    }
+    m_timeline.add(record);
+}
+
+void Node::runCloseListeners()
+{
+    m_callerServer.shutDown([this] { listenerClosed(); });
+    m_peerServer.shutDown([this] { listenerClosed(); });
+}
+
+void Node::listenerClosed()
+{
+    if (--m_openListeners == 0) {
+        dispatch(ConnectionsClosed{});
+    }
+}
+
+void Node::runExit(const Exit &effect)
+{
+    m_exitCode = effect.code;
+    m_loop.stop();
+}
+
+void Node::addPages()
+{
+    m_operationsServer.addPage("/healthz", "text/plain", [](const std::string &) { return std::string("ok\n"); });
+    m_operationsServer.addPage("/metrics", "text/plain; version=0.0.4", [this](const std::string &) { return metricsPage(); });
+    m_operationsServer.addPage("/status", "application/json", [this](const std::string &) { return statusPage(); });
+    m_operationsServer.addPage("/timeline", "application/json", [this](const std::string &query) {
+        return m_timeline.toJson(readSince(query), m_identity.node.value(), m_identity.incarnation.value());
+    });
+}
+
+std::string Node::metricsPage() const
+{
+    AdapterCounters adapters;
+    adapters.controlMessages = m_peerLink.messagesSent();
+    adapters.controlBytes = m_peerLink.bytesSent();
+    adapters.refusedInputs = m_callerServer.refusedInputs() + m_peerServer.refusedInputs();
+    adapters.callerConnections = m_callerServer.openConnections();
+    return m_metrics.toText(m_reducer->router().counters(), adapters);
+}
+
+std::string Node::statusPage() const
+{
+    const Cell &cell = m_reducer->cell();
+    const MonotonicTime now = m_loop.now();
+    nlohmann::json members = nlohmann::json::array();
+    for (const Member &member : cell.members()) {
+        members.push_back(toJsonObject(member));
+    }
+    nlohmann::json owned = nlohmann::json::array();
+    const OwnershipMap &map = cell.map();
+    for (std::uint32_t index = 0; index < map.shards.size(); ++index) {
+        if (cell.self() != noMember && cell.mayAdmit(ShardIndex(index), now)) {
+            owned.push_back(index);
+        }
+    }
+    const RequestCounters &counters = m_reducer->router().counters();
+    const nlohmann::json status{
+        {"node", m_identity.node.value()},
+        {"incarnation", m_identity.incarnation.value()},
+        {"version", NUTMEGHINGE_VERSION},
+        {"zone", m_identity.zone.value()},
+        {"region", m_identity.region.value()},
+        {"service", cell.document() ? cell.document()->service.value() : std::string()},
+        {"listening",
+         {{"callers", toText(m_callerEndpoint)},
+          {"peers", toText(m_identity.peerEndpoint)},
+          {"control", toText(m_identity.controlEndpoint)},
+          {"target", toText(m_targetEndpoint)},
+          {"operations", toText(m_identity.operationsEndpoint)}}},
+        {"slot", cell.self().value()},
+        {"coordinator", cell.coordinator().value()},
+        {"isCoordinator", cell.isCoordinator(now)},
+        {"term", cell.term().value()},
+        {"revision", cell.revision().value()},
+        {"document", cell.documentRevision().value()},
+        {"leaseMs", std::chrono::duration_cast<std::chrono::milliseconds>(cell.leaseEnd() - now).count()},
+        {"map", {{"term", map.version.term.value()}, {"sequence", map.version.sequence}, {"shards", map.shards.size()}}},
+        {"serving", std::move(owned)},
+        {"members", std::move(members)},
+        {"requests",
+         {{"arrived", counters.arrived},
+          {"answered", counters.answered},
+          {"notRun", counters.notRun},
+          {"unknown", counters.unknown},
+          {"inFlight", counters.inFlight},
+          {"queued", counters.queued}}},
+    };
+    return status.dump();
+}
+
+} // namespace nutmeghinge
--- a/tests/core/cellharness.cpp
+++ b/tests/core/cellharness.cpp
@@ -32,9 +32,11 @@
 
 std::string CellHarness::documentText(const std::string &leaving) const
 {
-    std::string text = "shards=" + std::to_string(m_options.shards) + " check=" + (m_options.checksFence ? "1" : "0")
-                       + " exec=" + std::to_string(m_options.executionLimit.count() / 1000) + " hold=" + std::to_string(m_options.holdLimit.count() / 1000);
-    return leaving.empty() ? text : text + " leave=" + leaving;
+    const auto milliseconds = [](Duration duration) { return std::to_string(duration.count() / 1000) + "ms"; };
+    std::string text = "service: advice-desk\nkeys: {header: x-key, shards: " + std::to_string(m_options.shards) + "}\n"
+                       + "targets: {checkFence: " + (m_options.checksFence ? "true" : "false") + ", executionLimit: " + milliseconds(m_options.executionLimit)
+                       + "}\n" + "leases: {holdLimit: " + milliseconds(m_options.holdLimit) + "}\n";
+    return leaving.empty() ? text : text + "shrink: [{at: \"1970-01-01T00:00:00Z\", leave: [" + leaving + "]}]\n";
 }
 
 std::uint64_t CellHarness::random(std::uint64_t below)
