--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -8,6 +8,7 @@
 #include "member.h"
 #include "ownershipmap.h"
 #include "ownershipview.h"
+#include "requestattempts.h"
 #include "requestintake.h"
 #include "requestreplies.h"
 #include "requesttable.h"
@@ -15,6 +16,7 @@
 #include "routeplanner.h"
 #include "shardof.h"
 #include "targetadmission.h"
+#include "unknownforwards.h"
 #include "wakequeue.h"
 
 #include <algorithm>
@@ -69,10 +71,6 @@
 
     // Attempts.
     void sendToTarget(Request &request, const RouteToTarget &target, const Context &context);
-    void forward(Request &request, const RouteToMember &to, const Context &context);
-    void beginAttempt(Request &request, Request::Destination destination, MemberSlot member, Fence fence, const Context &context);
-    void endAttempt(Request &request, const AttemptFinished &finished, const Context &context);
-    void noteTarget(const Request &request, const AttemptFinished &finished, const Context &context);
     void finished(Request &request, const AttemptAnswered &result, const Context &context);
     void finished(Request &request, const AttemptNotRun &result, const Context &context);
     void finished(Request &request, const AttemptUnknown &result, const Context &context);
@@ -80,6 +78,7 @@
 
     // Duplicates.
     bool answerAsDuplicate(Request &request, const Context &context);
+    bool mayHaveRunElsewhere(const Request &request, const Route &route, const Context &context) const;
     void join(Request &request, RequestId first, const Context &context);
     bool hasMemory(const Request &request) const { return !request.deduplicationKey.empty(); }
     /** The deduplication memory holds the request as the running one of its key. */
@@ -109,7 +108,9 @@
     RoutePlanner planner;
     RetryPolicy retries;
     DeduplicationMemory memory;
+    UnknownForwards unknownForwards;
     RequestReplies replies;
+    RequestAttempts attempts{table, admission, planner.replicas(), replies};
     LoadMeter loadMeter;
     HeavyKeys heavyKeys;
     std::optional<MonotonicTime> loadSince;
@@ -214,7 +215,7 @@
     if (!request) {
         return;
     }
-    m_d->endAttempt(*request, finished, context);
+    m_d->attempts.end(*request, finished, m_d->document().executionLimit, event.at);
     std::visit([&](const auto &result) { m_d->finished(*request, result, context); }, finished.result);
     m_d->drainQueue(context);
 }
@@ -243,6 +244,11 @@
     return static_cast<std::uint32_t>(m_d->table.size());
 }
 
+std::uint32_t RequestRouter::targetRequests() const
+{
+    return m_d->admission.inFlight() + m_d->admission.queue().size();
+}
+
 MemberLoad RequestRouter::takeLoad(MonotonicTime now)
 {
     const Duration elapsed = now - m_d->loadSince.value_or(now);
@@ -294,6 +300,7 @@
 void RequestRouter::Private::setBounds()
 {
     memory.setBounds(document().deduplicationEntries, document().deduplicationWindow);
+    unknownForwards.setBounds(document().deduplicationEntries, document().deduplicationWindow);
 }
 
 void RequestRouter::Private::route(Request &request, const Context &context)
@@ -303,17 +310,25 @@
         refuse(request, {503, NotRunReason::DeadlineExpired, retryAfterWithoutOwner, "deadline expired"}, context);
         return;
     }
+    if (answerAsDuplicate(request, context)) {
+        return;
+    }
     if (!request.divided) {
         planner.replicas().setOwnTarget(admission.queue().size(), admission.health().isHealthy(context.now));
     }
     const Route route = planner.plan(request, *ownership, context.now, context.wallTime);
+    if (mayHaveRunElsewhere(request, route, context)) {
+        request.unknown = true;
+        refuse(request, {502, NotRunReason::Overloaded, {}, "the key's first request may have run at an earlier owner"}, context);
+        return;
+    }
     if (const auto *target = std::get_if<RouteToTarget>(&route)) {
         admit(request, *target, context);
         return;
     }
     const auto *to = std::get_if<RouteToMember>(&route);
     if (to && request.hops < maximumHops) {
-        forward(request, *to, context);
+        attempts.forward(request, *to, context.now, context.effects);
         return;
     }
     if (request.hops > 0) {
@@ -333,9 +348,6 @@
             heavyKeys.count(request.keyHash);
         }
     }
-    if (answerAsDuplicate(request, context)) {
-        return;
-    }
     if (admission.queue().isEmpty() && admission.hasFreeSlot(document(), context.now)) {
         sendToTarget(request, target, context);
         return;
@@ -402,88 +414,10 @@
         finished(request, result, context);
         return;
     }
-    request.shard = target.shard;
-    beginAttempt(request, Request::Destination::Target, ownership->self(), target.fence, context);
-    admission.started(request);
     if (hasMemory(request)) {
         memory.begin(request);
     }
-    SendToTarget effect;
-    effect.request = request.id;
-    effect.attempt = request.attempt;
-    effect.endpoint = admission.health().endpoint();
-    effect.shard = target.shard;
-    effect.fence = target.fence;
-    effect.deadline = deadline;
-    effect.keepAnswer = hasMemory(request);
-    effect.freshConnection = request.freshConnection;
-    replies.record(TimelineRecord::Kind::RequestSentToTarget, request, context.effects);
-    context.effects.add(std::move(effect));
-}
-
-void RequestRouter::Private::forward(Request &request, const RouteToMember &to, const Context &context)
-{
-    const auto destination = request.otherHost.empty() ? Request::Destination::Member : Request::Destination::OtherCell;
-    beginAttempt(request, destination, to.member->slot, to.fence, context);
-    ++replies.counters().forwarded;
-    ForwardRequest effect;
-    effect.request = request.id;
-    effect.attempt = request.attempt;
-    effect.peer = to.member->peerEndpoint;
-    effect.deadline = request.deadline;
-    effect.hops = request.hops + 1;
-    effect.freshConnection = request.freshConnection;
-    replies.record(TimelineRecord::Kind::RequestForwarded, request, context.effects);
-    context.effects.add(std::move(effect));
-}
-
-void RequestRouter::Private::beginAttempt(Request &request, Request::Destination destination, MemberSlot member, Fence fence, const Context &context)
-{
-    if (request.attempts > 0) {
-        ++replies.counters().retries;
-        replies.record(TimelineRecord::Kind::RequestRetried, request, context.effects);
-    }
-    table.beginAttempt(request);
-    request.state = Request::State::Running;
-    request.destination = destination;
-    request.member = member;
-    request.fence = fence;
-    request.sentAt = context.now;
-    request.answerBegun = false;
-    request.replaced = false;
-    if (!request.divided && destination != Request::Destination::OtherCell) {
-        planner.replicas().started(member);
-    }
-}
-
-void RequestRouter::Private::endAttempt(Request &request, const AttemptFinished &finished, const Context &context)
-{
-    table.endAttempt(request);
-    request.state = Request::State::Routing;
-    if (!request.divided && request.destination != Request::Destination::OtherCell) {
-        planner.replicas().ended(request.member);
-    }
-    if (request.destination == Request::Destination::Target) {
-        noteTarget(request, finished, context);
-        admission.ended(request);
-    }
-}
-
-void RequestRouter::Private::noteTarget(const Request &request, const AttemptFinished &finished, const Context &context)
-{
-    if (std::holds_alternative<AttemptAnswered>(finished.result)) {
-        admission.answered(request, context.now);
-        return;
-    }
-    const auto *notRun = std::get_if<AttemptNotRun>(&finished.result);
-    if (notRun && notRun->reason == NotRunReason::Overloaded) {
-        admission.health().refusedAsFull(admission.inFlight());
-        return;
-    }
-    const bool isTargetsFault = notRun ? notRun->reason == NotRunReason::NotConnected : !request.cancelled;
-    if (isTargetsFault) {
-        admission.health().failed(context.now);
-    }
+    attempts.sendToTarget(request, target, ownership->self(), deadline, context.now, context.effects);
 }
 
 void RequestRouter::Private::finished(Request &request, const AttemptAnswered &result, const Context &context)
@@ -537,6 +471,9 @@
             refuse(joined, {502, NotRunReason::Overloaded, {}, "the outcome of the key's first request is unknown"}, context);
         });
     }
+    if (hasMemory(request) && request.destination == Request::Destination::Member) {
+        unknownForwards.remember(request.deduplicationKey, request.member, context.now);
+    }
     request.unknown = true;
     request.freshConnection = true;
     if (request.cancelled) {
@@ -608,6 +545,15 @@
     return true;
 }
 
+bool RequestRouter::Private::mayHaveRunElsewhere(const Request &request, const Route &route, const Context &context) const
+{
+    if (!hasMemory(request) || !request.divided || std::holds_alternative<NoRoute>(route)) {
+        return false;
+    }
+    const auto *to = std::get_if<RouteToMember>(&route);
+    return unknownForwards.mayHaveRunElsewhere(request.deduplicationKey, to ? to->member->slot : ownership->self(), context.now);
+}
+
 void RequestRouter::Private::join(Request &request, RequestId first, const Context &context)
 {
     Request *running = table.find(first);
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -62,6 +62,7 @@
 
     ~HttpClientConnection() = default;
 
+    void configureSocket();
     void connected(int status);
     /** Returns false if no byte could be written. */
     bool sendRequest();
@@ -73,6 +74,8 @@
     void timerFired();
     void progressExpired();
     void noteProgress();
+    /** Deadline of what is awaited now. */
+    MonotonicTime deadline() const;
     void armTimer();
     void end(HttpCallResult result);
     bool isAlive() const;
