Reject a document of which the YAML library finds no end

YAML::LoadAll() does not end on the text "," and fills the memory; the abort in malloc came of this.

Change: a handler of events looks at two documents at the most, and YAML::Load() reads the first.

Texts that are no printable UTF-8 stay rejected, as YAML does not allow them.

--- a/src/libnutmeghinge/yamlmapping.h
+++ b/src/libnutmeghinge/yamlmapping.h
@@ -63,6 +63,7 @@
     void choice(std::string_view name, Value &value, const std::vector<std::pair<std::string_view, Value>> &words)
     {
         std::vector<std::string_view> names;
+        names.reserve(words.size());
         for (const auto &word : words) {
             names.push_back(word.first);
         }
--- a/src/libnutmeghinge/yamlreader.cpp
+++ b/src/libnutmeghinge/yamlreader.cpp
@@ -1,6 +1,7 @@
 #include "yamlreader.h"
 
 #include "utf8.h"
+#include "yamldocumentcounter.h"
 
 #include <algorithm>
 #include <string>
@@ -19,24 +20,25 @@
     if (text.size() > maximumBytes) {
         return reject(0, "the text is larger than 256 KiB");
     }
-    // The YAML library hangs or corrupts memory on some texts that are no printable UTF-8.
     const std::size_t unprintable = findUnprintable(text);
     if (unprintable != std::string_view::npos) {
         const auto lineEnds = std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(unprintable), '\n');
         return reject(static_cast<int>(lineEnds) + 1, "holds a control character or what is no UTF-8");
     }
     try {
-        const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
-        if (documents.empty() || documents.front().IsNull()) {
-            return reject(0, "the text is empty");
+        // YAML::LoadAll() does not end on texts such as ",".
+        const std::string copy(text);
+        if (const int line = YamlDocumentCounter::lineOfSecondDocument(copy)) {
+            return reject(line, "the text holds more than one YAML document");
         }
-        if (documents.size() > 1) {
-            return reject(documents[1].Mark().line + 1, "the text holds more than one YAML document");
+        const YAML::Node document = YAML::Load(copy);
+        if (document.IsNull()) {
+            return reject(0, "the text is empty");
         }
-        if (!documents.front().IsMap()) {
-            return reject(documents.front().Mark().line + 1, "must be a mapping of fields");
+        if (!document.IsMap()) {
+            return reject(document.Mark().line + 1, "must be a mapping of fields");
         }
-        m_root = YamlMapping(m_faults, {}, documents.front().Mark().line + 1, documents.front());
+        m_root = YamlMapping(m_faults, {}, document.Mark().line + 1, document);
         return true;
     } catch (const YAML::Exception &exception) {
         return reject(exception.mark.is_null() ? 0 : exception.mark.line + 1, ("not YAML: " + exception.msg).c_str());
