--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -87,6 +87,8 @@
     std::optional<DocumentCopy> newerDocument;
     /** Load of all members, for services that are not divided by key. */
     std::vector<MemberLoad> loads;
+    /** Time for which a successor of the coordinator may act without a write to the table, counted from sentAt. */
+    Duration holdLeft{0};
 
     friend bool operator==(const HeartbeatAnswer &, const HeartbeatAnswer &) = default;
 };
--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -17,7 +17,7 @@
 enum class HttpCallResult : std::uint8_t {
     /** The whole answer has been handed over. */
     Complete,
-    /** No connection was made: no byte was sent. */
+    /** No connection was made, or not before the deadline: no byte was sent. */
     NotConnected,
     /** The connection ended after the request was begun and before the head of the answer. */
     ConnectionLost,
@@ -42,6 +42,8 @@
     /** Do not use a pooled connection. */
     bool freshConnection = false;
     MonotonicTime deadline = MonotonicTime::max();
+    /** The deadline holds for the head of the answer; its body may take longer while there is progress. */
+    bool deadlineForHeadOnly = false;
     Duration connectTimeout{std::chrono::milliseconds(500)};
     /** Longest time without a byte in either direction, while the reader is not paused. */
     Duration progressTimeout{std::chrono::seconds(5)};
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -112,7 +112,7 @@
 
 DeduplicationEntry entry()
 {
-    return {shard(), bytes(), perhaps(answer), Duration(upTo<std::int64_t>(Codec::maxAge.count()))};
+    return {shard(), bytes(), perhaps(answer), Duration(upTo<std::int64_t>(Codec::maxAge.count())), counter()};
 }
 
 std::pair<ShardIndex, Fence> released()
@@ -154,7 +154,8 @@
                            perhaps(map),
                            DocumentRevision(counter()),
                            perhaps(document),
-                           listOf(load)};
+                           listOf(load),
+                           Duration(upTo<std::int64_t>(Codec::maxHoldLeft.count()))};
 }
 
 PeerMessage handoverOffer()
