Send repeats of an Idempotency-Key to one replica

In a service that is not divided by key each replica had a memory of its own, so a repeat at another replica was run again. Such a request now goes to the replica that rendezvous hashing names, and is refused rather than run elsewhere when that one is full. The memory is lost when the replica leaves or the members change; the header says so.

Seen to fail in a scratch copy with the choice by load for such requests (requestreplicatest.cpp: two nodes named different replicas for the same key).

--- a/src/libnutmeghinge/replicachoice.cpp
+++ b/src/libnutmeghinge/replicachoice.cpp
@@ -58,6 +58,20 @@
     return m_candidates.empty() ? std::nullopt : std::optional(m_candidates.front().slot);
 }
 
+std::optional<MemberSlot> ReplicaChoice::chooseForKey(const OwnershipView &ownership, std::uint64_t keyHash, MonotonicTime now, WallTime wallTime)
+{
+    if (m_stale) {
+        refresh(ownership, now, wallTime);
+    }
+    if (m_candidates.empty()) {
+        return std::nullopt;
+    }
+    // Rendezvous hashing: few keys change their member with the members.
+    const auto weight = [&](const Candidate &candidate) { return PseudoRandom(keyHash ^ candidate.slot.value()).next(); };
+    const auto isLighter = [&](const Candidate &a, const Candidate &b) { return weight(a) < weight(b); };
+    return std::max_element(m_candidates.begin(), m_candidates.end(), isLighter)->slot;
+}
+
 void ReplicaChoice::refresh(const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
 {
     m_stale = false;
--- a/src/libnutmeghinge/replicachoice.h
+++ b/src/libnutmeghinge/replicachoice.h
@@ -32,6 +32,11 @@
     void ended(MemberSlot member);
     /** Never the excluded member, unless there is no other; nothing where no member may serve. */
     std::optional<MemberSlot> choose(const OwnershipView &ownership, MemberSlot excluded, MonotonicTime now, WallTime wallTime);
+    /**
+     * The same member for the same hash at every node, as long as the members
+     * that may serve stay the same; for requests whose repeats must meet.
+     */
+    std::optional<MemberSlot> chooseForKey(const OwnershipView &ownership, std::uint64_t keyHash, MonotonicTime now, WallTime wallTime);
 
 private:
     struct Candidate {
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -43,8 +43,9 @@
  * forwarded a request without learning its outcome refuses a repeat as "unknown"
  * when the key has another owner by then. Past these bounds, also for a repeat
  * that comes in at another node after the owner was lost, a repeat is run as a
- * new request. For a service that is not divided by key the memory holds for
- * each node alone.
+ * new request. For a service that is not divided by key, a request with an
+ * Idempotency-Key goes to the replica that the key's hash names, whose memory
+ * holds until it leaves or the members change.
  *
  * A request may be forwarded twice: by a node of another service to any member
  * of the cell, and by that member to the owner. A node that got the request from
--- a/src/libnutmeghinge/retrypolicy.cpp
+++ b/src/libnutmeghinge/retrypolicy.cpp
@@ -110,7 +110,7 @@
     if (onTarget && request.divided && at < request.deadline && spend()) {
         return RetryAt{at};
     }
-    const bool hasReplicas = !request.divided && request.otherHost.empty() && !isFromPeer(request);
+    const bool hasReplicas = !request.divided && request.deduplicationKey.empty() && request.otherHost.empty() && !isFromPeer(request);
     if (hasReplicas && request.attempts < maximumReplicasTried && spend()) {
         return RetryNow{};
     }
--- a/src/libnutmeghinge/routeplanner.cpp
+++ b/src/libnutmeghinge/routeplanner.cpp
@@ -32,7 +32,9 @@
     if (!request.otherHost.empty()) {
         return planOtherCell(request, ownership);
     }
-    if (!request.divided && request.hops == 0) {
+    // A node of another service sends to any replica; that one finds the replica of an Idempotency-Key.
+    const bool choosesReplica = request.hops == 0 || (request.hops == 1 && !request.deduplicationKey.empty());
+    if (!request.divided && choosesReplica) {
         return planReplica(request, ownership, now, wallTime);
     }
     if (const auto target = planTarget(request, ownership, now)) {
@@ -69,7 +71,9 @@
 
 Route RoutePlanner::planReplica(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
 {
-    const auto chosen = m_replicas.choose(ownership, request.member, now, wallTime);
+    const bool repeatsMustMeet = !request.deduplicationKey.empty();
+    const auto chosen = repeatsMustMeet ? m_replicas.chooseForKey(ownership, hashOfKey(request.deduplicationKey), now, wallTime)
+                                        : m_replicas.choose(ownership, request.member, now, wallTime);
     if (!chosen) {
         return NoRoute{};
     }
--- a/tests/core/requestreplicatest.cpp
+++ b/tests/core/requestreplicatest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace nutmeghinge;
 using namespace nutmeghinge::test;
@@ -105,3 +106,39 @@
     CHECK(counts.at(1) == 10);
     CHECK(counts.at(2) == 2);
 }
+
+TEST_CASE("Repeats of an Idempotency-Key meet at one replica, whichever node they come to", "[request]")
+{
+    ReplicaFixture north;
+    ReplicaFixture south;
+    south.m_ownership.m_self = MemberSlot(4);
+    south.m_ownership.m_loads[0].inFlight = 9;
+    south.ownershipChanged();
+    std::set<std::string> replicas;
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        const RequestArrived request = RouterFixture::request(id, "POST", "check-" + std::to_string(id));
+        const auto replicaOf = [&](ReplicaFixture &node) {
+            node.arrive(request);
+            return node.all<SendToTarget>().empty() ? node.only<ForwardRequest>().peer : node.m_ownership.member(node.m_ownership.self())->peerEndpoint;
+        };
+        const Endpoint replica = replicaOf(north);
+        CHECK(replicaOf(south) == replica);
+        replicas.insert(replica.address);
+    }
+    CHECK(replicas.size() == 4);
+
+    // A full replica is no reason to run the request where a repeat would not be recognised.
+    RequestArrived repeat = RouterFixture::request(21, "POST", "check-1");
+    south.arrive(repeat);
+    south.notRun(south.only<ForwardRequest>().attempt, NotRunReason::Overloaded);
+    CHECK(south.only<RefuseRequest>().outcome == Outcome::NotRun);
+
+    repeat.request = RequestId(22);
+    repeat.hops = 1;
+    south.arrive(repeat);
+    CHECK(south.only<ForwardRequest>().hops == 2);
+    repeat.request = RequestId(23);
+    repeat.hops = 2;
+    south.arrive(repeat);
+    CHECK(south.all<SendToTarget>().size() == 1);
+}
