Keep tests of the client from outliving their timers

Cause: a timer of a test could fire when its connections were gone; in a trial under load the process ended so in one run of some thirty.

Change: such tests wait for their timer. A shutdown with half a request on its way is tested too.

Conclusion: no timer of a test is left when its case ends.

--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -91,6 +91,7 @@
     const std::size_t split = GENERATE(std::size_t(0), std::size_t(1), std::size_t(30));
     INFO(answer.bytes.substr(0, 100) << " split at " << split);
     Setup setup;
+    bool sent = false;
     setup.onRequest = [&](RawConnection &connection) {
         connection.send(std::string_view(answer.bytes).substr(0, split));
         setup.loop.callLater(std::chrono::milliseconds(1), [&] {
@@ -98,9 +99,11 @@
             if (answer.closes) {
                 connection.halfClose();
             }
+            sent = true;
         });
     };
     CHECK(setup.run(setup.request()) == answer.result);
+    REQUIRE(runUntil(setup.loop, [&] { return sent; }));
     CHECK(setup.receiver->body == answer.body);
 
     setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
--- a/tests/io/httpservertest.cpp
+++ b/tests/io/httpservertest.cpp
@@ -257,3 +257,22 @@
     CHECK_FALSE(client.wasReset());
     CHECK(server.exchanges.size() == 1);
 }
+
+TEST_CASE("A shutdown answers a request that is on its way")
+{
+    EventLoop loop;
+    RecordingServer server(loop);
+    server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {}, "echo " + exchange.request().body); };
+    RawConnection idle(loop, server.endpoint);
+    RawConnection client(loop, server.endpoint);
+    client.send("POST / HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\n\r\nte");
+    REQUIRE(runUntil(loop, [&] { return server.server.openConnections() == 2 && !client.isWriting(); }));
+    bool closed = false;
+    server.server.shutDown([&] { closed = true; });
+    REQUIRE(runUntil(loop, [&] { return idle.isEnded(); }));
+    runTurns(loop, 5);
+    client.send("ak");
+    CHECK(runUntil(loop, [&] { return closed && client.isEnded(); }));
+    CHECK(endsWith(client.received(), "echo teak"));
+    CHECK(contains(client.received(), "Connection: close\r\n"));
+}
--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -394,9 +394,13 @@
     ForwarderSetup setup;
     setup.sendToTarget();
     setup.timeout = std::chrono::milliseconds(60);
+    bool sent = false;
     setup.onTargetRequest = [&](RawConnection &connection) {
         connection.send(okHead + "Content-Length: 8\r\n\r\nwood");
-        setup.loop.callLater(std::chrono::milliseconds(200), [&connection] { connection.send("glue"); });
+        setup.loop.callLater(std::chrono::milliseconds(200), [&] {
+            connection.send("glue");
+            sent = true;
+        });
     };
     RawConnection caller(setup.loop, setup.callerEndpoint);
     SECTION("safe")
@@ -415,6 +419,7 @@
         CHECK(setup.result<AttemptUnknown>()->answerBegun);
         CHECK(runUntil(setup.loop, [&] { return caller.wasReset(); }));
     }
+    REQUIRE(runUntil(setup.loop, [&] { return sent; }));
 }
 
 TEST_CASE("A shutdown waits for a download through the forwarder")
