Send load, check every answer and compare the targets' executions

Cause: nothing drove the system at a rate of its own and checked its promises from the outside.

Change: LoadCommand ("nutmeghingectl load", to be named in main.cpp) sends lookups, orders with Idempotency-Key and downloads at an open-loop rate with Zipf-distributed keys. It prints percentiles, throughput, outcomes, imbalance by the answers' target, the longest time for which a key had no answered attempt, duplicates, refusals that a target ran, wrong and truncated answers; exit 1 if there is any of the last four.

Ruled out: counting a truncated answer as unknown, since the promise is a whole answer.

--- /dev/null
+++ b/src/nutmeghingectl/loadcommand.cpp
@@ -0,0 +1,147 @@
+#include "loadcommand.h"
+
+#include "endpointtext.h"
+#include "eventloop.h"
+#include "loadgenerator.h"
+
+#include <boost/program_options.hpp>
+#include <cmath>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace nutmeghinge {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int exitNotClean = 1;
+constexpr int exitUsage = 2;
+constexpr double maxRate = 100000;
+constexpr double maxSeconds = 86400;
+constexpr std::uint32_t maxKeys = 10000000;
+
+/** Arguments as they were given. */
+struct Arguments {
+    LoadOptions load;
+    std::string entries;
+    std::string targets;
+    double durationSeconds = 10;
+    double timeoutSeconds = 5;
+    bool json = false;
+};
+
+po::options_description describe(Arguments &arguments)
+{
+    LoadOptions &load = arguments.load;
+    po::options_description options("nutmeghingectl load: sends load to nodes and checks the answers.\n"
+                                    "Exit code: 0 clean; 1 an order ran twice or against its refusal, or an answer was wrong or truncated; "
+                                    "2 faulty arguments.\nOptions");
+    auto add = options.add_options();
+    add("help", "show this text");
+    add("entries", po::value(&arguments.entries)->required(), "caller listeners of nodes, ADDRESS:PORT,...");
+    add("targets", po::value(&arguments.targets), "targets whose /executions are compared at the end, ADDRESS:PORT,...");
+    add("host", po::value(&load.host)->required(), "host of the service");
+    add("key-header", po::value(&load.keyHeader)->default_value(load.keyHeader), "request header that holds the key, in lower case");
+    add("rate", po::value(&load.rate)->default_value(load.rate), "requests a second");
+    add("duration", po::value(&arguments.durationSeconds)->default_value(arguments.durationSeconds), "length of the run; seconds");
+    add("timeout", po::value(&arguments.timeoutSeconds)->default_value(arguments.timeoutSeconds), "longest time of one request; seconds");
+    add("keys", po::value(&load.keys)->default_value(load.keys), "number of keys");
+    add("skew", po::value(&load.skew)->default_value(load.skew, "0.9"), "exponent of the keys' Zipf distribution");
+    add("orders", po::value(&load.orderPercent)->default_value(load.orderPercent), "non-idempotent requests; percent");
+    add("order-bytes", po::value(&load.orderBytes)->default_value(load.orderBytes), "body of an order");
+    add("downloads", po::value(&load.downloadPercent)->default_value(load.downloadPercent), "downloads; percent");
+    add("download-bytes", po::value(&load.downloadBytes)->default_value(load.downloadBytes), "body of a download");
+    add("seed", po::value(&load.seed)->default_value(load.seed), "seed of keys, kinds and times");
+    add("retry", po::bool_switch(&load.retry), "send again what was refused as not run");
+    add("json", po::bool_switch(&arguments.json), "print JSON");
+    return options;
+}
+
+std::optional<std::vector<Endpoint>> endpointsOf(const std::string &text)
+{
+    std::vector<Endpoint> endpoints;
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');) {
+        const std::optional<Endpoint> endpoint = endpointFromText(part);
+        if (!endpoint || endpoint->isEmpty()) {
+            return std::nullopt;
+        }
+        endpoints.push_back(*endpoint);
+    }
+    return endpoints;
+}
+
+bool isWithin(double value, double limit)
+{
+    return value > 0 && value <= limit;
+}
+
+/** Fills what needs more than parsing. Returns the reason of a fault; empty where there is none. */
+std::string complete(Arguments &arguments)
+{
+    LoadOptions &load = arguments.load;
+    const auto entries = endpointsOf(arguments.entries);
+    const auto targets = endpointsOf(arguments.targets);
+    if (!entries || entries->empty() || !targets) {
+        return "--entries, --targets: not ADDRESS:PORT,...";
+    }
+    if (!isWithin(load.rate, maxRate) || !isWithin(arguments.durationSeconds, maxSeconds) || !isWithin(arguments.timeoutSeconds, maxSeconds)) {
+        return "--rate, --duration, --timeout: out of range";
+    }
+    if (load.keys == 0 || load.keys > maxKeys || !std::isfinite(load.skew) || load.skew < 0) {
+        return "--keys, --skew: out of range";
+    }
+    if (load.orderPercent > 100 || load.downloadPercent > 100 - load.orderPercent) {
+        return "--orders, --downloads: over 100 percent";
+    }
+    load.entries = *entries;
+    load.targets = *targets;
+    load.duration = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(arguments.durationSeconds));
+    load.timeout = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(arguments.timeoutSeconds));
+    return {};
+}
+
+int generate(const Arguments &arguments)
+{
+    EventLoop loop;
+    LoadGenerator generator(loop, arguments.load);
+    generator.start([&] { loop.stop(); });
+    loop.run();
+    const LoadReport &report = generator.report();
+    if (arguments.json) {
+        std::cout << report.toJson().dump(2) << '\n';
+    } else {
+        std::cout << report.toText();
+    }
+    return report.isClean() ? 0 : exitNotClean;
+}
+
+} // namespace
+
+int LoadCommand::run(const std::vector<std::string> &arguments)
+{
+    Arguments parsed;
+    const po::options_description options = describe(parsed);
+    try {
+        po::variables_map values;
+        po::store(po::command_line_parser(arguments).options(options).run(), values);
+        if (values.count("help") > 0) {
+            std::cout << options;
+            return 0;
+        }
+        po::notify(values);
+    } catch (const po::error &error) {
+        std::cerr << error.what() << '\n';
+        return exitUsage;
+    }
+    const std::string fault = complete(parsed);
+    if (!fault.empty()) {
+        std::cerr << fault << '\n';
+        return exitUsage;
+    }
+    return generate(parsed);
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/nutmeghingectl/loadcommand.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace nutmeghinge {
+
+/**
+ * "nutmeghingectl load": sends load to nodes, checks the answers and prints a
+ * summary.
+ */
+class LoadCommand
+{
+public:
+    /**
+     * Runs with the arguments after the command's name. Exit code: 0 if no order
+     * ran twice or against its refusal and no answer was wrong or truncated, 1 if
+     * one did, 2 for faulty arguments.
+     */
+    int run(const std::vector<std::string> &arguments);
+};
+
+} // namespace nutmeghinge
