--- a/src/libnutmeghinge/deduplicationentry.h
+++ b/src/libnutmeghinge/deduplicationentry.h
@@ -4,6 +4,7 @@
 #include "storedanswer.h"
 #include "units.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -21,6 +22,8 @@
     std::optional<StoredAnswer> answer;
     /** Age when the entry was exported. */
     Duration age{0};
+    /** Hash of method, path and size of the body; 0 where it is not known. */
+    std::uint64_t fingerprint = 0;
 
     friend bool operator==(const DeduplicationEntry &, const DeduplicationEntry &) = default;
 };
--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -6,7 +6,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include <array>
+#include <cstring>
 #include <netinet/tcp.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -91,6 +91,7 @@
     void clientClosed(Connection &connection);
     void connectionClosed(Connection &connection);
     int handle(h2o_req_t &request);
+    void refuse(h2o_req_t &request, const char *reason) const;
     void closeIdle();
     void stopListening();
     void finishShutdown();
@@ -115,7 +116,8 @@
 {
     h2o_config_init(&config);
     config.max_request_entity_size = options.bodyLimit;
-    config.server_name = h2o_iovec_init(H2O_STRLIT("nutmeghinge"));
+    // Answers of targets keep the server's name that they state.
+    config.server_name = h2o_iovec_init(nullptr, 0);
     h2o_hostconf_t *host = h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
     auto *requestHandler = reinterpret_cast<RequestHandler *>(h2o_create_handler(path, sizeof(RequestHandler)));
@@ -136,7 +138,7 @@
     uv_close(reinterpret_cast<uv_handle_t *>(idleCheck), [](uv_handle_t *handle) { delete reinterpret_cast<uv_timer_t *>(handle); });
     for (auto &[socket, connection] : connections) {
         const std::unordered_set<HttpServerExchange *> running = connection->running;
-        shutdown(connection->watchedDescriptor, SHUT_RDWR);
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
         for (HttpServerExchange *exchange : running) {
             exchange->setClosedFunction(nullptr);
             exchange->reset();
@@ -181,6 +183,10 @@
 void HttpServer::Private::watchConnection(Connection &connection)
 {
     connection.watchedDescriptor = dup(h2o_socket_get_fd(connection.socket));
+    if (connection.watchedDescriptor < 0) {
+        spdlog::warn("{}: out of descriptors, a client's close will be noticed late", options.name);
+        return;
+    }
     connection.watch = new uv_poll_t;
     uv_poll_init(loop.handle(), connection.watch, connection.watchedDescriptor);
     connection.watch->data = &connection;
@@ -205,26 +211,37 @@
 
 void HttpServer::Private::connectionClosed(Connection &connection)
 {
-    uv_close(reinterpret_cast<uv_handle_t *>(connection.watch), [](uv_handle_t *handle) { delete reinterpret_cast<uv_poll_t *>(handle); });
-    ::close(connection.watchedDescriptor);
+    if (connection.watch != nullptr) {
+        uv_close(reinterpret_cast<uv_handle_t *>(connection.watch), [](uv_handle_t *handle) { delete reinterpret_cast<uv_poll_t *>(handle); });
+        ::close(connection.watchedDescriptor);
+    }
     connections.erase(connection.socket);
     if (connections.empty() && !destroying) {
         finishShutdown();
     }
 }
 
+void HttpServer::Private::refuse(h2o_req_t &request, const char *reason) const
+{
+    spdlog::warn("{}: refused a request: {}", options.name, std::string_view(reason, std::strlen(reason) - 1));
+    request.http1_is_persistent = 0;
+    h2o_send_error_400(&request, "Bad Request", reason, 0);
+}
+
 int HttpServer::Private::handle(h2o_req_t &request)
 {
     h2o_socket_t *socket = request.conn->callbacks->get_socket(request.conn);
     Connection &connection = *connections.at(socket);
     connection.isHttp2 = request.version >= http2Version;
     if (!isWellFramed(request)) {
-        spdlog::warn("{}: refused a request with two lengths", options.name);
-        request.http1_is_persistent = 0;
-        h2o_send_error_400(&request, "Bad Request", "the length of the request is stated more than once\n", 0);
+        refuse(request, "the framing of the request is ambiguous\n");
         return 0;
     }
     const std::shared_ptr<HttpServerExchange> exchange = HttpServerExchange::create(request);
+    if (!isWritableAsHttp1(exchange->request())) {
+        refuse(request, "the head of the request has forbidden characters\n");
+        return 0;
+    }
     HttpServerExchange *key = exchange.get();
     connection.running.insert(key);
     exchange->setEndedFunction([this, socket, key] {
@@ -247,8 +264,10 @@
             continue;
         }
         // A request that is already in the socket's buffer is still read and answered.
-        uv_poll_stop(connection->watch);
-        shutdown(connection->watchedDescriptor, SHUT_RD);
+        if (connection->watch != nullptr) {
+            uv_poll_stop(connection->watch);
+        }
+        shutdown(h2o_socket_get_fd(socket), SHUT_RD);
     }
 }
 
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "effects.h"
 #include "events.h"
 
 #include <peercontrol.capnp.h>
@@ -32,13 +33,14 @@
     /** Requests a second, times 1000. */
     static constexpr std::uint64_t maxMilliRequestsPerSecond = 1'000'000'000'000;
     static constexpr Duration maxLease{std::chrono::minutes(10)};
+    static constexpr Duration maxHoldLeft{std::chrono::hours(24 * 365)};
     static constexpr Duration maxAge{std::chrono::hours(24 * 365)};
     static constexpr std::size_t maxDocumentBytes = std::size_t(1) << 20U;
     static constexpr std::size_t maxEntries = 65536;
     static constexpr std::size_t maxHeaders = 256;
     static constexpr std::size_t maxServiceNameBytes = 255;
 
-    static void write(wire::PeerControl::DeliverParams::Builder to, MemberSlot from, const ServiceName &service, const PeerMessage &message);
+    static void write(wire::PeerControl::DeliverParams::Builder to, const SendPeerMessage &effect);
     static std::variant<PeerMessageArrived, PeerMessageFault> read(wire::PeerControl::DeliverParams::Reader from);
 };
 
