--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -88,7 +88,7 @@
         m_load.heavyKeys.clear();
     }
     m_load.slot = self;
-    m_load.inFlight = activity.runningRequests();
+    m_load.inFlight = activity.targetRequests();
     m_load.healthy = target.isHealthy(now);
     if (const std::optional<TargetAnnounced> &latest = target.latest()) {
         m_load.slots = latest->slots;
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -1,6 +1,7 @@
 #include "requestforwarder.h"
 
 #include "eventloop.h"
+#include "fencetext.h"
 #include "forwardedattempt.h"
 #include "forwardedrequest.h"
 #include "httpclient.h"
@@ -17,11 +18,6 @@
 constexpr std::size_t keepLimitBytes = 65536;
 constexpr Duration safeProgressTimeout = std::chrono::seconds(5);
 
-std::string formatFence(const Fence &fence)
-{
-    return std::to_string(fence.term.value()) + '.' + std::to_string(fence.sequence);
-}
-
 /** Makes ids of attempts differ between processes that share a target. */
 std::string makeIdPrefix()
 {
@@ -200,7 +196,7 @@
 
 void RequestForwarder::run(const SendToTarget &effect)
 {
-    const HttpHeaders headers{{std::string(wire::shard), std::to_string(effect.shard.value())}, {std::string(wire::fence), formatFence(effect.fence)}};
+    const HttpHeaders headers{{std::string(wire::shard), std::to_string(effect.shard.value())}, {std::string(wire::fence), fenceToText(effect.fence)}};
     const Private::Destination target{.kind = AttemptDestination::Target,
                                       .endpoint = effect.endpoint,
                                       .deadline = effect.deadline,
