Check a node's settings whole before it starts

Cause: a fault in a node's settings has to be named with line and field before anything starts; the stand-in for the settings threw at the first.

Change: parseNodeSettings() reads them by the YamlReader of the documents, so that unknown fields and all faults are reported at once. Addresses must be IP numbers, the platform's port must not be 0.

Ruled out: a builder; a struct with defaults and one parser is enough.

--- /dev/null
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -0,0 +1,117 @@
+#include "nodesettingsparser.h"
+
+#include "endpointtext.h"
+#include "nametext.h"
+#include "yamlreader.h"
+
+#include <arpa/inet.h>
+#include <array>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::uint64_t maximumTimelineRecords = 100000;
+
+bool isIpNumber(const std::string &address)
+{
+    std::array<unsigned char, sizeof(in6_addr)> bytes{};
+    return inet_pton(AF_INET, address.c_str(), bytes.data()) == 1 || inet_pton(AF_INET6, address.c_str(), bytes.data()) == 1;
+}
+
+std::optional<std::string> faultOfEndpoint(std::string_view text)
+{
+    const std::optional<Endpoint> endpoint = endpointFromText(text);
+    if (!endpoint || !isIpNumber(endpoint->address)) {
+        return "must be an IP number and a port, such as 127.0.0.1:9000";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> faultOfPlatform(std::string_view text)
+{
+    if (auto reason = faultOfEndpoint(text)) {
+        return reason;
+    }
+    return text.ends_with(":0") ? std::optional<std::string>("must have a port other than 0") : std::nullopt;
+}
+
+template <typename Name>
+void readName(YamlMapping &fields, const char *field, Name &name)
+{
+    std::string text;
+    fields.require(field);
+    if (fields.text(field, text, faultOfName)) {
+        name = Name(text);
+    }
+}
+
+void readEndpoint(YamlMapping &fields, const char *field, Endpoint &endpoint, YamlMapping::TextCheck check = faultOfEndpoint)
+{
+    std::string text;
+    fields.require(field);
+    if (fields.text(field, text, check)) {
+        endpoint = *endpointFromText(text);
+    }
+}
+
+void readListeners(YamlMapping fields, NodeSettings &settings)
+{
+    readEndpoint(fields, "callers", settings.listenCallers);
+    readEndpoint(fields, "peers", settings.listenPeers);
+    readEndpoint(fields, "control", settings.listenControl);
+    readEndpoint(fields, "target", settings.listenTarget);
+    readEndpoint(fields, "operations", settings.listenOperations);
+    fields.reportUnknown();
+}
+
+void readLog(YamlMapping fields, NodeSettings &settings)
+{
+    std::vector<std::pair<std::string_view, std::string>> levels;
+    for (const char *level : {"trace", "debug", "info", "warning", "error", "critical", "off"}) {
+        levels.emplace_back(level, level);
+    }
+    fields.choice<std::string>("level", settings.logLevel, levels);
+    fields.choice<LogFormat>("format", settings.logFormat, {{"text", LogFormat::Text}, {"json", LogFormat::Json}});
+    fields.reportUnknown();
+}
+
+void readTimeline(YamlMapping fields, NodeSettings &settings)
+{
+    fields.number("records", settings.timelineRecords, 1, maximumTimelineRecords);
+    fields.reportUnknown();
+}
+
+NodeSettings readSettings(YamlMapping &root)
+{
+    NodeSettings settings;
+    readName(root, "node", settings.node);
+    readName(root, "zone", settings.zone);
+    readName(root, "region", settings.region);
+    readEndpoint(root, "platform", settings.platform, faultOfPlatform);
+    root.require("listen");
+    if (root.has("listen")) {
+        readListeners(root.mapping("listen"), settings);
+    }
+    readLog(root.mapping("log"), settings);
+    readTimeline(root.mapping("timeline"), settings);
+    root.reportUnknown();
+    return settings;
+}
+
+} // namespace
+
+ParsedNodeSettings parseNodeSettings(std::string_view text)
+{
+    YamlReader reader(text);
+    if (!reader.isReadable()) {
+        return reader.faults();
+    }
+    NodeSettings settings = readSettings(reader.root());
+    if (reader.hasFaults()) {
+        return reader.faults();
+    }
+    return settings;
+}
+
+} // namespace nutmeghinge
--- a/tests/core/examplefile.h
+++ b/tests/core/examplefile.h
@@ -10,7 +10,7 @@
 /** Text of a file in the folder of examples; empty where there is none. */
 inline std::string exampleText(const std::string &name)
 {
-    const std::filesystem::path root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
+    const std::filesystem::path root = std::filesystem::path(__FILE__).lexically_normal().parent_path().parent_path().parent_path();
     std::ifstream file(root / "examples" / name);
     return {std::istreambuf_iterator<char>(file), {}};
 }
--- /dev/null
+++ b/tests/io/nodesettingstest.cpp
@@ -0,0 +1,68 @@
+#include "../core/examplefile.h"
+#include "nodesettingsparser.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+
+namespace {
+
+const std::string validText = "node: a\nzone: z\nregion: r\nplatform: 127.0.0.1:9000\nlisten:\n"
+                              "  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  control: 127.0.0.1:0\n  target: 127.0.0.1:0\n  operations: ::1:0\n";
+
+struct BrokenSettings {
+    std::string from;
+    std::string to;
+    DocumentFault fault;
+};
+
+const std::vector<BrokenSettings> brokenSettings{
+    {"node: a", "node: a/b", {1, "node", "must be made of letters, digits, '.', '_' and '-' and not begin with '.'"}},
+    {"zone: z", "zones: z", {1, "zone", "is missing"}},
+    {"127.0.0.1:9000", "localhost:9000", {4, "platform", "must be an IP number and a port, such as 127.0.0.1:9000"}},
+    {"127.0.0.1:9000", "127.0.0.1:0", {4, "platform", "must have a port other than 0"}},
+    {"peers: 127.0.0.1:0", "peers: 127.0.0.1:70000", {7, "listen.peers", "must be an IP number and a port, such as 127.0.0.1:9000"}},
+    {"  peers: 127.0.0.1:0\n", "", {5, "listen.peers", "is missing"}},
+    {"::1:0\n", "::1:0\nlog: {level: loud}\n", {11, "log.level", "must be trace or debug or info or warning or error or critical or off, not \"loud\""}},
+    {"::1:0\n", "::1:0\ntimeline: {records: 0}\n", {11, "timeline.records", "must be from 1 to 100000"}},
+    {"::1:0\n", "::1:0\nsecret: x\n", {11, "secret", "is not a known field"}},
+};
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("Each fault of a node's settings is reported with line and field and reason")
+{
+    REQUIRE(std::holds_alternative<NodeSettings>(parseNodeSettings(validText)));
+    for (const BrokenSettings &broken : brokenSettings) {
+        INFO(broken.to);
+        const ParsedNodeSettings parsed = parseNodeSettings(replaced(validText, broken.from, broken.to));
+        REQUIRE(std::holds_alternative<std::vector<DocumentFault>>(parsed));
+        CHECK(std::get<std::vector<DocumentFault>>(parsed).front() == broken.fault);
+    }
+    CHECK(std::get<std::vector<DocumentFault>>(parseNodeSettings("{}")).size() == 5);
+}
+
+TEST_CASE("The example settings are valid and read whole")
+{
+    REQUIRE(std::holds_alternative<NodeSettings>(parseNodeSettings(exampleText("node-roster-1.yaml"))));
+    const ParsedNodeSettings parsed = parseNodeSettings(exampleText("node-advice-1.yaml"));
+    REQUIRE(std::holds_alternative<NodeSettings>(parsed));
+    const NodeSettings expected{NodeName("advice-1"),
+                                ZoneName("bangkok-a"),
+                                RegionName("central-thailand"),
+                                {"10.20.0.10", 9000},
+                                {"10.20.1.1", 8080},
+                                {"10.20.1.1", 8081},
+                                {"10.20.1.1", 8082},
+                                {"127.0.0.1", 8083},
+                                {"10.20.1.1", 8084},
+                                "info",
+                                LogFormat::Json,
+                                20000};
+    CHECK(std::get<NodeSettings>(parsed) == expected);
+}
