Check and compare documents from the command line

Cause: operators drive the system by their document alone and need to see its faults and the effect of an edit before it is put in force.

Ruled out: a switch over words in main().

--- /dev/null
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -0,0 +1,16 @@
+#include "commandtable.h"
+
+#include "documentcheckcommand.h"
+#include "documentdiffcommand.h"
+
+namespace nutmeghinge {
+
+std::vector<std::unique_ptr<Command>> makeCommands()
+{
+    std::vector<std::unique_ptr<Command>> commands;
+    commands.push_back(std::make_unique<DocumentCheckCommand>());
+    commands.push_back(std::make_unique<DocumentDiffCommand>());
+    return commands;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/nutmeghingectl/documentcheckcommand.cpp
@@ -0,0 +1,32 @@
+#include "documentcheckcommand.h"
+
+#include "commandarguments.h"
+#include "documentfile.h"
+
+#include <iostream>
+
+namespace nutmeghinge {
+
+ExitCode DocumentCheckCommand::run(const std::vector<std::string> &arguments)
+{
+    boost::program_options::options_description description;
+    description.add_options()("file", boost::program_options::value<std::string>()->required());
+    description.add_options()("json", "");
+    const ParsedArguments parsed = parseArguments(arguments, description, {"file"});
+    if (const auto *fault = std::get_if<UsageFault>(&parsed)) {
+        std::cerr << name() << ": " << fault->reason << '\n';
+        return ExitCode::InvalidInput;
+    }
+    const auto &values = std::get<boost::program_options::variables_map>(parsed);
+    const auto path = values["file"].as<std::string>();
+    const bool asJson = values.count("json") != 0;
+    const ParsedDocument document = readDocumentFile(path);
+    if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&document)) {
+        (asJson ? std::cout : std::cerr) << (asJson ? faultsJson(*faults) + '\n' : faultsText(path, *faults));
+        return ExitCode::InvalidInput;
+    }
+    std::cout << (asJson ? "[]" : path + ": ok") << '\n';
+    return ExitCode::Success;
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/nutmeghingectl/documentcheckcommand.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "command.h"
+
+namespace nutmeghinge {
+
+/** Checks a document's file and prints every fault. */
+class DocumentCheckCommand : public Command
+{
+public:
+    std::string name() const override { return "document check"; }
+    std::string usage() const override { return "FILE [--json]                  report every fault of a document"; }
+    ExitCode run(const std::vector<std::string> &arguments) override;
+};
+
+} // namespace nutmeghinge
