--- a/src/nutmeghinge/main.cpp
+++ b/src/nutmeghinge/main.cpp
@@ -2,11 +2,13 @@
 #include "eventloop.h"
 #include "logsetup.h"
 #include "node.h"
-#include "nodesettings.h"
+#include "nodesettingsparser.h"
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <spdlog/spdlog.h>
+#include <sstream>
 
 using namespace nutmeghinge;
 
@@ -33,6 +35,17 @@
     std::array<uv_signal_t, 2> m_handles{};
 };
 
+ParsedNodeSettings readNodeSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return std::vector<DocumentFault>{DocumentFault{0, {}, "cannot be read"}};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseNodeSettings(text.str());
+}
+
 int runNode(const CommandLine &commandLine, const NodeSettings &settings)
 {
     setUpLog(commandLine.logLevel.value_or(settings.logLevel), settings.logFormat, settings.node.value());
@@ -60,7 +73,7 @@
         return end->exitCode;
     }
     const auto &commandLine = std::get<CommandLine>(parsed);
-    const std::variant<NodeSettings, std::vector<DocumentFault>> settings = readNodeSettings(commandLine.settingsFile);
+    const ParsedNodeSettings settings = readNodeSettings(commandLine.settingsFile);
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&settings)) {
         for (const DocumentFault &fault : *faults) {
             std::cerr << commandLine.settingsFile << ':' << fault.line << ": " << fault.field << ": " << fault.reason << '\n';
