Show that a lease counted from its answer gives two owners

Change: a directed test, in which answers to a member's heartbeats come 450 ms late and then its heartbeats do not arrive.

--- a/tests/core/cellfailuretest.cpp
+++ b/tests/core/cellfailuretest.cpp
@@ -53,6 +53,23 @@
     }
 }
 
+TEST_CASE("A lease counts from the heartbeat, however late its answer comes")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CellHarness harness(withSeed(5, seed));
+        harness.run(25s);
+        const std::size_t coordinator = harness.coordinator();
+        REQUIRE(coordinator < harness.size());
+        const std::size_t member = firstOtherThan(coordinator);
+        harness.extraDelay[{coordinator, member}] = 450ms;
+        harness.run(2s);
+        harness.extraDelay[{member, coordinator}] = 10s;
+        harness.run(3s);
+        CAPTURE(seed, harness.breach());
+        CHECK(harness.breach().empty());
+    }
+}
+
 TEST_CASE("A coordinator that has not reached the table for the hold limit stops before another node takes the cell over")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/tests/core/cellharness.cpp
+++ b/tests/core/cellharness.cpp
@@ -307,7 +307,9 @@
             continue;
         }
         const auto longest = static_cast<std::uint64_t>(networkDelay.count());
-        const Duration delay(static_cast<std::int64_t>(longest / 10 + random(longest * 9 / 10 + 1)));
+        const auto extra = extraDelay.find({from, to});
+        const Duration delay =
+            Duration(static_cast<std::int64_t>(longest / 10 + random(longest * 9 / 10 + 1))) + (extra == extraDelay.end() ? Duration(0) : extra->second);
         schedule(delay, [this, from, to, arrived = PeerMessageArrived{message.from, message.service, message.message}] {
             if (!m_cut.contains(std::minmax(from, to))) {
                 deliver(to, m_nodes[to].incarnation, arrived);
--- a/tests/core/cellharness.h
+++ b/tests/core/cellharness.h
@@ -61,6 +61,8 @@
     unsigned lossPerMille = 0;
     unsigned duplicatePerMille = 0;
 
+    /** Further delay of the messages from one node to another. */
+    std::map<std::pair<std::size_t, std::size_t>, Duration> extraDelay;
     /** Nodes that cannot reach the platform. */
     std::set<std::size_t> cutFromPlatform;
 
