Plan moves with the time of day

Cause: the coordinator left BalanceInput::now out, so the strategy took every shrink step as still to come (gcc warned). Change: both plans get the event's time of day. Conclusion: no warning; core tests pass.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -530,7 +530,7 @@
     const std::vector<BalanceMember> members = balanceMembers(event);
     const std::vector<std::uint64_t> loads = shardLoads(now);
     const std::vector<bool> cooling = m_ledger.cooling(now);
-    const BalanceInput input{*document, members, m_ledger.map(), loads, cooling, static_cast<std::uint32_t>(m_moveBudget)};
+    const BalanceInput input{*document, members, m_ledger.map(), loads, cooling, static_cast<std::uint32_t>(m_moveBudget), event.wallTime};
     const std::vector<PlannedMove> moves = makeBalanceStrategy(*document)->plan(input);
     for (const PlannedMove &move : moves) {
         if (move.shard.value() < input.map.shards.size() && isEligible(input.map.shards[move.shard.value()].owner)) {
@@ -539,7 +539,7 @@
     }
     m_moveBudget = std::max(m_moveBudget, 0.0);
     m_ledger.apply(moves, now, effects);
-    const BalanceInput after{*document, members, m_ledger.map(), loads, cooling, 0};
+    const BalanceInput after{*document, members, m_ledger.map(), loads, cooling, 0, event.wallTime};
     m_successors = planSuccessors(after);
 }
 
--- a/src/libnutmeghinge/hybridtime.h
+++ b/src/libnutmeghinge/hybridtime.h
@@ -15,7 +15,7 @@
     WallTime wall;
     std::uint32_t counter = 0;
 
-    friend constexpr auto operator<=>(const HybridTime &, const HybridTime &) = default;
+    friend constexpr auto operator<=>(const HybridTime &, const HybridTime &) = default; // NOLINT(modernize-use-nullptr)
     friend constexpr bool operator==(const HybridTime &, const HybridTime &) = default;
 };
 
--- a/src/libnutmeghingeio/announcementserver.cpp
+++ b/src/libnutmeghingeio/announcementserver.cpp
@@ -17,7 +17,7 @@
 
 std::string readName(const Json &object, const char *field)
 {
-    const std::string name = object.at(field).get<std::string>();
+    std::string name = object.at(field).get<std::string>();
     if (name.empty() || name.size() > nameLimitBytes || name.find_first_of("/ \r\n\t") != std::string::npos) {
         throw std::invalid_argument(std::string(field) + " is not a valid name");
     }
