List the load command among those of the tool

Cause: load stood without an entry; commands are found by their words in one table.

Change: LoadCommand is a Command and returns an ExitCode; its test compares with the names of the same codes. The help prints what each command does. A test runs the binary with good and faulty documents and command lines.

--- a/src/nutmeghingectl/command.h
+++ b/src/nutmeghingectl/command.h
@@ -22,8 +22,10 @@
 
     /** Words that select the command, such as "document check". */
     virtual std::string name() const = 0;
-    /** Arguments and purpose, one line for the help. */
+    /** Arguments as the help shows them. */
     virtual std::string usage() const = 0;
+    /** What the command does; a few words. */
+    virtual std::string purpose() const = 0;
     /** Runs with the arguments after the name; prints what it finds. */
     virtual ExitCode run(const std::vector<std::string> &arguments) = 0;
 };
--- a/src/nutmeghingectl/documentcheckcommand.h
+++ b/src/nutmeghingectl/documentcheckcommand.h
@@ -9,7 +9,8 @@
 {
 public:
     std::string name() const override { return "document check"; }
-    std::string usage() const override { return "FILE [--json]                  report every fault of a document"; }
+    std::string usage() const override { return "FILE [--json]"; }
+    std::string purpose() const override { return "report every fault of a document"; }
     ExitCode run(const std::vector<std::string> &arguments) override;
 };
 
--- a/src/nutmeghingectl/documentdiffcommand.h
+++ b/src/nutmeghingectl/documentdiffcommand.h
@@ -9,7 +9,8 @@
 {
 public:
     std::string name() const override { return "document diff"; }
-    std::string usage() const override { return "FILE --against FILE [--json]    tell what an edit changes"; }
+    std::string usage() const override { return "FILE --against FILE [--json]"; }
+    std::string purpose() const override { return "tell what an edit changes"; }
     ExitCode run(const std::vector<std::string> &arguments) override;
 };
 
--- a/src/nutmeghingectl/loadcommand.cpp
+++ b/src/nutmeghingectl/loadcommand.cpp
@@ -16,8 +16,6 @@
 
 namespace po = boost::program_options;
 
-constexpr int exitNotClean = 1;
-constexpr int exitUsage = 2;
 constexpr double maxRate = 100000;
 constexpr double maxSeconds = 86400;
 constexpr std::uint32_t maxKeys = 10000000;
@@ -103,7 +101,7 @@
     return {};
 }
 
-int generate(const Arguments &arguments)
+ExitCode generate(const Arguments &arguments)
 {
     EventLoop loop;
     LoadGenerator generator(loop, arguments.load);
@@ -115,12 +113,12 @@
     } else {
         std::cout << report.toText();
     }
-    return report.isClean() ? 0 : exitNotClean;
+    return report.isClean() ? ExitCode::Success : ExitCode::Failure;
 }
 
 } // namespace
 
-int LoadCommand::run(const std::vector<std::string> &arguments)
+ExitCode LoadCommand::run(const std::vector<std::string> &arguments)
 {
     Arguments parsed;
     const po::options_description options = describe(parsed);
@@ -129,17 +127,17 @@
         po::store(po::command_line_parser(arguments).options(options).run(), values);
         if (values.count("help") > 0) {
             std::cout << options;
-            return 0;
+            return ExitCode::Success;
         }
         po::notify(values);
     } catch (const po::error &error) {
         std::cerr << error.what() << '\n';
-        return exitUsage;
+        return ExitCode::InvalidInput;
     }
     const std::string fault = complete(parsed);
     if (!fault.empty()) {
         std::cerr << fault << '\n';
-        return exitUsage;
+        return ExitCode::InvalidInput;
     }
     return generate(parsed);
 }
--- a/src/nutmeghingectl/loadcommand.h
+++ b/src/nutmeghingectl/loadcommand.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "command.h"
+
 #include <string>
 #include <vector>
 
@@ -9,15 +11,18 @@
  * "nutmeghingectl load": sends load to nodes, checks the answers and prints a
  * summary.
  */
-class LoadCommand
+class LoadCommand : public Command
 {
 public:
+    std::string name() const override { return "load"; }
+    std::string usage() const override { return "[OPTIONS]"; }
+    std::string purpose() const override { return "send load and check the answers; see load --help"; }
     /**
-     * Runs with the arguments after the command's name. Exit code: 0 if no order
-     * ran twice or against its refusal and no answer was wrong or truncated, 1 if
-     * one did, 2 for faulty arguments.
+     * Runs with the arguments after the command's name. Success if no order ran
+     * twice or against its refusal and no answer was wrong or truncated, Failure if
+     * one did.
      */
-    int run(const std::vector<std::string> &arguments);
+    ExitCode run(const std::vector<std::string> &arguments) override;
 };
 
 } // namespace nutmeghinge
--- a/src/nutmeghingectl/main.cpp
+++ b/src/nutmeghingectl/main.cpp
@@ -12,7 +12,7 @@
 {
     std::string text = "Usage: nutmeghingectl COMMAND [ARGUMENTS]\n\nCommands:\n";
     for (const auto &command : commands) {
-        text += "  " + command->name() + ' ' + command->usage() + '\n';
+        text += "  " + command->name() + ' ' + command->usage() + "\n      " + command->purpose() + '\n';
     }
     return text + "\nExit codes: 0 success, 1 the platform or a node failed or an edit lost against another, 2 faulty command line or file.\n";
 }
--- a/tests/core/examplefile.h
+++ b/tests/core/examplefile.h
@@ -7,11 +7,17 @@
 
 namespace nutmeghinge {
 
+/** Path of a file in the folder of examples. */
+inline std::string examplePath(const std::string &name)
+{
+    const std::filesystem::path root = std::filesystem::path(__FILE__).lexically_normal().parent_path().parent_path().parent_path();
+    return root / "examples" / name;
+}
+
 /** Text of a file in the folder of examples; empty where there is none. */
 inline std::string exampleText(const std::string &name)
 {
-    const std::filesystem::path root = std::filesystem::path(__FILE__).lexically_normal().parent_path().parent_path().parent_path();
-    std::ifstream file(root / "examples" / name);
+    std::ifstream file(examplePath(name));
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
--- /dev/null
+++ b/tests/process/documentcommandtest.cpp
@@ -0,0 +1,39 @@
+#include "../core/examplefile.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <sys/wait.h>
+
+using namespace nutmeghinge;
+
+namespace {
+
+/** Exit code of the operator's tool; its output is dropped. */
+int exitCodeOf(const std::string &arguments)
+{
+    const int status = std::system((std::string(CTL_BINARY) + ' ' + arguments + " >/dev/null 2>&1").c_str());
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+} // namespace
+
+TEST_CASE("The tool checks and compares documents")
+{
+    const std::string valid = examplePath("roster.yaml");
+    const std::string faulty = examplePath("node-roster-1.yaml");
+    CHECK(exitCodeOf("document check " + valid) == 0);
+    CHECK(exitCodeOf("document check --json " + valid) == 0);
+    CHECK(exitCodeOf("document diff " + valid + " --against " + examplePath("docs.yaml")) == 0);
+    CHECK(exitCodeOf("document check " + faulty) == 2);
+    CHECK(exitCodeOf("document check " + valid + ".absent") == 2);
+    CHECK(exitCodeOf("document diff " + valid + " --against " + faulty) == 2);
+}
+
+TEST_CASE("The tool refuses a faulty command line")
+{
+    CHECK(exitCodeOf("--help") == 0);
+    for (const char *arguments : {"", "document", "document frob", "document check", "document diff a", "document check --frob a"}) {
+        INFO(arguments);
+        CHECK(exitCodeOf(arguments) == 2);
+    }
+}
--- a/tests/standins/loadgeneratortest.cpp
+++ b/tests/standins/loadgeneratortest.cpp
@@ -189,10 +189,10 @@
 TEST_CASE("Faulty arguments of the load command are refused")
 {
     LoadCommand command;
-    CHECK(command.run({}) == 2);
-    CHECK(command.run({"--entries", "nowhere", "--host", "a"}) == 2);
-    CHECK(command.run({"--entries", "127.0.0.1:1", "--host", "a", "--rate", "0"}) == 2);
-    CHECK(command.run({"--entries", "127.0.0.1:1", "--host", "a", "--orders", "60", "--downloads", "41"}) == 2);
-    CHECK(command.run({"--entries", "127.0.0.1:1", "--host", "a", "--unknown"}) == 2);
-    CHECK(command.run({"--help"}) == 0);
+    CHECK(command.run({}) == ExitCode::InvalidInput);
+    CHECK(command.run({"--entries", "nowhere", "--host", "a"}) == ExitCode::InvalidInput);
+    CHECK(command.run({"--entries", "127.0.0.1:1", "--host", "a", "--rate", "0"}) == ExitCode::InvalidInput);
+    CHECK(command.run({"--entries", "127.0.0.1:1", "--host", "a", "--orders", "60", "--downloads", "41"}) == ExitCode::InvalidInput);
+    CHECK(command.run({"--entries", "127.0.0.1:1", "--host", "a", "--unknown"}) == ExitCode::InvalidInput);
+    CHECK(command.run({"--help"}) == ExitCode::Success);
 }
