--- a/src/nutmeghingectl/loadcommand.h
+++ b/src/nutmeghingectl/loadcommand.h
@@ -15,11 +15,12 @@
 {
 public:
     std::string name() const override { return "load"; }
-    std::string usage() const override { return "--entries ADDRESS:PORT[,..] --host HOST [options]: sends load and checks every answer"; }
+    std::string usage() const override { return "[OPTIONS]"; }
+    std::string purpose() const override { return "send load and check the answers; see load --help"; }
     /**
-     * Runs with the arguments after the command's name. Exit code: 0 if no order
-     * ran twice or against its refusal and no answer was wrong or truncated, 1 if
-     * one did, 2 for faulty arguments.
+     * Runs with the arguments after the command's name. Success if no order ran
+     * twice or against its refusal and no answer was wrong or truncated, Failure if
+     * one did.
      */
     ExitCode run(const std::vector<std::string> &arguments) override;
 };
