--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -6,6 +6,7 @@
 #include "heavykeys.h"
 #include "loadmeter.h"
 #include "member.h"
+#include "overloaded.h"
 #include "ownershipmap.h"
 #include "ownershipview.h"
 #include "requestattempts.h"
@@ -41,13 +42,6 @@
     return {event.at, event.wallTime, effects};
 }
 
-template <typename... Functions>
-struct Overloaded : Functions... {
-    using Functions::operator()...;
-};
-template <typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 } // namespace
 
 struct RequestRouter::Private {
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -1,7 +1,9 @@
 #include "node.h"
 
 #include "document.h"
+#include "endpointtext.h"
 #include "httpexchange.h"
+#include "overloaded.h"
 #include "shardof.h"
 
 #include <charconv>
@@ -17,19 +19,6 @@
 /** Above any document's limit; the document's own is checked by the reducer. */
 constexpr std::uint64_t bodyLimitBytes = 16777216;
 
-/** Joins function objects into one, for std::visit. */
-template <typename... Functions>
-struct Overloaded : Functions... {
-    using Functions::operator()...;
-};
-template <typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
-std::string toText(const Endpoint &endpoint)
-{
-    return endpoint.address + ':' + std::to_string(endpoint.port);
-}
-
 std::uint64_t readSince(const std::string &query)
 {
     constexpr std::string_view name = "since=";
@@ -48,9 +37,9 @@
         {"incarnation", member.incarnation.value()},
         {"target", member.target.value()},
         {"zone", member.zone.value()},
-        {"peers", toText(member.peerEndpoint)},
-        {"control", toText(member.controlEndpoint)},
-        {"operations", toText(member.operationsEndpoint)},
+        {"peers", endpointToText(member.peerEndpoint)},
+        {"control", endpointToText(member.controlEndpoint)},
+        {"operations", endpointToText(member.operationsEndpoint)},
         {"leaving", member.leaving},
     };
 }
@@ -120,7 +109,7 @@
             return *fault;
         }
         listener.endpoint = std::get<Endpoint>(listener.result);
-        spdlog::info("listening for {} on {}", listener.name, toText(listener.endpoint));
+        spdlog::info("listening for {} on {}", listener.name, endpointToText(listener.endpoint));
     }
     return std::nullopt;
 }
@@ -251,11 +240,11 @@
         {"region", m_identity.region.value()},
         {"service", cell.document() ? cell.document()->service.value() : std::string()},
         {"listening",
-         {{"callers", toText(m_callerEndpoint)},
-          {"peers", toText(m_identity.peerEndpoint)},
-          {"control", toText(m_identity.controlEndpoint)},
-          {"target", toText(m_targetEndpoint)},
-          {"operations", toText(m_identity.operationsEndpoint)}}},
+         {{"callers", endpointToText(m_callerEndpoint)},
+          {"peers", endpointToText(m_identity.peerEndpoint)},
+          {"control", endpointToText(m_identity.controlEndpoint)},
+          {"target", endpointToText(m_targetEndpoint)},
+          {"operations", endpointToText(m_identity.operationsEndpoint)}}},
         {"slot", cell.self().value()},
         {"coordinator", cell.coordinator().value()},
         {"isCoordinator", cell.isCoordinator(now)},
