Let operators put a document's next revision

Cause: a document could be checked and compared but not put; nothing wrote the row from which nodes read it. Change: 'document put' checks the file, writes the text as an immutable object and moves the row on, on condition of the row's version. The row also keeps editor, time and the last 100 revisions; nodes read revision and object alone and ignore other fields. A put without an answer is looked up in the row by its revision and object name. Ruled out: sending the transaction again after a lost answer, which would report a conflict of the edit with itself; calling a put not accepted after a timeout, since the request may still be under way: its outcome is unknown.

--- a/src/nutmeghingectl/commandtable.cpp
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -2,6 +2,7 @@
 
 #include "documentcheckcommand.h"
 #include "documentdiffcommand.h"
+#include "documentputcommand.h"
 #include "loadcommand.h"
 
 namespace nutmeghinge {
@@ -11,6 +12,7 @@
     std::vector<std::unique_ptr<Command>> commands;
     commands.push_back(std::make_unique<DocumentCheckCommand>());
     commands.push_back(std::make_unique<DocumentDiffCommand>());
+    commands.push_back(std::make_unique<DocumentPutCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
     return commands;
 }
--- a/src/nutmeghingectl/documentfile.cpp
+++ b/src/nutmeghingectl/documentfile.cpp
@@ -7,17 +7,26 @@
 
 namespace nutmeghinge {
 
-ParsedDocument readDocumentFile(const std::string &path)
+std::optional<std::string> readDocumentText(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
     // One byte over the limit is enough for the parser to reject the text.
     std::string text(YamlReader::maximumBytes + 1, '\0');
     file.read(text.data(), static_cast<std::streamsize>(text.size()));
     if (file.gcount() == 0 && !file.eof()) {
-        return std::vector<DocumentFault>{{0, {}, "the file cannot be read"}};
+        return std::nullopt;
     }
     text.resize(static_cast<std::size_t>(file.gcount()));
-    return parseDocument(text);
+    return text;
+}
+
+ParsedDocument readDocumentFile(const std::string &path)
+{
+    const std::optional<std::string> text = readDocumentText(path);
+    if (!text) {
+        return std::vector<DocumentFault>{{0, {}, "the file cannot be read"}};
+    }
+    return parseDocument(*text);
 }
 
 std::string faultsText(const std::string &path, const std::vector<DocumentFault> &faults)
--- a/src/nutmeghingectl/documentfile.h
+++ b/src/nutmeghingectl/documentfile.h
@@ -2,10 +2,13 @@
 
 #include "documentparser.h"
 
+#include <optional>
 #include <string>
 
 namespace nutmeghinge {
 
+/** Text of a document's file, cut one byte over the limit; nothing where it cannot be read. */
+std::optional<std::string> readDocumentText(const std::string &path);
 /** Reads and checks a document's file; one that cannot be read is a fault without a line. */
 ParsedDocument readDocumentFile(const std::string &path);
 
