--- a/src/nutmeghingectl/commandtable.cpp
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -3,6 +3,7 @@
 #include "documentcheckcommand.h"
 #include "documentdiffcommand.h"
 #include "loadcommand.h"
+#include "statuscommand.h"
 
 namespace nutmeghinge {
 
@@ -12,6 +13,7 @@
     commands.push_back(std::make_unique<DocumentCheckCommand>());
     commands.push_back(std::make_unique<DocumentDiffCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
+    commands.push_back(std::make_unique<StatusCommand>());
     return commands;
 }
 
