Show the merged time line of nodes, also as an HTML page

Each node serves only its own time line, so a handover had to be pieced together from several pages.

timeline merges them by wall time, counter and node, filters by shard, key, node or request, follows, and writes a self-contained page. A node started again numbers its records anew and is read from the start.

--- a/src/nutmeghingectl/commandtable.cpp
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -4,6 +4,7 @@
 #include "documentdiffcommand.h"
 #include "loadcommand.h"
 #include "statuscommand.h"
+#include "timelinecommand.h"
 
 namespace nutmeghinge {
 
@@ -14,6 +15,7 @@
     commands.push_back(std::make_unique<DocumentDiffCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
     commands.push_back(std::make_unique<StatusCommand>());
+    commands.push_back(std::make_unique<TimelineCommand>());
     return commands;
 }
 
--- /dev/null
+++ b/src/nutmeghingectl/timelineentry.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace nutmeghinge {
+
+/** One time line record of a node, as a command reads it. */
+struct TimelineEntry {
+    /** Milliseconds since 1970. */
+    std::uint64_t wall = 0;
+    std::uint64_t counter = 0;
+    std::string node;
+    std::string kind;
+    std::string detail;
+    std::optional<std::uint64_t> request;
+    std::optional<std::uint64_t> shard;
+    std::optional<std::uint64_t> member;
+    std::optional<std::uint64_t> document;
+    /** "TERM.SEQUENCE"; empty where there is none. */
+    std::string fence;
+};
+
+} // namespace nutmeghinge
