Let operators print, list and compare revisions of a document

Cause: the revisions that a put leaves could not be seen again, and an edit could be compared with another file only. Ruled out: listing the objects to find revisions, since objects of lost edits are among them.

--- a/src/nutmeghingectl/commandtable.cpp
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -2,6 +2,8 @@
 
 #include "documentcheckcommand.h"
 #include "documentdiffcommand.h"
+#include "documentgetcommand.h"
+#include "documenthistorycommand.h"
 #include "documentputcommand.h"
 #include "loadcommand.h"
 
@@ -13,6 +15,8 @@
     commands.push_back(std::make_unique<DocumentCheckCommand>());
     commands.push_back(std::make_unique<DocumentDiffCommand>());
     commands.push_back(std::make_unique<DocumentPutCommand>());
+    commands.push_back(std::make_unique<DocumentGetCommand>());
+    commands.push_back(std::make_unique<DocumentHistoryCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
     return commands;
 }
--- a/src/nutmeghingectl/documentdiffcommand.cpp
+++ b/src/nutmeghingectl/documentdiffcommand.cpp
@@ -3,7 +3,10 @@
 #include "commandarguments.h"
 #include "documentdiff.h"
 #include "documentfile.h"
+#include "documentstore.h"
+#include "endpointtext.h"
 #include "jsonreader.h"
+#include "numberparsing.h"
 
 #include <iostream>
 
@@ -30,13 +33,62 @@
     return jsonToText(list) + '\n';
 }
 
+using Values = boost::program_options::variables_map;
+using DocumentOrExit = std::variant<Document, ExitCode>;
+
+DocumentOrExit documentOf(const std::string &path)
+{
+    const ParsedDocument document = readDocumentFile(path);
+    if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&document)) {
+        std::cerr << faultsText(path, *faults);
+        return ExitCode::InvalidInput;
+    }
+    return std::get<Document>(document);
+}
+
+DocumentOrExit documentOf(const ServiceName &service, std::optional<DocumentRevision> revision, const Values &values)
+{
+    const auto platform = endpointFromText(values.count("platform") != 0 ? values["platform"].as<std::string>() : std::string());
+    if (!platform || platform->isEmpty()) {
+        std::cerr << "document diff: a revision needs --platform ADDRESS:PORT\n";
+        return ExitCode::InvalidInput;
+    }
+    DocumentStore store(*platform);
+    const auto found = store.textOf(service, revision);
+    if (const auto *fault = std::get_if<StoreFault>(&found)) {
+        std::cerr << service.value() << ": " << fault->reason << '\n';
+        return ExitCode::Failure;
+    }
+    const auto &text = std::get<DocumentText>(found);
+    const ParsedDocument document = parseDocument(text.text);
+    if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&document)) {
+        std::cerr << faultsText(text.entry.object, *faults);
+        return ExitCode::Failure;
+    }
+    return std::get<Document>(document);
+}
+
+/** The document against which the file is compared: a number is a revision, nothing the one in force. */
+DocumentOrExit documentBefore(const Document &edited, const Values &values)
+{
+    if (values.count("against") == 0) {
+        return documentOf(edited.service, std::nullopt, values);
+    }
+    const auto against = values["against"].as<std::string>();
+    if (const auto number = parseNumber(against)) {
+        return documentOf(edited.service, DocumentRevision(*number), values);
+    }
+    return documentOf(against);
+}
+
 } // namespace
 
 ExitCode DocumentDiffCommand::run(const std::vector<std::string> &arguments)
 {
     boost::program_options::options_description description;
     description.add_options()("file", boost::program_options::value<std::string>()->required());
-    description.add_options()("against", boost::program_options::value<std::string>()->required());
+    description.add_options()("against", boost::program_options::value<std::string>());
+    description.add_options()("platform", boost::program_options::value<std::string>());
     description.add_options()("json", "");
     const ParsedArguments parsed = parseArguments(arguments, description, {"file"});
     if (const auto *fault = std::get_if<UsageFault>(&parsed)) {
@@ -44,17 +96,15 @@
         return ExitCode::InvalidInput;
     }
     const auto &values = std::get<boost::program_options::variables_map>(parsed);
-    std::vector<Document> documents;
-    for (const char *option : {"against", "file"}) {
-        const auto path = values[option].as<std::string>();
-        const ParsedDocument document = readDocumentFile(path);
-        if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&document)) {
-            std::cerr << faultsText(path, *faults);
-            return ExitCode::InvalidInput;
-        }
-        documents.push_back(std::get<Document>(document));
-    }
-    const std::vector<DocumentChange> changes = differenceOf(documents[0], documents[1]);
+    const DocumentOrExit edited = documentOf(values["file"].as<std::string>());
+    if (const auto *code = std::get_if<ExitCode>(&edited)) {
+        return *code;
+    }
+    const DocumentOrExit before = documentBefore(std::get<Document>(edited), values);
+    if (const auto *code = std::get_if<ExitCode>(&before)) {
+        return *code;
+    }
+    const std::vector<DocumentChange> changes = differenceOf(std::get<Document>(before), std::get<Document>(edited));
     std::cout << (values.count("json") != 0 ? changesJson(changes) : changesText(changes));
     return ExitCode::Success;
 }
--- a/src/nutmeghingectl/documentstore.cpp
+++ b/src/nutmeghingectl/documentstore.cpp
@@ -131,6 +131,24 @@
     return std::move(answer.body);
 }
 
+std::variant<DocumentText, StoreFault> DocumentStore::textOf(const ServiceName &service, std::optional<DocumentRevision> revision)
+{
+    const auto row = read(service);
+    if (const auto *fault = std::get_if<StoreFault>(&row)) {
+        return *fault;
+    }
+    const auto &history = std::get<DocumentHistory>(row);
+    const DocumentEntry *entry = history.find(revision.value_or(history.inForce.revision));
+    if (entry == nullptr) {
+        return StoreFault{"there is no " + (revision ? "revision " + std::to_string(revision->value()) : "document")};
+    }
+    auto content = text(*entry);
+    if (auto *fault = std::get_if<StoreFault>(&content)) {
+        return std::move(*fault);
+    }
+    return DocumentText{*entry, std::get<std::string>(std::move(content))};
+}
+
 EditOutcome DocumentStore::put(const DocumentEdit &edit)
 {
     const auto row = read(edit.service);
--- a/src/nutmeghingectl/documentstore.h
+++ b/src/nutmeghingectl/documentstore.h
@@ -34,6 +34,12 @@
     const DocumentEntry *find(DocumentRevision revision) const;
 };
 
+/** One revision with its text. */
+struct DocumentText {
+    DocumentEntry entry;
+    std::string text;
+};
+
 /** The platform did not answer, or not as it should; nothing has been accepted. */
 struct StoreFault {
     std::string reason;
@@ -82,6 +88,8 @@
     std::variant<DocumentHistory, StoreFault> read(const ServiceName &service);
     /** Text of a revision. */
     std::variant<std::string, StoreFault> text(const DocumentEntry &entry);
+    /** Entry and text of a revision, or of the one in force. */
+    std::variant<DocumentText, StoreFault> textOf(const ServiceName &service, std::optional<DocumentRevision> revision);
     /** Puts the edit as the revision after its base, unless another one came first. */
     EditOutcome put(const DocumentEdit &edit);
 
