Show that a node takes up the revisions that were put

Cause: a put writes fields to the row that nodes do not know, and that this breaks no node was known from reading platformclient.cpp only. Change: a test starts a node and waits until its status names each of two revisions that were put. Ruled out: a test of the row's parser alone, which would not show the object's text being read. Conclusion: the test passes on the node as it is.

--- a/tests/process/documentputtest.cpp
+++ b/tests/process/documentputtest.cpp
@@ -52,6 +52,7 @@
         });
     }
     const std::string &output() const { return m_output; }
+    TestCluster &cluster() { return m_cluster; }
 
 private:
     TestCluster m_cluster{"roster"};
@@ -182,3 +183,13 @@
     CHECK(fixture.output().find("queue: 64 -> 65") != std::string::npos);
     CHECK(fixture.run({"document", "diff", edited, "--against", "3"}) == 1);
 }
+
+TEST_CASE("A node takes up the revisions that were put", "[document]")
+{
+    PutFixture fixture;
+    REQUIRE(fixture.put() == 0);
+    const TestSeat &seat = fixture.cluster().addSeat("roster-1", "a");
+    CHECK(TestCluster::waitUntil([&] { return fixture.cluster().status(seat).value("document", 0) == 1; }));
+    REQUIRE(fixture.put() == 0);
+    CHECK(TestCluster::waitUntil([&] { return fixture.cluster().status(seat).value("document", 0) == 2; }));
+}
