--- a/src/nutmeghingectl/commandtable.cpp
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -2,6 +2,8 @@
 
 #include "documentcheckcommand.h"
 #include "documentdiffcommand.h"
+#include "documentgetcommand.h"
+#include "documenthistorycommand.h"
 #include "documentputcommand.h"
 #include "loadcommand.h"
 #include "statuscommand.h"
@@ -15,6 +17,8 @@
     commands.push_back(std::make_unique<DocumentCheckCommand>());
     commands.push_back(std::make_unique<DocumentDiffCommand>());
     commands.push_back(std::make_unique<DocumentPutCommand>());
+    commands.push_back(std::make_unique<DocumentGetCommand>());
+    commands.push_back(std::make_unique<DocumentHistoryCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
     commands.push_back(std::make_unique<StatusCommand>());
     commands.push_back(std::make_unique<TimelineCommand>());
