--- a/tests/process/blockinghttp.cpp
+++ b/tests/process/blockinghttp.cpp
@@ -85,7 +85,7 @@
         std::string name = line.substr(0, colon);
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
         const std::size_t begin = line.find_first_not_of(' ', colon + 1);
-        answer.headers[name] = line.substr(begin, line.find_last_not_of("\r") + 1 - begin);
+        answer.headers[name] = line.substr(begin, line.find_last_not_of('\r') + 1 - begin);
     }
 }
 
--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -23,6 +23,7 @@
     : m_outputFile(std::move(outputFile))
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
--- a/tests/process/deskcluster.cpp
+++ b/tests/process/deskcluster.cpp
@@ -28,7 +28,7 @@
 
 std::string DeskCluster::document(const std::string &more) const
 {
-    return "service: advice-desk\nhosts: [advice-desk]\nkeys:\n  header: Customer-Key\n  shards: " + std::to_string(deskShards)
+    return "service: advice-desk\nhosts: [advice-desk]\nkeys:\n  header: customer-key\n  shards: " + std::to_string(deskShards)
            + "\ntargets:\n  allow: [\"advice-*\"]\n  checkFence: " + (m_checkFence ? "true" : "false") + "\n" + more;
 }
 
