Let the demo wait for the shards of nodes that serve none yet

Cause: with pipefail, a node that serves nothing ended the demo at once. Change: an empty list counts as 0.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -68,7 +68,9 @@
 
 # Number of shards that the node at an operations endpoint serves.
 served_by() {
-    curl -s -m 2 "http://$1/status" | grep -o '"serving":\[[^]]*\]' | grep -o '[0-9]\+' | wc -l
+    local serving
+    serving=$(curl -s -m 2 "http://$1/status" | grep -o '"serving":\[[^]]*\]' || true)
+    grep -o '[0-9]\+' <<<"$serving" | wc -l || true
 }
 
 # Waits until the nodes serve this many shards together, and none of them much more than its share.
