--- a/tests/io/http2frames.cpp
+++ b/tests/io/http2frames.cpp
@@ -57,15 +57,21 @@
     return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + encode({.type = FrameType::Settings, .flags = 0, .stream = 0, .payload = {}});
 }
 
-std::string request(std::uint32_t stream, std::string_view method, bool hasBody, std::string_view path)
+std::string request(std::uint32_t stream, std::string_view method, bool hasBody, std::string_view path, std::string_view moreHeaders)
 {
     // HPACK: indexed :scheme http, then literals without indexing for :authority, :method and :path.
     const auto literal = [](char name, std::string_view value) { return std::string{name, static_cast<char>(value.size())} + std::string(value); };
-    const std::string block = "\x86" + literal(1, "d") + literal(2, method) + literal(4, path);
+    const std::string block = "\x86" + literal(1, "d") + literal(2, method) + literal(4, path) + std::string(moreHeaders);
     const std::uint8_t flags = hasBody ? endHeaders : endHeaders | endStream;
     return encode({.type = FrameType::Headers, .flags = flags, .stream = stream, .payload = block});
 }
 
+std::string header(std::string_view name, std::string_view value)
+{
+    const auto text = [](std::string_view bytes) { return static_cast<char>(bytes.size()) + std::string(bytes); };
+    return std::string(1, '\0') + text(name) + text(value);
+}
+
 std::string windowUpdate(std::uint32_t stream, std::uint32_t bytes)
 {
     return encode({.type = FrameType::WindowUpdate, .flags = 0, .stream = stream, .payload = bigEndian(bytes, 4)});
--- a/tests/io/http2frames.h
+++ b/tests/io/http2frames.h
@@ -34,7 +34,9 @@
 /** Connection preface with empty settings. */
 std::string preface();
 /** HEADERS of a request to the host d. */
-std::string request(std::uint32_t stream, std::string_view method, bool hasBody, std::string_view path = "/");
+std::string request(std::uint32_t stream, std::string_view method, bool hasBody, std::string_view path = "/", std::string_view moreHeaders = {});
+/** A header for request(), HPACK encoded; name and value of less than 127 bytes. */
+std::string header(std::string_view name, std::string_view value);
 std::string windowUpdate(std::uint32_t stream, std::uint32_t bytes);
 
 } // namespace nutmeghinge::http2
--- a/tests/io/http2servertest.cpp
+++ b/tests/io/http2servertest.cpp
@@ -73,6 +73,17 @@
     CHECK(server.closed == 0);
 }
 
+TEST_CASE("HTTP/2: parts of the cookie header are joined")
+{
+    EventLoop loop;
+    RecordingServer server(loop);
+    Client client(loop, server.endpoint);
+    const std::string headers = http2::header("cookie", "a=1") + http2::header("x-a", "b") + http2::header("cookie", "c=2");
+    client.connection.send(http2::request(1, "GET", false, "/", headers));
+    REQUIRE(runUntil(loop, [&] { return server.exchanges.size() == 1; }));
+    CHECK(server.exchanges[0]->request().headers == HttpHeaders{{"cookie", "a=1; c=2"}, {"x-a", "b"}});
+}
+
 TEST_CASE("HTTP/2: an answer that is not whole resets its stream alone")
 {
     EventLoop loop;
