--- a/src/nutmeghingectl/clusterstatus.cpp
+++ b/src/nutmeghingectl/clusterstatus.cpp
@@ -128,14 +128,15 @@
     std::map<std::uint64_t, std::string> nodes;
     for (const NodeStatus &status : m_answers) {
         std::string &list = nodes[status.document];
-        list += (list.empty() ? "" : ", ") + status.node;
+        list += list.empty() ? "" : ", ";
+        list += status.node;
     }
     if (nodes.size() == 1) {
         return "document in force: all " + std::to_string(nodes.begin()->first) + '\n';
     }
     std::string text = "document in force: differs\n";
     for (const auto &[revision, list] : nodes) {
-        text += "    " + std::to_string(revision) + ": " + list + '\n';
+        text.append("    ").append(std::to_string(revision)).append(": ").append(list).append("\n");
     }
     return text;
 }
@@ -144,7 +145,7 @@
 {
     std::string text = m_answers.empty() ? "" : table();
     for (const auto &[endpoint, reason] : m_silent) {
-        text += endpoint + ": no status: " + reason + '\n';
+        text.append(endpoint).append(": no status: ").append(reason).append("\n");
     }
     if (m_answers.empty()) {
         return text;
