--- a/src/nutmeghingectl/clusterstatus.cpp
+++ b/src/nutmeghingectl/clusterstatus.cpp
@@ -145,7 +145,7 @@
 {
     std::string text = m_answers.empty() ? "" : table();
     for (const auto &[endpoint, reason] : m_silent) {
-        text += endpoint + ": no status: " + reason + '\n';
+        text.append(endpoint).append(": no status: ").append(reason).append("\n");
     }
     if (m_answers.empty()) {
         return text;
