Let a joining node learn of its admission at once

Cause: a node that had been admitted read the row only at its next poll, up to 1 s later. A cell that grows from one to two needs its promise at once, so the coordinator's term lapsed and every key was without an owner (seen on real processes as terms ended by "majority lapsed" at each start). Change: a promise asked of a node that is no member yet, on a newer revision of the list, makes it read the row. Ruled out: a faster poll (reads of all that wait); trusting the message itself (the row alone admits).

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -26,6 +26,7 @@
     void rowKnown(const Event &event, EffectList &effects);
     bool hasAuthority(MonotonicTime now) const;
     void refreshStopped(MonotonicTime now);
+    void noteNewerRow(const PeerMessageArrived &arrived);
     TablePolling::Need tableNeed(MonotonicTime now) const;
     WallTime wallTime(MonotonicTime now) const;
 
@@ -50,6 +51,15 @@
 {
 }
 
+/** A promise asked of a node that is no member yet: the row that admits it is to be read at once. */
+void Cell::Private::noteNewerRow(const PeerMessageArrived &arrived)
+{
+    const auto *request = std::get_if<PromiseRequest>(&arrived.message);
+    if (request && request->revision > context.members.revision()) {
+        context.row.wantRead();
+    }
+}
+
 void Cell::Private::begin(const Event &event, EffectList &effects)
 {
     const bool paused = event.at - lastEventAt > context.timings.pauseLimit;
@@ -235,7 +245,11 @@
 {
     m_d->begin(event, effects);
     const auto &arrived = std::get<PeerMessageArrived>(event.body);
-    if (arrived.service != m_d->context.service || m_d->context.self == noMember || !m_d->context.members.find(arrived.from)) {
+    if (arrived.service != m_d->context.service) {
+        return;
+    }
+    if (m_d->context.self == noMember || !m_d->context.members.find(arrived.from)) {
+        m_d->noteNewerRow(arrived);
         return;
     }
     const MemberSlot from = arrived.from;
