Read the status page from small functions

Cause: one function built the whole page, and setup relied on other packages for OpenSSL's headers. Change: functions for members, counters and served shards; git and libssl-dev are named in setup, valgrind is not needed. Behaviour as before.

--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build needs by Debian's package manager, where it is missing.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy valgrind curl
+packages=(git g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl libssl-dev
     libuv1-dev libh2o-dev libcapnp-dev libspdlog-dev libyaml-cpp-dev libxxhash-dev
     nlohmann-json3-dev libboost-dev libboost-program-options-dev
     catch2 librapidcheck-dev libbenchmark-dev)
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -44,6 +44,40 @@
     };
 }
 
+nlohmann::json toJsonArray(const std::vector<Member> &members)
+{
+    nlohmann::json array = nlohmann::json::array();
+    for (const Member &member : members) {
+        array.push_back(toJsonObject(member));
+    }
+    return array;
+}
+
+nlohmann::json toJsonObject(const RequestCounters &counters)
+{
+    return {
+        {"arrived", counters.arrived},
+        {"answered", counters.answered},
+        {"notRun", counters.notRun},
+        {"unknown", counters.unknown},
+        {"inFlight", counters.inFlight},
+        {"queued", counters.queued},
+    };
+}
+
+/** Shards that the node would start work on at this time. */
+nlohmann::json servedShards(const Cell &cell, MonotonicTime now)
+{
+    nlohmann::json shards = nlohmann::json::array();
+    const std::size_t count = cell.self() == noMember ? 0 : cell.map().shards.size();
+    for (std::uint32_t index = 0; index < count; ++index) {
+        if (cell.mayAdmit(ShardIndex(index), now)) {
+            shards.push_back(index);
+        }
+    }
+    return shards;
+}
+
 } // namespace
 
 Node::Node(EventLoop &loop, NodeSettings settings)
@@ -220,18 +254,7 @@
 {
     const Cell &cell = m_reducer->cell();
     const MonotonicTime now = m_loop.now();
-    nlohmann::json members = nlohmann::json::array();
-    for (const Member &member : cell.members()) {
-        members.push_back(toJsonObject(member));
-    }
-    nlohmann::json owned = nlohmann::json::array();
     const OwnershipMap &map = cell.map();
-    for (std::uint32_t index = 0; index < map.shards.size(); ++index) {
-        if (cell.self() != noMember && cell.mayAdmit(ShardIndex(index), now)) {
-            owned.push_back(index);
-        }
-    }
-    const RequestCounters &counters = m_reducer->router().counters();
     const nlohmann::json status{
         {"node", m_identity.node.value()},
         {"incarnation", m_identity.incarnation.value()},
@@ -253,15 +276,9 @@
         {"document", cell.documentRevision().value()},
         {"leaseMs", std::chrono::duration_cast<std::chrono::milliseconds>(cell.leaseEnd() - now).count()},
         {"map", {{"term", map.version.term.value()}, {"sequence", map.version.sequence}, {"shards", map.shards.size()}}},
-        {"serving", std::move(owned)},
-        {"members", std::move(members)},
-        {"requests",
-         {{"arrived", counters.arrived},
-          {"answered", counters.answered},
-          {"notRun", counters.notRun},
-          {"unknown", counters.unknown},
-          {"inFlight", counters.inFlight},
-          {"queued", counters.queued}}},
+        {"serving", servedShards(cell, now)},
+        {"members", toJsonArray(cell.members())},
+        {"requests", toJsonObject(m_reducer->router().counters())},
     };
     return status.dump();
 }
