Find the examples in tests by the project's folder

Cause: with ccache's relative paths __FILE__ depends on the build folder; in a fresh clone 18 tests did not find the examples. Change: CMake gives the tests the folder of the examples. Ruled out: leaving ccache's base folder out, which would lose the shared cache.

--- a/tests/core/examplefile.h
+++ b/tests/core/examplefile.h
@@ -10,8 +10,7 @@
 /** Path of a file in the folder of examples. */
 inline std::string examplePath(const std::string &name)
 {
-    const std::filesystem::path root = std::filesystem::path(__FILE__).lexically_normal().parent_path().parent_path().parent_path();
-    return root / "examples" / name;
+    return std::filesystem::path(EXAMPLES_FOLDER) / name;
 }
 
 /** Text of a file in the folder of examples; empty where there is none. */
