--- a/benchmarks/forwardingbenchmark.cpp
+++ b/benchmarks/forwardingbenchmark.cpp
@@ -2,6 +2,7 @@
 #include "httpclient.h"
 #include "httpexchange.h"
 #include "httpserver.h"
+#include "ownrequestprotocol.h"
 #include "requestforwarder.h"
 
 #include <benchmark/benchmark.h>
@@ -39,7 +40,7 @@
         , target(std::get<Endpoint>(targetServer.listen({"127.0.0.1", 0})))
         , callers(std::get<Endpoint>(callerServer.listen({"127.0.0.1", 0})))
         , client(loop, 4)
-        , forwarder(loop, client, [this](const EventBody &event) { forward(event); })
+        , forwarder(loop, client, protocol, [this](const EventBody &event) { forward(event); })
     {
     }
 
@@ -69,6 +70,7 @@
     Endpoint target;
     Endpoint callers;
     HttpClient client;
+    OwnRequestProtocol protocol;
     RequestForwarder forwarder;
 };
 
--- a/src/libnutmeghinge/balancestrategy.cpp
+++ b/src/libnutmeghinge/balancestrategy.cpp
@@ -2,6 +2,7 @@
 
 #include "document.h"
 #include "evenloadstrategy.h"
+#include "rangestrategy.h"
 #include "steadyownershipstrategy.h"
 #include "successorplanner.h"
 
@@ -9,6 +10,9 @@
 
 std::unique_ptr<BalanceStrategy> makeBalanceStrategy(const Document &document)
 {
+    if (document.numericKeys) {
+        return std::make_unique<RangeStrategy>();
+    }
     if (document.objective == Document::Objective::UnavailableTime) {
         return std::make_unique<SteadyOwnershipStrategy>();
     }
--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -14,17 +14,23 @@
 
 /** Time without a shard after which a stopping node no longer waits to be taken from the list. */
 constexpr Duration removalPatience = std::chrono::seconds(2);
+/** Time for which a target that asked for no more work still gets it while its shards move; under the two seconds that targets allow. */
+constexpr Duration windDown = std::chrono::milliseconds(1500);
 
 } // namespace
 
 struct Cell::Private {
-    Private(NodeIdentity identity, Timings timings, ShardActivity &activity);
+    Private(NodeIdentity identity, Timings timings, ShardActivity &activity, const DocumentFormat *format);
 
     void begin(const Event &event, EffectList &effects);
     void adoptRow(const CellRow &row, const Event &event, EffectList &effects);
     void recordMemberChanges(const CellRow &row, EffectList &effects) const;
     void rowKnown(const Event &event, EffectList &effects);
     bool hasAuthority(MonotonicTime now) const;
+    bool takeAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
+    std::optional<HoldGrant> holdGrant(MonotonicTime now);
+    bool isWindingDown(MonotonicTime now) const;
+    bool mayRunHeld(ShardIndex shard, const ShardOwnership &entry, MonotonicTime now) const;
     void refreshStopped(MonotonicTime now);
     void noteNewerRow(const PeerMessageArrived &arrived);
     TablePolling::Need tableNeed(MonotonicTime now) const;
@@ -41,8 +47,8 @@
     bool stopped = false;
 };
 
-Cell::Private::Private(NodeIdentity identity, Timings timings, ShardActivity &activity)
-    : context(std::move(identity), timings, activity)
+Cell::Private::Private(NodeIdentity identity, Timings timings, ShardActivity &activity, const DocumentFormat *format)
+    : context(std::move(identity), timings, activity, format)
     , handover(context)
     , coordinator(context, handover)
     , follower(context, handover)
@@ -136,7 +142,57 @@
     if (context.self == noMember || now - lastEventAt > context.timings.pauseLimit) {
         return false;
     }
-    return coordinator.isInOffice() ? coordinator.isActive(now) : context.lease.isValid(now);
+    // Holds outlast the coordinator's term, so a coordinator grants them by a member lease of its own.
+    const bool byTerm = coordinator.isInOffice() && !context.holdsByHeartbeat();
+    return byTerm ? coordinator.isActive(now) : context.lease.isValid(now);
+}
+
+/** False for announcements of another service and for those that were overtaken. */
+bool Cell::Private::takeAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+{
+    const ServiceName &expected = context.targetService();
+    if (!expected.value().empty() && expected != announcement.service) {
+        return false;
+    }
+    if (context.service.value().empty()) {
+        context.service = announcement.service;
+    }
+    if (!context.target.announced(announcement, now, effects)) {
+        return false;
+    }
+    const Document *document = context.documents.document();
+    const ShardSection *section = context.ownSection();
+    if (document && document->heldByHeartbeat && section) {
+        const Duration bound = context.timings.targetHold;
+        context.holds.setHoldTime(bound == Duration::zero() ? document->holdTime : std::min(bound, document->holdTime));
+        context.holds.announced(announcement, *section, context.map.version, now);
+        for (const HeldRange &range : announcement.holds ? announcement.holds->held : std::vector<HeldRange>()) {
+            context.promises.sawFence(range.fence.term);
+        }
+        follower.targetReported(announcement.targetIncarnation);
+    }
+    return true;
+}
+
+std::optional<HoldGrant> Cell::Private::holdGrant(MonotonicTime now)
+{
+    const ShardSection *section = context.ownSection();
+    if (!context.holdsByHeartbeat() || !section || !hasAuthority(now) || section->first + section->count > context.map.shards.size()) {
+        return std::nullopt;
+    }
+    return context.holds.grant(context.map, *section, context.self, context.lease.end(), now);
+}
+
+/** The target has just asked for no more work, and its shards still have no other owner. */
+bool Cell::Private::isWindingDown(MonotonicTime now) const
+{
+    return context.holdsByHeartbeat() && context.target.isDraining() && now < context.target.drainingSince() + windDown;
+}
+
+/** A shard that moves away is served until the target was told to release it. */
+bool Cell::Private::mayRunHeld(ShardIndex shard, const ShardOwnership &entry, MonotonicTime now) const
+{
+    return entry.state != ShardOwnership::State::Unowned && entry.owner == context.self && context.holds.mayRun(shard, entry.fence, now);
 }
 
 void Cell::Private::refreshStopped(MonotonicTime now)
@@ -167,8 +223,8 @@
     return lastWallTime + std::chrono::duration_cast<WallTime::duration>(now - lastEventAt);
 }
 
-Cell::Cell(NodeIdentity identity, Timings timings, ShardActivity &activity)
-    : m_d(std::make_unique<Private>(std::move(identity), timings, activity))
+Cell::Cell(NodeIdentity identity, Timings timings, ShardActivity &activity, const DocumentFormat *format)
+    : m_d(std::make_unique<Private>(std::move(identity), timings, activity, format))
 {
 }
 
@@ -235,6 +291,12 @@
     m_d->polling.documentRead(event, effects);
 }
 
+void Cell::documentFollowed(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->polling.documentFollowed(event, effects);
+}
+
 void Cell::cellsRead(const Event &event, EffectList &effects)
 {
     m_d->begin(event, effects);
@@ -272,12 +334,19 @@
 {
     m_d->begin(event, effects);
     const auto &announcement = std::get<TargetAnnounced>(event.body);
-    CellContext &context = m_d->context;
-    if (!context.service.value().empty() && context.service != announcement.service) {
-        return;
+    const bool taken = m_d->takeAnnouncement(announcement, event.at, effects);
+    if (announcement.announcement != 0) {
+        effects.add(AnswerTarget{announcement.announcement, taken ? m_d->holdGrant(event.at) : std::nullopt});
     }
-    context.service = announcement.service;
-    context.target.announced(announcement, event.at, effects);
+    if (taken) {
+        m_d->polling.announce(event.at, effects);
+    }
+}
+
+void Cell::targetLeaving(const Event &event, EffectList &effects)
+{
+    m_d->begin(event, effects);
+    m_d->context.target.leaving(std::get<TargetLeaving>(event.body), event.at);
     m_d->polling.announce(event.at, effects);
 }
 
@@ -338,7 +407,10 @@
 {
     const CellContext &context = m_d->context;
     const Document *inForce = document();
-    if (!inForce || !context.target.latest() || context.isTargetLeaving(m_d->wallTime(now))) {
+    if (!inForce || !context.target.latest()) {
+        return false;
+    }
+    if (context.isTargetLeaving(m_d->wallTime(now)) && !m_d->isWindingDown(now)) {
         return false;
     }
     if (!inForce->isDividedByKey()) {
@@ -348,6 +420,9 @@
         return false;
     }
     const ShardOwnership &entry = context.map.shards[shard.value()];
+    if (inForce->heldByHeartbeat) {
+        return m_d->mayRunHeld(shard, entry, now);
+    }
     const bool owned = entry.state == ShardOwnership::State::Owned && entry.owner == context.self;
     return owned && (!inForce->targetsCheckFence || context.target.hasGrant(entry.fence));
 }
@@ -355,12 +430,24 @@
 MonotonicTime Cell::workEndsBefore() const
 {
     const Document *inForce = document();
-    if (!inForce || inForce->targetsCheckFence || !inForce->isDividedByKey()) {
+    if (!inForce || inForce->targetsCheckFence || inForce->heldByHeartbeat || !inForce->isDividedByKey()) {
         return MonotonicTime::max();
     }
     return leaseEnd() + inForce->executionLimit;
 }
 
+const Document *Cell::documentOf(const ServiceName &service) const
+{
+    const DocumentSet *documents = m_d->context.documents.documents();
+    return documents ? documents->find(service) : nullptr;
+}
+
+const RouteTable *Cell::routes() const
+{
+    const DocumentSet *documents = m_d->context.documents.documents();
+    return documents && m_d->context.spansServices() ? &documents->routes : nullptr;
+}
+
 const std::vector<MemberLoad> &Cell::loads() const
 {
     return m_d->context.loads;
@@ -403,7 +490,8 @@
 
 MonotonicTime Cell::leaseEnd() const
 {
-    return m_d->coordinator.isInOffice() ? m_d->coordinator.activeUntil() : m_d->context.lease.end();
+    const bool byTerm = m_d->coordinator.isInOffice() && !m_d->context.holdsByHeartbeat();
+    return byTerm ? m_d->coordinator.activeUntil() : m_d->context.lease.end();
 }
 
 bool Cell::isStopped() const
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -9,6 +9,7 @@
 
 namespace nutmeghinge {
 
+class DocumentFormat;
 class EffectList;
 class ShardActivity;
 
@@ -19,8 +20,8 @@
 class Cell : public OwnershipView
 {
 public:
-    /** The activity must outlive the cell. */
-    Cell(NodeIdentity identity, Timings timings, ShardActivity &activity);
+    /** The activity and the format must outlive the cell; without a format documents are the product's own. */
+    Cell(NodeIdentity identity, Timings timings, ShardActivity &activity, const DocumentFormat *format = nullptr);
     ~Cell() override;
 
     // Events; each is called by the Reducer only.
@@ -31,15 +32,19 @@
     void memberRowsRead(const Event &event, EffectList &effects);
     void memberRowWriteFinished(const Event &event, EffectList &effects);
     void documentRead(const Event &event, EffectList &effects);
+    void documentFollowed(const Event &event, EffectList &effects);
     void cellsRead(const Event &event, EffectList &effects);
     void peerMessageArrived(const Event &event, EffectList &effects);
     void targetAnnounced(const Event &event, EffectList &effects);
+    void targetLeaving(const Event &event, EffectList &effects);
     void targetProbed(const Event &event, EffectList &effects);
     void targetGrantFinished(const Event &event, EffectList &effects);
     /** The target named a newer fence than this node holds. */
     void sawNewerFence(Fence newer, const Event &event, EffectList &effects);
 
     const Document *document() const override;
+    const Document *documentOf(const ServiceName &service) const override;
+    const RouteTable *routes() const override;
     MemberSlot self() const override;
     const Member *member(MemberSlot slot) const override;
     const std::vector<Member> &members() const override;
--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -3,6 +3,8 @@
 #include "effectlist.h"
 #include "shardactivity.h"
 
+#include <algorithm>
+
 namespace nutmeghinge {
 
 namespace {
@@ -11,11 +13,13 @@
 
 } // namespace
 
-CellContext::CellContext(NodeIdentity nodeIdentity, Timings cellTimings, ShardActivity &shardActivity)
+CellContext::CellContext(NodeIdentity nodeIdentity, Timings cellTimings, ShardActivity &shardActivity, const DocumentFormat *format)
     : identity(std::move(nodeIdentity))
     , timings(cellTimings)
     , activity(shardActivity)
+    , service(identity.cell)
     , promises(timings, identity.startedAt)
+    , documents(format)
     , target(timings)
     , row(timings)
 {
@@ -26,11 +30,17 @@
     Member member;
     member.node = identity.node;
     member.incarnation = identity.incarnation;
+    member.service = identity.service;
     member.zone = identity.zone;
     member.region = identity.region;
     member.peerEndpoint = identity.peerEndpoint;
     member.controlEndpoint = identity.controlEndpoint;
     member.operationsEndpoint = identity.operationsEndpoint;
+    member.leaving = stopping;
+    if (spansServices()) {
+        // The target's state changes often and travels with heartbeats, not by changes of the list.
+        return member;
+    }
     member.leaving = stopping || target.isDraining();
     if (const std::optional<TargetAnnounced> &latest = target.latest()) {
         member.target = latest->target;
@@ -57,7 +67,7 @@
 
 bool CellContext::offerDocument(const DocumentCopy &copy, EffectList &effects)
 {
-    return documents.offer(copy, service, assignedShards(), effects);
+    return documents.offer(copy, targetService(), spansServices() ? 0 : assignedShards(), effects);
 }
 
 std::uint32_t CellContext::assignedShards() const
@@ -65,6 +75,12 @@
     return static_cast<std::uint32_t>(map.shards.size() - map.hotKeys.size());
 }
 
+bool CellContext::holdsByHeartbeat() const
+{
+    const Document *document = documents.document();
+    return document && document->heldByHeartbeat;
+}
+
 bool CellContext::isTargetLeaving(WallTime now) const
 {
     const Document *document = documents.document();
@@ -74,8 +90,14 @@
 
 Duration CellContext::executionWait() const
 {
-    const Document *document = documents.document();
-    return !document || document->targetsCheckFence ? Duration(0) : timings.withDrift(document->executionLimit);
+    Duration longest(0);
+    if (const DocumentSet *set = documents.documents()) {
+        for (const Document &document : set->services) {
+            const bool enforced = document.targetsCheckFence || document.heldByHeartbeat || (spansServices() && !document.isDividedByKey());
+            longest = std::max(longest, enforced ? Duration(0) : timings.withDrift(document.executionLimit));
+        }
+    }
+    return longest;
 }
 
 MemberLoad CellContext::takeLoad(MonotonicTime now)
@@ -89,7 +111,7 @@
     }
     m_load.slot = self;
     m_load.inFlight = activity.targetRequests();
-    m_load.healthy = target.isHealthy(now);
+    m_load.healthy = target.isHealthy(now) && !target.isDraining();
     if (const std::optional<TargetAnnounced> &latest = target.latest()) {
         m_load.slots = latest->slots;
     }
--- a/src/libnutmeghinge/cellcontext.h
+++ b/src/libnutmeghinge/cellcontext.h
@@ -9,6 +9,7 @@
 #include "ownershipmap.h"
 #include "peermessages.h"
 #include "promisekeeper.h"
+#include "targetholds.h"
 #include "targetwatch.h"
 #include "timings.h"
 
@@ -16,6 +17,7 @@
 
 namespace nutmeghinge {
 
+class DocumentFormat;
 class EffectList;
 class ShardActivity;
 
@@ -24,7 +26,7 @@
  * its cell.
  */
 struct CellContext {
-    CellContext(NodeIdentity nodeIdentity, Timings cellTimings, ShardActivity &shardActivity);
+    CellContext(NodeIdentity nodeIdentity, Timings cellTimings, ShardActivity &shardActivity, const DocumentFormat *format);
 
     /** This node's own row, as it announces itself. */
     Member announcement() const;
@@ -35,11 +37,19 @@
     bool offerDocument(const DocumentCopy &copy, EffectList &effects);
     /** Number of shards of the map without those of hot keys; 0 where there is no map. */
     std::uint32_t assignedShards() const;
+    /** The cell holds the nodes of several services. */
+    bool spansServices() const { return !identity.cell.value().empty(); }
+    /** Service of the target beside this node; empty before it is known. */
+    const ServiceName &targetService() const { return identity.service.value().empty() ? service : identity.service; }
+    /** This node's target holds its shards by the answers to its own heartbeats. */
+    bool holdsByHeartbeat() const;
+    /** Section of the map that the target beside this node may own shards of; null where there is none. */
+    const ShardSection *ownSection() const { return map.section(targetService()); }
     /** The target is to get no new work: by the document or by its own word. */
     bool isTargetLeaving(WallTime now) const;
     /** This node wants to give its shards away. */
     bool isLeaving(WallTime now) const { return stopping || isTargetLeaving(now); }
-    /** Longest time for which work goes on after the end of its lease; zero where targets check fences. */
+    /** Longest time for which work goes on after the end of its lease; zero where targets check fences or hold their keys inside the lease. */
     Duration executionWait() const;
     /** This node's load; shards and keys are named once a second only. */
     MemberLoad takeLoad(MonotonicTime now);
@@ -47,7 +57,7 @@
     const NodeIdentity identity;
     const Timings timings;
     ShardActivity &activity;
-    /** Empty before the target has announced itself. */
+    /** Name of the cell; empty before the target has announced itself, where the cell is that of its service. */
     ServiceName service;
     MemberSlot self;
     bool stopping = false;
@@ -56,6 +66,7 @@
     MemberLease lease;
     DocumentKeeper documents;
     TargetWatch target;
+    TargetHolds holds;
     CellRowKeeper row;
     OwnershipMap map;
     std::vector<MemberLoad> loads;
--- a/src/libnutmeghinge/cellrow.h
+++ b/src/libnutmeghinge/cellrow.h
@@ -5,6 +5,7 @@
 #include "ownershipmap.h"
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace nutmeghinge {
@@ -21,6 +22,8 @@
     MemberSlot nextSlot{1};
     /** In the order in which they stand as candidates for coordinator. */
     std::vector<Member> members;
+    /** Nodes of slots that are no longer listed and that the map still names. */
+    std::vector<std::pair<MemberSlot, NodeName>> former;
     /** Owners when the row was written. */
     OwnershipMap map;
     /** For each shard its successors, best first. */
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -16,7 +16,6 @@
 using State = CoordinatorTerm::State;
 
 constexpr Duration planInterval = std::chrono::seconds(1);
-constexpr Duration loadsInterval = std::chrono::seconds(1);
 /** Without a new report for this long a member's load by shard is forgotten. */
 constexpr Duration loadLifetime = std::chrono::seconds(3);
 /** Marks of life in the row within one hold limit. */
@@ -70,7 +69,10 @@
         endRecoveryIfDue(now);
         m_ledger.advance(
             acknowledgedVersion(now), [this](MemberSlot slot) { return isEligible(slot); }, now, effects);
-        m_ledger.retarget(eligibleMembers(), m_context.timings.moveRetarget, now);
+        m_ledger.addSections(sectionsWith(m_ledger.map().sections));
+        for (const ShardSection &section : sections()) {
+            m_ledger.retarget(eligibleMembers(section), section, m_context.timings.moveRetarget, now);
+        }
         assignShards(event, effects);
         publish();
         pushMap(now, effects);
@@ -169,16 +171,23 @@
     OwnershipLedger::Start start;
     start.term = m_term.term();
     start.base = base;
-    start.shards = document->isDividedByKey() ? document->shards : 0;
+    start.sections = sectionsWith(base->sections);
+    if (m_context.spansServices()) {
+        start.shards = start.sections.empty() ? 0 : start.sections.back().first + start.sections.back().count;
+    } else {
+        start.shards = document->isDividedByKey() ? document->shards : 0;
+    }
     start.self = m_context.self;
     start.selfHolds = CoordinatorTerm::slotOf(base->version.term) == m_context.self || m_context.lease.isValid(now);
-    start.baseCoordinatorIsFree = m_term.hasMajorityOfAll(m_context.members, now);
+    // Where targets hold their keys by heartbeat, the earlier coordinator granted by a member lease like any other.
+    start.baseCoordinatorIsFree = !m_context.spansServices() && m_term.hasMajorityOfAll(m_context.members, now);
     start.renewFences = m_renewFences;
     start.freeAt = now + m_context.executionWait();
     m_ledger.start(start);
     m_renewFences = false;
     m_term.takeOffice();
     m_status.clear();
+    noteNodes(row->row);
     m_successors = row->row.successors;
     m_officeAt = now;
     m_plannedAt = MonotonicTime();
@@ -194,7 +203,9 @@
 {
     if (isInOffice()) {
         effects.record(termRecord(TimelineRecord::Kind::TermEnded, m_context.self, m_term.term(), reason));
-        m_context.lease.lapse(event.at);
+        if (!m_context.holdsByHeartbeat()) {
+            m_context.lease.lapse(event.at);
+        }
         m_context.holdUntil = std::max(m_context.holdUntil, holdEnd());
     }
     m_term.end();
@@ -262,6 +273,9 @@
     for (const auto &[shard, fence] : m_handover.released()) {
         m_ledger.noteReleased(m_context.self, shard, fence);
     }
+    if (m_context.holdsByHeartbeat() && isActive(event.at) && acknowledgedVersion(event.at).term == m_term.term()) {
+        m_context.lease.extend(event.at, m_context.timings.memberLease);
+    }
 }
 
 void Coordinator::heartbeatArrived(MemberSlot from, const Heartbeat &heartbeat, const Event &event, EffectList &effects)
@@ -284,6 +298,7 @@
         m_ledger.confirmHeld(from, heartbeat.held);
         status.leaseEnd = event.at + m_context.timings.withDrift(m_context.timings.memberLease);
     }
+    noteTargetIncarnation(from, status, heartbeat, event.at, effects);
     noteHeartbeat(status, heartbeat, event.at);
     for (const auto &[shard, fence] : heartbeat.released) {
         m_ledger.noteReleased(from, shard, fence);
@@ -292,6 +307,69 @@
     answer(from, heartbeat, status, event, effects);
 }
 
+/** The target's keys are known by its own report: an earlier start of it, or an earlier run of its node, holds nothing more. */
+void Coordinator::noteTargetIncarnation(MemberSlot from, MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now, EffectList &effects)
+{
+    if (heartbeat.targetIncarnation == 0 || heartbeat.targetIncarnation == status.targetIncarnation) {
+        return;
+    }
+    const bool restarted = status.targetIncarnation != 0;
+    status.targetIncarnation = heartbeat.targetIncarnation;
+    if (restarted) {
+        m_ledger.lose(from, now, effects);
+        return;
+    }
+    const auto node = m_nodes.find(from);
+    for (const auto &[slot, name] : m_nodes) {
+        if (slot != from && node != m_nodes.end() && name == node->second) {
+            m_ledger.transfer(slot, from, heartbeat.held, now, effects);
+            m_ledger.lose(slot, now, effects);
+        }
+    }
+}
+
+void Coordinator::noteNodes(const CellRow &row)
+{
+    for (const auto &[slot, node] : row.former) {
+        m_nodes[slot] = node;
+    }
+    for (const Member &member : row.members) {
+        m_nodes[member.slot] = member.node;
+    }
+}
+
+std::vector<std::pair<MemberSlot, NodeName>> Coordinator::formerNodes(const CellRow &row) const
+{
+    std::vector<std::pair<MemberSlot, NodeName>> former;
+    for (const auto &[slot, node] : m_nodes) {
+        const bool listed = std::any_of(row.members.begin(), row.members.end(), [slot = slot](const Member &member) { return member.slot == slot; });
+        const auto &shards = row.map.shards;
+        if (!listed && std::any_of(shards.begin(), shards.end(), [slot = slot](const ShardOwnership &entry) { return entry.owner == slot; })) {
+            former.emplace_back(slot, node);
+        }
+    }
+    return former;
+}
+
+/** Each node that may still have granted shards, or a later run of it, has told what its target holds. */
+bool Coordinator::areHoldersKnown() const
+{
+    for (const MemberSlot owner : m_ledger.pendingOwners()) {
+        if (isHeard(owner)) {
+            continue;
+        }
+        const auto node = m_nodes.find(owner);
+        const bool reported = node != m_nodes.end() && std::any_of(m_status.begin(), m_status.end(), [&](const auto &entry) {
+                                  const auto other = m_nodes.find(entry.first);
+                                  return entry.second.targetIncarnation != 0 && other != m_nodes.end() && other->second == node->second;
+                              });
+        if (!reported) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void Coordinator::noteHeartbeat(MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now)
 {
     status.heard = true;
@@ -333,7 +411,7 @@
     if (heartbeat.document < answer.document) {
         answer.newerDocument = m_context.documents.copy();
     }
-    if (m_ledger.map().shards.empty() && now >= status.loadsSentAt + loadsInterval) {
+    if (sharesLoads() && now >= status.loadsSentAt + m_context.timings.loadsInterval) {
         status.loadsSentAt = now;
         answer.loads = collectLoads();
     }
@@ -372,9 +450,10 @@
 
 void Coordinator::refreshEligibility(const Event &event)
 {
-    const Document *document = m_context.documents.document();
+    const Document *own = m_context.documents.document();
     for (auto &[slot, status] : m_status) {
         const Member *member = m_context.members.find(slot);
+        const Document *document = member && m_context.spansServices() ? m_context.documents.documents()->find(member->service) : own;
         const bool eligible = member && document && !document->isLeaving(member->target, event.wallTime) && !status.lapsed && !status.leaving
                               && !member->leaving && status.load.healthy && !m_context.members.isProvedEnded(slot);
         if (eligible && !status.eligible) {
@@ -390,11 +469,17 @@
     return status != m_status.end() && status->second.eligible;
 }
 
-std::vector<MemberSlot> Coordinator::eligibleMembers() const
+bool Coordinator::serves(const Member &member, const ShardSection &section) const
+{
+    return !m_context.spansServices() || member.service == section.service;
+}
+
+std::vector<MemberSlot> Coordinator::eligibleMembers(const ShardSection &section) const
 {
     std::vector<MemberSlot> result;
     for (const auto &[slot, status] : m_status) {
-        if (status.eligible) {
+        const Member *member = m_context.members.find(slot);
+        if (status.eligible && member && serves(*member, section)) {
             result.push_back(slot);
         }
     }
@@ -432,6 +517,9 @@
     for (const auto &[slot, status] : m_status) {
         if (!status.lapsed) {
             loads.push_back(status.load);
+            // Members only compare each other's totals.
+            loads.back().shards.clear();
+            loads.back().heavyKeys.clear();
         }
     }
     return loads;
@@ -445,7 +533,8 @@
         return;
     }
     const MonotonicTime leasesEnd = m_officeAt + m_context.timings.withDrift(m_context.timings.memberLease);
-    if (now >= (allHeard(now) ? m_officeAt : leasesEnd) + m_context.executionWait()) {
+    const bool known = allHeard(now) && (!m_context.spansServices() || areHoldersKnown());
+    if (now >= (known ? m_officeAt : leasesEnd) + m_context.executionWait()) {
         m_ledger.finishRecovery();
     }
 }
@@ -501,53 +590,117 @@
 
 void Coordinator::emptyLeavingMembers(MonotonicTime now, EffectList &effects)
 {
-    const bool anyEligible = std::any_of(m_status.begin(), m_status.end(), [](const auto &entry) { return entry.second.eligible; });
-    if (anyEligible || m_ledger.isRecovering()) {
+    if (m_ledger.isRecovering()) {
         return;
     }
     std::vector<PlannedMove> moves;
     const std::vector<ShardOwnership> &shards = m_ledger.map().shards;
-    for (std::uint32_t i = 0; i < shards.size(); ++i) {
-        const auto owner = m_status.find(shards[i].owner);
-        if (shards[i].state == ShardOwnership::State::Owned && owner != m_status.end() && owner->second.leaving) {
-            moves.push_back(PlannedMove{ShardIndex(i), noMember});
+    for (const ShardSection &section : sections()) {
+        if (!eligibleMembers(section).empty()) {
+            continue;
+        }
+        for (std::uint32_t i = section.first; i < section.first + section.count; ++i) {
+            const auto owner = m_status.find(shards[i].owner);
+            if (shards[i].state == ShardOwnership::State::Owned && owner != m_status.end() && owner->second.leaving) {
+                moves.push_back(PlannedMove{ShardIndex(i), noMember});
+            }
         }
     }
     m_ledger.apply(moves, now, effects);
 }
 
+std::vector<ShardSection> Coordinator::sections() const
+{
+    const OwnershipMap &map = m_ledger.map();
+    if (m_context.spansServices()) {
+        return map.sections;
+    }
+    return {ShardSection{m_context.service, 0, static_cast<std::uint32_t>(map.shards.size())}};
+}
+
+/** The known sections, and behind them those of further services that are divided by key. */
+std::vector<ShardSection> Coordinator::sectionsWith(const std::vector<ShardSection> &known) const
+{
+    if (!m_context.spansServices()) {
+        return {};
+    }
+    std::vector<ShardSection> result = known;
+    for (const Document &document : m_context.documents.documents()->services) {
+        const bool listed = std::any_of(result.begin(), result.end(), [&](const ShardSection &section) { return section.service == document.service; });
+        if (document.isDividedByKey() && !listed) {
+            const std::uint32_t first = result.empty() ? 0 : result.back().first + result.back().count;
+            result.push_back({document.service, first, document.shards});
+        }
+    }
+    return result;
+}
+
+const Document *Coordinator::documentOf(const ShardSection &section) const
+{
+    return m_context.spansServices() ? m_context.documents.documents()->find(section.service) : m_context.documents.document();
+}
+
 void Coordinator::planMoves(const Event &event, EffectList &effects)
 {
+    std::vector<PlannedMove> moves;
+    for (const ShardSection &section : sections()) {
+        if (const Document *document = documentOf(section)) {
+            const std::vector<PlannedMove> planned = planSection(section, *document, event);
+            moves.insert(moves.end(), planned.begin(), planned.end());
+        }
+    }
+    const std::vector<ShardOwnership> &shards = m_ledger.map().shards;
+    for (const PlannedMove &move : moves) {
+        if (move.shard.value() < shards.size() && isEligible(shards[move.shard.value()].owner)) {
+            m_moveBudget -= 1;
+        }
+    }
+    m_moveBudget = std::max(m_moveBudget, 0.0);
+    m_ledger.apply(moves, event.at, effects);
     const Document *document = m_context.documents.document();
-    if (!document) {
+    if (m_context.spansServices() || !document) {
+        // A loss there waits for the target's hold to end, which leaves time for a new plan.
+        m_successors.clear();
         return;
     }
+    const std::vector<BalanceMember> members = balanceMembers(sections().front(), event);
+    const std::vector<std::uint64_t> loads = shardLoads(event.at);
+    const std::vector<bool> cooling = m_ledger.cooling(event.at);
+    m_successors = planSuccessors({*document, members, m_ledger.map(), loads, cooling, 0, event.wallTime});
+}
+
+std::vector<PlannedMove> Coordinator::planSection(const ShardSection &section, const Document &document, const Event &event)
+{
     const MonotonicTime now = event.at;
-    const double perMicrosecond = document->movesPerMinute / 60e6;
+    const double perMicrosecond = document.movesPerMinute / 60e6;
     m_moveBudget += static_cast<double>((now - m_movesCountedAt).count()) * perMicrosecond;
-    m_moveBudget = std::min(m_moveBudget, static_cast<double>(document->movesPerMinute));
+    m_moveBudget = std::min(m_moveBudget, static_cast<double>(document.movesPerMinute));
     m_movesCountedAt = now;
-    const std::vector<BalanceMember> members = balanceMembers(event);
-    const std::vector<std::uint64_t> loads = shardLoads(now);
-    const std::vector<bool> cooling = m_ledger.cooling(now);
-    const BalanceInput input{*document, members, m_ledger.map(), loads, cooling, static_cast<std::uint32_t>(m_moveBudget), event.wallTime};
-    const std::vector<PlannedMove> moves = makeBalanceStrategy(*document)->plan(input);
-    for (const PlannedMove &move : moves) {
-        if (move.shard.value() < input.map.shards.size() && isEligible(input.map.shards[move.shard.value()].owner)) {
-            m_moveBudget -= 1;
-        }
+    const auto part = [&](const auto &all) {
+        const auto begin = all.begin() + static_cast<std::ptrdiff_t>(section.first);
+        return std::decay_t<decltype(all)>(begin, begin + static_cast<std::ptrdiff_t>(section.count));
+    };
+    const std::vector<BalanceMember> members = balanceMembers(section, event);
+    const std::vector<std::uint64_t> loads = part(shardLoads(now));
+    const std::vector<bool> cooling = part(m_ledger.cooling(now));
+    OwnershipMap map = m_ledger.map();
+    map.shards = part(map.shards);
+    const BalanceInput input{document, members, map, loads, cooling, static_cast<std::uint32_t>(m_moveBudget), event.wallTime};
+    std::vector<PlannedMove> moves = makeBalanceStrategy(document)->plan(input);
+    for (PlannedMove &move : moves) {
+        move.shard = ShardIndex(move.shard.value() + section.first);
     }
-    m_moveBudget = std::max(m_moveBudget, 0.0);
-    m_ledger.apply(moves, now, effects);
-    const BalanceInput after{*document, members, m_ledger.map(), loads, cooling, 0, event.wallTime};
-    m_successors = planSuccessors(after);
+    return moves;
 }
 
-std::vector<BalanceMember> Coordinator::balanceMembers(const Event &event) const
+std::vector<BalanceMember> Coordinator::balanceMembers(const ShardSection &section, const Event &event) const
 {
     std::vector<BalanceMember> result;
-    const Document *document = m_context.documents.document();
+    const Document *document = documentOf(section);
     for (const Member &member : m_context.members.members()) {
+        if (!serves(member, section)) {
+            continue;
+        }
         BalanceMember entry;
         entry.slot = member.slot;
         entry.zone = member.zone;
@@ -555,6 +708,9 @@
         entry.eligible = isEligible(member.slot);
         entry.leavesAt = document ? document->leavesAt(member.target) : std::nullopt;
         const auto status = m_status.find(member.slot);
+        if (status != m_status.end() && status->second.load.slots > 0) {
+            entry.slots = status->second.load.slots;
+        }
         if (entry.eligible && status != m_status.end()) {
             entry.eligibleFor = event.at - status->second.eligibleSince;
         }
@@ -579,10 +735,16 @@
     return loads;
 }
 
+/** Members of a service that is not divided by key choose each other by their loads. */
+bool Coordinator::sharesLoads() const
+{
+    return m_context.spansServices() || m_ledger.map().shards.empty();
+}
+
 void Coordinator::publish()
 {
     m_context.learnMap(m_ledger.map());
-    if (m_ledger.map().shards.empty()) {
+    if (sharesLoads()) {
         m_context.loads = collectLoads();
     }
 }
@@ -591,6 +753,7 @@
 
 void Coordinator::noteRow(const CellRow &row)
 {
+    noteNodes(row);
     m_admission.noteRow(m_context.members, row);
 }
 
@@ -623,6 +786,9 @@
     row.map = m_ledger.map();
     row.successors = m_successors;
     row.document = std::max(row.document, m_context.documents.revision());
+    if (m_context.spansServices()) {
+        row.former = formerNodes(row);
+    }
     ++row.mark;
     m_nextRowWrite = now + m_context.timings.rowWriteInterval;
     m_context.row.write(std::move(row), now, effects);
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -69,7 +69,9 @@
     void noteLapses(MonotonicTime now, EffectList &effects);
     void refreshEligibility(const Event &event);
     bool isEligible(MemberSlot slot) const;
-    std::vector<MemberSlot> eligibleMembers() const;
+    std::vector<MemberSlot> eligibleMembers(const ShardSection &section) const;
+    /** The member's target may own shards of the section. */
+    bool serves(const Member &member, const ShardSection &section) const;
     bool isHeard(MemberSlot slot) const;
     Fence acknowledgedVersion(MonotonicTime now) const;
     std::vector<MemberLoad> collectLoads() const;
@@ -77,12 +79,22 @@
     // Shards.
     void endRecoveryIfDue(MonotonicTime now);
     bool allHeard(MonotonicTime now) const;
+    /** Sections of the map; one over all shards in a cell of one service. */
+    std::vector<ShardSection> sections() const;
+    std::vector<ShardSection> sectionsWith(const std::vector<ShardSection> &known) const;
+    const Document *documentOf(const ShardSection &section) const;
+    void noteTargetIncarnation(MemberSlot from, MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now, EffectList &effects);
+    void noteNodes(const CellRow &row);
+    std::vector<std::pair<MemberSlot, NodeName>> formerNodes(const CellRow &row) const;
+    bool areHoldersKnown() const;
     void assignShards(const Event &event, EffectList &effects);
     void grantToSuccessors(MonotonicTime now, EffectList &effects);
     void planMoves(const Event &event, EffectList &effects);
+    std::vector<PlannedMove> planSection(const ShardSection &section, const Document &document, const Event &event);
     void emptyLeavingMembers(MonotonicTime now, EffectList &effects);
-    std::vector<BalanceMember> balanceMembers(const Event &event) const;
+    std::vector<BalanceMember> balanceMembers(const ShardSection &section, const Event &event) const;
     std::vector<std::uint64_t> shardLoads(MonotonicTime now) const;
+    bool sharesLoads() const;
     void publish();
 
     // Row.
@@ -97,6 +109,8 @@
     MemberAdmission m_admission;
     std::map<MemberSlot, MemberStatus> m_status;
     std::vector<std::vector<MemberSlot>> m_successors;
+    /** Node of each slot, also of those that are no longer listed. */
+    std::map<MemberSlot, NodeName> m_nodes;
     MonotonicTime m_standAt;
     bool m_standAtSet = false;
     MonotonicTime m_officeAt;
--- a/src/libnutmeghinge/document.h
+++ b/src/libnutmeghinge/document.h
@@ -41,6 +41,12 @@
     std::vector<std::string> allowedTargets{"*"};
     /** The targets refuse a request with an old fence. */
     bool targetsCheckFence = false;
+    /** The targets hold their keys by the answers to their own heartbeats, and run no request on others. */
+    bool heldByHeartbeat = false;
+    /** Longest hold that one answer grants, where heldByHeartbeat is set. */
+    Duration holdTime{std::chrono::seconds(4)};
+    /** Path of the target's health check. */
+    std::string healthPath = "/health";
     /** Longest time that a target runs one request. */
     Duration executionLimit{std::chrono::seconds(2)};
     /** Time over which a cold target's share rises to its full one. */
@@ -49,6 +55,8 @@
     // Keys. A service without a key header is not divided by key.
     /** Request header that holds the key, in lower case; empty: not divided. */
     std::string keyHeader;
+    /** Keys are numbers below numericKeys, and each shard is a range of them; else keys are placed by their hash. */
+    bool numericKeys = false;
     std::uint32_t shards = 256;
 
     // Wind-down.
--- /dev/null
+++ b/src/libnutmeghinge/documentfollower.cpp
@@ -0,0 +1,79 @@
+#include "documentfollower.h"
+
+#include "cellcontext.h"
+#include "effectlist.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+/** A connection that has gone silent keeps a change from the node no longer than this and the adapter's timeout. */
+constexpr Duration followTime = std::chrono::seconds(8);
+constexpr Duration firstRetry = std::chrono::milliseconds(150);
+/** The bound by which documents must be in force leaves time for two of these. */
+constexpr Duration longestRetry = std::chrono::milliseconds(600);
+
+} // namespace
+
+DocumentFollower::DocumentFollower(CellContext &context)
+    : m_context(context)
+    , m_retry(firstRetry)
+{
+}
+
+void DocumentFollower::tick(MonotonicTime now, EffectList &effects)
+{
+    if (m_calling || now < m_callAt) {
+        return;
+    }
+    m_calling = true;
+    if (m_after) {
+        effects.add(FollowDocument{m_context.service, *m_after, followTime});
+    } else {
+        effects.add(ReadDocument{m_context.service, m_context.documents.highestSeen()});
+    }
+}
+
+void DocumentFollower::documentRead(const DocumentRead &answer, MonotonicTime now, EffectList &effects)
+{
+    m_calling = false;
+    if (std::holds_alternative<PlatformUnavailable>(answer.result)) {
+        failed(now);
+        return;
+    }
+    if (const auto *copy = std::get_if<DocumentCopy>(&answer.result)) {
+        m_context.offerDocument(*copy, effects);
+    }
+    m_after = answer.tableVersion;
+    m_retry = firstRetry;
+    m_callAt = now;
+}
+
+void DocumentFollower::documentFollowed(const DocumentFollowed &answer, MonotonicTime now, EffectList &effects)
+{
+    m_calling = false;
+    if (std::holds_alternative<PlatformUnavailable>(answer.result)) {
+        failed(now);
+        return;
+    }
+    m_retry = firstRetry;
+    m_callAt = now;
+    if (std::holds_alternative<HistoryLost>(answer.result)) {
+        m_after.reset();
+        return;
+    }
+    m_after = answer.tableVersion;
+    if (const auto *copy = std::get_if<DocumentCopy>(&answer.result)) {
+        m_context.offerDocument(*copy, effects);
+    }
+}
+
+void DocumentFollower::failed(MonotonicTime now)
+{
+    m_callAt = now + m_retry;
+    m_retry = std::min(2 * m_retry, longestRetry);
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/documentkeeper.cpp
+++ b/src/libnutmeghinge/documentkeeper.cpp
@@ -1,28 +1,40 @@
 #include "documentkeeper.h"
 
-#include "documentparser.h"
+#include "documentformat.h"
 #include "effectlist.h"
 
 #include <algorithm>
 
 namespace nutmeghinge {
 
+namespace {
+
+const YamlDocumentFormat yamlFormat;
+
+} // namespace
+
+DocumentKeeper::DocumentKeeper(const DocumentFormat *format)
+    : m_format(format ? format : &yamlFormat)
+{
+}
+
 bool DocumentKeeper::offer(const DocumentCopy &copy, const ServiceName &service, std::uint32_t assignedShards, EffectList &effects)
 {
     if (copy.revision <= m_copy.revision || copy.revision == m_rejected || copy.text.empty()) {
         return false;
     }
-    ParsedDocument parsed = parseDocument(copy.text);
+    auto parsed = m_format->parse(copy.text);
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
         reject(copy, faults->empty() ? "faulty" : faults->front().field + ": " + faults->front().reason, effects);
         return false;
     }
-    Document &next = std::get<Document>(parsed);
+    auto &next = std::get<DocumentSet>(parsed);
     if (std::string fault = faultOf(next, service, assignedShards); !fault.empty()) {
         reject(copy, std::move(fault), effects);
         return false;
     }
-    m_document = std::move(next);
+    m_documents = std::make_shared<const DocumentSet>(std::move(next));
+    m_document = m_documents->find(service);
     m_copy = copy;
     TimelineRecord record;
     record.kind = TimelineRecord::Kind::DocumentInForce;
@@ -36,12 +48,13 @@
     return std::max(m_copy.revision, m_rejected);
 }
 
-std::string DocumentKeeper::faultOf(const Document &next, const ServiceName &service, std::uint32_t assignedShards) const
+std::string DocumentKeeper::faultOf(const DocumentSet &next, const ServiceName &service, std::uint32_t assignedShards) const
 {
-    if (next.service != service) {
+    const Document *own = next.find(service);
+    if (!own) {
         return "service: names another service";
     }
-    const std::uint32_t shards = next.isDividedByKey() ? next.shards : 0;
+    const std::uint32_t shards = own->isDividedByKey() ? own->shards : 0;
     if (assignedShards != 0 && shards != assignedShards) {
         return "keys.shards: cannot change while shards have owners";
     }
--- a/src/libnutmeghinge/documentparser.cpp
+++ b/src/libnutmeghinge/documentparser.cpp
@@ -10,6 +10,7 @@
 
 using std::chrono::hours;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 constexpr std::uint32_t maximumShards = 4096;
@@ -24,6 +25,8 @@
 {
     fields.texts("allow", document.allowedTargets, faultOfPattern);
     fields.flag("checkFence", document.targetsCheckFence);
+    fields.choice<bool>("grants", document.heldByHeartbeat, {{"push", false}, {"heartbeat", true}});
+    fields.duration("holdTime", document.holdTime, seconds(1), minutes(1));
     fields.duration("executionLimit", document.executionLimit, milliseconds(1), hours(1));
     fields.duration("slowStart", document.slowStart, seconds(0), hours(1));
     fields.reportUnknown();
@@ -31,8 +34,8 @@
 
 void readKeys(YamlMapping fields, Document &document)
 {
-    fields.require("header");
     fields.text("header", document.keyHeader, faultOfHeader);
+    fields.choice<bool>("placement", document.numericKeys, {{"hash", false}, {"range", true}});
     fields.number("shards", document.shards, 1, maximumShards);
     fields.number("hot", document.hotKeys, 0, maximumHotKeys);
     fields.reportUnknown();
@@ -95,6 +98,15 @@
     fields.reportUnknown();
 }
 
+void readSections(YamlMapping &root, Document &document)
+{
+    readTargets(root.mapping("targets"), document);
+    readKeys(root.mapping("keys"), document);
+    readBalance(root.mapping("balance"), document);
+    readLimits(root.mapping("limits"), document);
+    readLeases(root.mapping("leases"), document);
+}
+
 Document readDocument(YamlMapping &root)
 {
     Document document;
@@ -103,23 +115,28 @@
     root.text("service", service, faultOfName);
     document.service = ServiceName(service);
     root.texts("hosts", document.hosts, faultOfHost);
-    readTargets(root.mapping("targets"), document);
     if (root.has("keys")) {
-        readKeys(root.mapping("keys"), document);
+        root.mapping("keys").require("header");
     }
+    readSections(root, document);
     readShrink(root.mappings("shrink"), document);
     if (root.has("stop")) {
         readStop(root.mapping("stop"), document);
     }
-    readBalance(root.mapping("balance"), document);
-    readLimits(root.mapping("limits"), document);
-    readLeases(root.mapping("leases"), document);
     root.reportUnknown();
     return document;
 }
 
 } // namespace
 
+Document readServiceDefaults(YamlMapping fields)
+{
+    Document document;
+    readSections(fields, document);
+    fields.reportUnknown();
+    return document;
+}
+
 ParsedDocument parseDocument(std::string_view text)
 {
     YamlReader reader(text);
--- a/src/libnutmeghinge/documentparser.h
+++ b/src/libnutmeghinge/documentparser.h
@@ -2,6 +2,7 @@
 
 #include "document.h"
 #include "documentfault.h"
+#include "yamlmapping.h"
 
 #include <string_view>
 #include <variant>
@@ -18,4 +19,10 @@
  */
 ParsedDocument parseDocument(std::string_view text);
 
+/**
+ * Reads what an operator sets for every service of a cell: the sections targets,
+ * keys, balance, limits and leases of a document.
+ */
+Document readServiceDefaults(YamlMapping fields);
+
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -2,6 +2,7 @@
 
 #include "cellrow.h"
 #include "endpoint.h"
+#include "events.h"
 #include "fence.h"
 #include "hybridtime.h"
 #include "ids.h"
@@ -10,6 +11,7 @@
 #include "outcome.h"
 #include "peermessages.h"
 #include "storedanswer.h"
+#include "targethold.h"
 #include "timelinerecord.h"
 #include "units.h"
 
@@ -52,6 +54,18 @@
     DocumentRevision known;
 };
 
+/**
+ * Waits for a change of the accepted document behind a version of the table.
+ * Answered with DocumentFollowed.
+ */
+struct FollowDocument {
+    ServiceName service;
+    /** Version of the table up to which changes are known. */
+    RowVersion after;
+    /** Longest time to wait for a change. */
+    Duration wait{0};
+};
+
 struct ReadCells {
 };
 
@@ -79,6 +93,13 @@
     std::vector<ShardIndex> shards;
 };
 
+/** Answers the target's announcement. */
+struct AnswerTarget {
+    std::uint64_t announcement = 0;
+    /** Keys that the target is to hold; nothing renews no hold. */
+    std::optional<HoldGrant> grant;
+};
+
 // Requests.
 
 /** Sends a request to the target beside this node. */
@@ -90,6 +111,10 @@
     Fence fence;
     /** The attempt ends with AttemptUnknown at this time. */
     MonotonicTime deadline;
+    /** The deadline holds for the head of the answer; its body may take longer while there is progress. */
+    bool deadlineForHeadOnly = false;
+    /** Target that is meant; another one at its address is to refuse. */
+    TargetName target;
     /** Hold the answer back until it is whole and return it in AttemptAnswered, if it fits. */
     bool keepAnswer = false;
     /** Use a connection made for this attempt. */
@@ -103,6 +128,9 @@
     Endpoint peer;
     MonotonicTime deadline;
     std::uint32_t hops = 0;
+    bool deadlineForHeadOnly = false;
+    /** Set where the sender's document has routes. */
+    std::optional<RoutedRequest> routed;
     bool freshConnection = false;
     /** Sender's clock; set by the Reducer. */
     HybridTime time{};
@@ -151,10 +179,12 @@
                             ReadMemberRows,
                             WriteMemberRow,
                             ReadDocument,
+                            FollowDocument,
                             ReadCells,
                             SendPeerMessage,
                             ProbeTarget,
                             GrantToTarget,
+                            AnswerTarget,
                             SendToTarget,
                             ForwardRequest,
                             CancelAttempt,
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -10,6 +10,7 @@
 #include "outcome.h"
 #include "peermessages.h"
 #include "storedanswer.h"
+#include "targethold.h"
 #include "units.h"
 
 #include <cstdint>
@@ -88,6 +89,19 @@
 struct DocumentRead {
     ServiceName service;
     std::variant<DocumentCopy, RowAbsent, PlatformUnavailable> result;
+    /** Version of the table that the answer shows; 0 where the platform does not tell. */
+    RowVersion tableVersion;
+};
+
+/** The platform no longer has the changes behind the version: the row must be read. */
+struct HistoryLost {
+};
+
+/** Answers FollowDocument. RowAbsent: nothing changed in the time. */
+struct DocumentFollowed {
+    std::variant<DocumentCopy, RowAbsent, HistoryLost, PlatformUnavailable> result;
+    /** Version of the table up to which changes are now known. */
+    RowVersion tableVersion;
 };
 
 /** Answers ReadCells with the cells of all services. */
@@ -120,6 +134,19 @@
     std::uint64_t targetIncarnation = 0;
     /** The target wants to end. */
     bool draining = false;
+    /** Rises with each heartbeat of the target; 0 where it has none. */
+    std::uint64_t sequence = 0;
+    /** Time for which the target will still be slow. */
+    Duration warmUpLeft{0};
+    /** Keys that the target holds, where it says so. */
+    std::optional<HoldReport> holds;
+    /** Number by which AnswerTarget names the announcement; 0: no answer is awaited. */
+    std::uint64_t announcement = 0;
+};
+
+/** The target ends and will not announce itself again. */
+struct TargetLeaving {
+    TargetName target;
 };
 
 /** Answers ProbeTarget. Both are hints: they may lag or mislead. */
@@ -139,6 +166,17 @@
 
 // Requests.
 
+/** What the node that took a request from its caller decided on it. */
+struct RoutedRequest {
+    ServiceName service;
+    /** The request may run more than once. */
+    bool repeatable = false;
+    /** Rank of the request, 0 is the most urgent. */
+    std::uint32_t priority = 0;
+    /** Time left until the answer is worth less; zero: none is stated. */
+    Duration objective{0};
+};
+
 /** A caller's or a peer's request has arrived whole. */
 struct RequestArrived {
     RequestId request;
@@ -152,6 +190,10 @@
     std::optional<Duration> timeout;
     /** Times that the request was forwarded between nodes. */
     std::uint32_t hops = 0;
+    /** Set by the node that forwarded the request, where its document has routes. */
+    std::optional<RoutedRequest> routed;
+    /** Id that the caller gave the request; empty where it gave none. */
+    std::string callerId;
     std::uint64_t bodySize = 0;
     /** Clock of the node that forwarded the request; zero for callers. */
     HybridTime time{};
@@ -218,9 +260,11 @@
                                MemberRowsRead,
                                MemberRowWriteFinished,
                                DocumentRead,
+                               DocumentFollowed,
                                CellsRead,
                                PeerMessageArrived,
                                TargetAnnounced,
+                               TargetLeaving,
                                TargetProbed,
                                TargetGrantFinished,
                                RequestArrived,
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -49,7 +49,13 @@
     heartbeat.leaving = m_context.isLeaving(event.wallTime);
     heartbeat.load = m_context.takeLoad(event.at);
     const bool answered = m_answeredTerm == heartbeat.term;
-    if (!answered && m_context.lease.isValid(event.at)) {
+    heartbeat.targetIncarnation = m_targetIncarnation;
+    if (m_context.holdsByHeartbeat()) {
+        if (!answered || m_reportHolds) {
+            heartbeat.held = m_context.holds.held(event.at);
+        }
+        m_reportHolds = !answered && m_reportHolds;
+    } else if (!answered && m_context.lease.isValid(event.at)) {
         heartbeat.held = m_handover.held();
     }
     if (answered && m_coordinatorDocument < heartbeat.document) {
@@ -110,6 +116,15 @@
     recordLease(event.at, effects);
 }
 
+void Follower::targetReported(std::uint64_t targetIncarnation)
+{
+    if (m_targetIncarnation != targetIncarnation) {
+        m_targetIncarnation = targetIncarnation;
+        m_reportHolds = true;
+        m_hurry = true;
+    }
+}
+
 void Follower::recordLease(MonotonicTime now, EffectList &effects)
 {
     const bool held = m_context.lease.isValid(now);
--- a/src/libnutmeghinge/follower.h
+++ b/src/libnutmeghinge/follower.h
@@ -22,6 +22,8 @@
 
     void tick(const Event &event, EffectList &effects);
     void promiseRequested(MemberSlot from, const PromiseRequest &request, const Event &event, EffectList &effects);
+    /** The target beside this node has said what it holds. */
+    void targetReported(std::uint64_t targetIncarnation);
     void heartbeatAnswered(MemberSlot from, const HeartbeatAnswer &answer, const Event &event, EffectList &effects);
     /** The next heartbeat goes out with the next tick. */
     void hurry() { m_hurry = true; }
@@ -35,6 +37,9 @@
     const ShardHandover &m_handover;
     MonotonicTime m_nextHeartbeat;
     bool m_hurry = false;
+    /** The next heartbeat tells what the target holds. */
+    bool m_reportHolds = false;
+    std::uint64_t m_targetIncarnation = 0;
     bool m_leaseHeld = false;
     /** Term whose coordinator has answered a heartbeat. */
     Term m_answeredTerm;
--- a/src/libnutmeghinge/member.h
+++ b/src/libnutmeghinge/member.h
@@ -15,6 +15,8 @@
     MemberSlot slot;
     NodeName node;
     Incarnation incarnation;
+    /** Service of the node's target; empty in a cell of one service. */
+    ServiceName service;
     TargetName target;
     ZoneName zone;
     RegionName region;
--- a/src/libnutmeghinge/memberadmission.cpp
+++ b/src/libnutmeghinge/memberadmission.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t cellMembers = 64;
-
 Member withSlot(Member announced, MemberSlot slot)
 {
     announced.slot = slot;
--- a/src/libnutmeghinge/memberadmission.h
+++ b/src/libnutmeghinge/memberadmission.h
@@ -14,6 +14,9 @@
 
 class MemberList;
 
+/** Most members of one cell. */
+inline constexpr std::size_t cellMembers = 64;
+
 /**
  * Decides the next change of a cell's members, one at a time, from the nodes
  * that have announced themselves.
--- a/src/libnutmeghinge/memberstatus.h
+++ b/src/libnutmeghinge/memberstatus.h
@@ -25,6 +25,8 @@
     /** Newest map that was sent without being asked for. */
     Fence pushedVersion;
     bool lapsed = false;
+    /** Incarnation of the target that the member last reported; 0 where it reported none. */
+    std::uint64_t targetIncarnation = 0;
     bool leaving = false;
     MemberLoad load;
     /** Time of the latest load that named shards. */
--- a/src/libnutmeghinge/nodeidentity.h
+++ b/src/libnutmeghinge/nodeidentity.h
@@ -14,6 +14,10 @@
     Incarnation incarnation;
     ZoneName zone;
     RegionName region;
+    /** Service of the target beside the node; empty: learned from the target. */
+    ServiceName service;
+    /** Cell that the node joins with its service; empty: the cell of its service alone. */
+    ServiceName cell;
     Endpoint peerEndpoint;
     Endpoint controlEndpoint;
     Endpoint operationsEndpoint;
--- a/src/libnutmeghinge/ownershipledger.cpp
+++ b/src/libnutmeghinge/ownershipledger.cpp
@@ -46,6 +46,7 @@
 {
     m_map = *start.base;
     m_map.version = Fence{start.term, 1};
+    m_map.sections = start.sections;
     m_map.shards.resize(start.shards + m_map.hotKeys.size());
     m_progress.assign(m_map.shards.size(), Progress());
     m_recovering = true;
@@ -98,6 +99,17 @@
     }
 }
 
+std::set<MemberSlot> OwnershipLedger::pendingOwners() const
+{
+    std::set<MemberSlot> owners;
+    for (const Progress &progress : m_progress) {
+        if (progress.pending && progress.claim.state != State::Unowned) {
+            owners.insert(progress.claim.owner);
+        }
+    }
+    return owners;
+}
+
 void OwnershipLedger::finishRecovery()
 {
     m_recovering = false;
@@ -106,6 +118,47 @@
     }
 }
 
+void OwnershipLedger::transfer(MemberSlot from, MemberSlot to, const std::vector<ShardIndex> &held, MonotonicTime now, EffectList &effects)
+{
+    bool changed = false;
+    for (const ShardIndex shard : held) {
+        if (shard.value() >= m_map.shards.size()) {
+            continue;
+        }
+        const ShardOwnership &entry = m_map.shards[shard.value()];
+        if (entry.state == State::Unowned || entry.owner != from) {
+            continue;
+        }
+        if (!changed) {
+            raiseVersion();
+            changed = true;
+        }
+        grant(shard.value(), to, now, effects);
+        m_progress[shard.value()].coolUntil = now;
+    }
+}
+
+void OwnershipLedger::addSections(const std::vector<ShardSection> &sections)
+{
+    if (sections.empty() || sections == m_map.sections) {
+        return;
+    }
+    raiseVersion();
+    m_map.sections = sections;
+    m_map.shards.resize(std::size_t(sections.back().first) + sections.back().count);
+    m_progress.resize(m_map.shards.size());
+}
+
+/** In a cell of several services with many shards, one record stands for a run of equal ones. */
+void OwnershipLedger::recordShard(TimelineRecord::Kind kind, std::size_t shard, EffectList &effects) const
+{
+    const ShardOwnership &entry = m_map.shards[shard];
+    const bool continues = shard > 0 && m_map.shards[shard - 1].owner == entry.owner && m_map.shards[shard - 1].fence == entry.fence;
+    if (m_map.sections.empty() || !continues) {
+        effects.record(shardRecord(kind, shard, entry));
+    }
+}
+
 void OwnershipLedger::lose(MemberSlot owner, MonotonicTime freeAt, EffectList &effects)
 {
     bool changed = false;
@@ -118,7 +171,7 @@
             raiseVersion();
             changed = true;
         }
-        effects.record(shardRecord(TimelineRecord::Kind::ShardLost, i, entry));
+        recordShard(TimelineRecord::Kind::ShardLost, i, effects);
         entry.state = State::Unowned;
         m_progress[i].freeAt = freeAt;
         m_progress[i].released = false;
@@ -170,10 +223,12 @@
 void OwnershipLedger::grant(std::size_t shard, MemberSlot to, MonotonicTime now, EffectList &effects)
 {
     ShardOwnership &entry = m_map.shards[shard];
+    const bool moved = entry.state == State::Releasing;
     entry = ShardOwnership{State::Owned, to, noMember, m_map.version};
     m_progress[shard].released = false;
-    m_progress[shard].coolUntil = now + coolDown;
-    effects.record(shardRecord(TimelineRecord::Kind::ShardGranted, shard, entry));
+    // A shard that nobody had is where it is by chance; in a cell of several services it may move at once.
+    m_progress[shard].coolUntil = m_map.sections.empty() || moved ? now + coolDown : now;
+    recordShard(TimelineRecord::Kind::ShardGranted, shard, effects);
 }
 
 void OwnershipLedger::startRelease(std::size_t shard, MemberSlot next, MonotonicTime now, EffectList &effects)
@@ -184,7 +239,7 @@
     m_progress[shard].releasingSince = m_map.version;
     m_progress[shard].nextChosenAt = now;
     m_progress[shard].released = false;
-    effects.record(shardRecord(TimelineRecord::Kind::ShardReleasing, shard, entry));
+    recordShard(TimelineRecord::Kind::ShardReleasing, shard, effects);
 }
 
 void OwnershipLedger::noteReleased(MemberSlot owner, ShardIndex shard, const Fence &fence)
@@ -201,30 +256,60 @@
 void OwnershipLedger::advance(const Fence &acknowledged, const Eligible &eligible, MonotonicTime now, EffectList &effects)
 {
     bool changed = false;
-    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
-        ShardOwnership &entry = m_map.shards[i];
-        const Progress &progress = m_progress[i];
-        if (entry.state != State::Releasing || !progress.released || acknowledged < progress.releasingSince) {
+    for (std::size_t first = 0; first < m_map.shards.size();) {
+        const std::size_t end = endOfRelease(first);
+        const auto isReleased = [&](const Progress &progress) { return progress.released && acknowledged >= progress.releasingSince; };
+        const auto begin = m_progress.begin() + static_cast<std::ptrdiff_t>(first);
+        if (end == first || !std::all_of(begin, begin + static_cast<std::ptrdiff_t>(end - first), isReleased)) {
+            first = std::max(end, first + 1);
             continue;
         }
         if (!changed) {
             raiseVersion();
             changed = true;
         }
-        effects.record(shardRecord(TimelineRecord::Kind::ShardReleased, i, entry));
-        if (entry.next != noMember && eligible(entry.next)) {
-            grant(i, entry.next, now, effects);
-        } else {
-            entry.state = State::Unowned;
-            m_progress[i].freeAt = now;
+        for (; first < end; ++first) {
+            handOn(first, eligible, now, effects);
         }
     }
 }
 
-void OwnershipLedger::retarget(const std::vector<MemberSlot> &eligible, Duration patience, MonotonicTime now)
+/**
+ * End of the shards from the first one on that move together; the first one itself where it does not move. In a cell of several
+ * services a slice is granted as a whole, so that it stays one range with one fence.
+ */
+std::size_t OwnershipLedger::endOfRelease(std::size_t first) const
+{
+    const ShardOwnership &entry = m_map.shards[first];
+    if (entry.state != State::Releasing) {
+        return first;
+    }
+    std::size_t end = first + 1;
+    while (!m_map.sections.empty() && end < m_map.shards.size() && m_map.shards[end].state == State::Releasing && m_map.shards[end].owner == entry.owner
+           && m_map.shards[end].next == entry.next && m_progress[end].releasingSince == m_progress[first].releasingSince) {
+        ++end;
+    }
+    return end;
+}
+
+/** Gives a released shard to its next owner, or makes it free where that may not have it. */
+void OwnershipLedger::handOn(std::size_t shard, const Eligible &eligible, MonotonicTime now, EffectList &effects)
+{
+    ShardOwnership &entry = m_map.shards[shard];
+    recordShard(TimelineRecord::Kind::ShardReleased, shard, effects);
+    if (entry.next != noMember && eligible(entry.next)) {
+        grant(shard, entry.next, now, effects);
+    } else {
+        entry.state = State::Unowned;
+        m_progress[shard].freeAt = now;
+    }
+}
+
+void OwnershipLedger::retarget(const std::vector<MemberSlot> &eligible, const ShardSection &section, Duration patience, MonotonicTime now)
 {
     bool changed = false;
-    for (std::size_t i = 0; i < m_map.shards.size(); ++i) {
+    const std::size_t end = std::min<std::size_t>(m_map.shards.size(), std::size_t(section.first) + section.count);
+    for (std::size_t i = section.first; i < end; ++i) {
         ShardOwnership &entry = m_map.shards[i];
         if (entry.state != State::Releasing || m_progress[i].released) {
             continue;
--- a/src/libnutmeghinge/ownershipledger.h
+++ b/src/libnutmeghinge/ownershipledger.h
@@ -4,9 +4,11 @@
 #include "fence.h"
 #include "ids.h"
 #include "ownershipmap.h"
+#include "timelinerecord.h"
 #include "units.h"
 
 #include <functional>
+#include <set>
 #include <vector>
 
 namespace nutmeghinge {
@@ -30,6 +32,8 @@
         const OwnershipMap *base = nullptr;
         /** Number of shards by the document. */
         std::uint32_t shards = 0;
+        /** Sections of the services of the cell; empty in a cell of one service. */
+        std::vector<ShardSection> sections;
         MemberSlot self;
         /** The shards that the base shows as this node's are held by it now. */
         bool selfHolds = false;
@@ -46,11 +50,17 @@
     const OwnershipMap &map() const { return m_map; }
 
     bool isRecovering() const { return m_recovering; }
+    /** Members that the base shows as owners of shards whose holder is not known yet. */
+    std::set<MemberSlot> pendingOwners() const;
     /** A member holds the shards under a lease of an earlier term. */
     void confirmHeld(MemberSlot holder, const std::vector<ShardIndex> &held);
     /** No earlier lease can be valid any more: what nobody reported is free. */
     void finishRecovery();
 
+    /** A node that restarted reports what its target still holds from its earlier slot: the shards stay with the node. */
+    void transfer(MemberSlot from, MemberSlot to, const std::vector<ShardIndex> &held, MonotonicTime now, EffectList &effects);
+    /** Adds sections of services that were not divided by key when the term began. */
+    void addSections(const std::vector<ShardSection> &sections);
     /** The member's lease has lapsed: its shards are free from the given time on. */
     void lose(MemberSlot owner, MonotonicTime freeAt, EffectList &effects);
     /** Free shards, which may be granted now. */
@@ -66,7 +76,7 @@
      */
     void advance(const Fence &acknowledged, const Eligible &eligible, MonotonicTime now, EffectList &effects);
     /** Gives moving shards another next owner where theirs is not eligible, or has not taken over for too long. */
-    void retarget(const std::vector<MemberSlot> &eligible, Duration patience, MonotonicTime now);
+    void retarget(const std::vector<MemberSlot> &eligible, const ShardSection &section, Duration patience, MonotonicTime now);
     /** The member owns or is releasing a shard. */
     bool owns(MemberSlot slot) const;
     /** Shards that moved less than the cool-down ago. */
@@ -84,8 +94,11 @@
         bool released = false;
     };
 
+    void recordShard(TimelineRecord::Kind kind, std::size_t shard, EffectList &effects) const;
     void raiseVersion() { ++m_map.version.sequence; }
     bool isFree(std::size_t shard, MonotonicTime now) const;
+    std::size_t endOfRelease(std::size_t first) const;
+    void handOn(std::size_t shard, const Eligible &eligible, MonotonicTime now, EffectList &effects);
     void keepClaim(std::size_t shard, MemberSlot holder);
     void grant(std::size_t shard, MemberSlot to, MonotonicTime now, EffectList &effects);
     void startRelease(std::size_t shard, MemberSlot next, MonotonicTime now, EffectList &effects);
--- a/src/libnutmeghinge/ownershipview.h
+++ b/src/libnutmeghinge/ownershipview.h
@@ -14,6 +14,7 @@
 struct Member;
 struct MemberLoad;
 struct OwnershipMap;
+class RouteTable;
 
 /**
  * What the routing of requests may know of ownership. Implemented by the Cell;
@@ -24,8 +25,12 @@
 public:
     virtual ~OwnershipView() = default;
 
-    /** Document in force at this node; null before one is known. */
+    /** Document in force at this node, of its own service; null before one is known. */
     virtual const Document *document() const = 0;
+    /** Document of a service of this node's cell; null where it has none. */
+    virtual const Document *documentOf(const ServiceName &service) const = 0;
+    /** Routes that the document states; null where services are found by their hosts alone. */
+    virtual const RouteTable *routes() const { return nullptr; }
     /** Slot of this node; noMember before it is admitted. */
     virtual MemberSlot self() const = 0;
     /** Member of this node's cell; null if there is none of that slot. */
--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -66,6 +66,8 @@
     std::vector<std::pair<ShardIndex, Fence>> released;
     /** The member wants to give all its shards away before it ends. */
     bool leaving = false;
+    /** Incarnation of the target that has told the member what it holds; 0 where none has. */
+    std::uint64_t targetIncarnation = 0;
     MemberLoad load;
     /** Sent when the coordinator's revision is lower than the member's. */
     std::optional<DocumentCopy> newerDocument;
@@ -98,6 +100,8 @@
     ShardIndex shard;
     Fence fence;
     std::vector<DeduplicationEntry> entries;
+    /** Token by which the next owner's target begins warm; empty where there is none. */
+    std::string token;
 
     friend bool operator==(const HandoverOffer &, const HandoverOffer &) = default;
 };
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -14,9 +14,10 @@
 
 } // namespace
 
-Reducer::Reducer(NodeIdentity identity, Timings timings)
+Reducer::Reducer(NodeIdentity identity, Timings timings, const DocumentFormat *format)
     : m_router(identity.seed)
-    , m_cell(std::move(identity), timings, m_router)
+    , m_cell(std::move(identity), timings, m_router, format)
+    , m_stopPatience(timings.stopPatience)
 {
     m_router.setOwnership(m_cell);
 }
@@ -33,9 +34,11 @@
         &Reducer::handleInCell<&Cell::memberRowsRead>,
         &Reducer::handleInCell<&Cell::memberRowWriteFinished>,
         &Reducer::handleInCell<&Cell::documentRead>,
+        &Reducer::handleInCell<&Cell::documentFollowed>,
         &Reducer::handleInCell<&Cell::cellsRead>,
         &Reducer::handleInCell<&Cell::peerMessageArrived>,
         &Reducer::handleTargetAnnounced,
+        &Reducer::handleInCell<&Cell::targetLeaving>,
         &Reducer::handleTargetProbed,
         &Reducer::handleInCell<&Cell::targetGrantFinished>,
         &Reducer::handleInRouter<&RequestRouter::requestArrived>,
@@ -90,7 +93,8 @@
     if (!m_stopping || m_exited) {
         return;
     }
-    if (m_cell.isStopped() && !m_listenersClosed) {
+    const bool outOfPatience = m_stopPatience > Duration::zero() && event.at >= m_stopAskedAt + m_stopPatience;
+    if ((m_cell.isStopped() || outOfPatience) && !m_listenersClosed) {
         m_listenersClosed = true;
         effects.add(CloseListeners{});
     }
@@ -109,6 +113,7 @@
         return;
     }
     m_stopping = true;
+    m_stopAskedAt = event.at;
     TimelineRecord record;
     record.kind = TimelineRecord::Kind::StopRequested;
     effects.record(std::move(record));
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -9,6 +9,8 @@
 
 namespace nutmeghinge {
 
+class DocumentFormat;
+
 /**
  * All decisions of a node: takes one event after the other and returns what the
  * adapters have to do. Has no clock and no I/O; equal events give equal effects.
@@ -16,7 +18,8 @@
 class Reducer
 {
 public:
-    Reducer(NodeIdentity identity, Timings timings);
+    /** The format must outlive the reducer; without one, documents are the product's own. */
+    Reducer(NodeIdentity identity, Timings timings, const DocumentFormat *format = nullptr);
 
     /** Handles one event. Times of events never go back. */
     Effects apply(const Event &event);
@@ -43,6 +46,8 @@
     RequestRouter m_router;
     Cell m_cell;
     HybridTime m_clock;
+    Duration m_stopPatience;
+    MonotonicTime m_stopAskedAt;
     bool m_stopping = false;
     bool m_listenersClosed = false;
     bool m_connectionsClosed = false;
--- a/src/libnutmeghinge/replicachoice.cpp
+++ b/src/libnutmeghinge/replicachoice.cpp
@@ -9,8 +9,9 @@
 
 namespace nutmeghinge {
 
-ReplicaChoice::ReplicaChoice(std::uint64_t seed)
+ReplicaChoice::ReplicaChoice(std::uint64_t seed, ServiceName service)
     : m_random(seed)
+    , m_service(std::move(service))
 {
 }
 
@@ -76,9 +77,12 @@
 {
     m_stale = false;
     m_candidates.clear();
-    const Document *document = ownership.document();
+    const Document *document = m_service.value().empty() ? ownership.document() : ownership.documentOf(m_service);
     const Member *self = ownership.member(ownership.self());
     for (const Member &member : ownership.members()) {
+        if (!m_service.value().empty() && member.service != m_service) {
+            continue;
+        }
         const bool isSelf = self && member.slot == self->slot;
         const bool admits = isSelf ? ownership.mayAdmit(ShardIndex(0), now) : !member.leaving;
         if (!admits || (document && document->isLeaving(member.target, wallTime))) {
@@ -93,6 +97,7 @@
         const auto load = std::find_if(loads.begin(), loads.end(), [&](const MemberLoad &other) { return other.slot == member.slot; });
         if (load != loads.end()) {
             candidate.healthy = load->healthy;
+            candidate.slots = load->slots > 0 ? load->slots : candidate.slots;
             candidate.reported = load->inFlight + load->queued;
         }
         m_candidates.push_back(candidate);
--- a/src/libnutmeghinge/replicachoice.h
+++ b/src/libnutmeghinge/replicachoice.h
@@ -21,7 +21,8 @@
 class ReplicaChoice
 {
 public:
-    explicit ReplicaChoice(std::uint64_t seed);
+    /** Chooses among the members of the service; empty: among all members. */
+    explicit ReplicaChoice(std::uint64_t seed, ServiceName service = ServiceName());
 
     /** Members, loads or document may have changed: they are read again at the next choice. */
     void invalidate() { m_stale = true; }
@@ -55,6 +56,7 @@
     std::optional<MemberSlot> betterOfTwo(const std::vector<const Candidate *> &candidates);
 
     PseudoRandom m_random;
+    ServiceName m_service;
     bool m_stale = true;
     std::uint32_t m_ownQueued = 0;
     bool m_ownHealthy = true;
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -41,9 +41,23 @@
     std::uint32_t hops = 0;
     bool safe = false;
     bool idempotent = false;
-    /** The service is divided by key; keyHash and shard are set. */
+    /** Service that runs the request; empty for another service's host, which otherHost names. */
+    ServiceName service;
+    /** The document has routes; what follows on them is decided. */
+    bool routed = false;
+    /** Rank of the request, 0 is the most urgent. */
+    std::uint32_t priority = 0;
+    /** Time after which the answer is worth less; the latest time there is where none is stated. */
+    MonotonicTime objectiveAt = MonotonicTime::max();
+    /** Attempts with an unknown outcome after which no other is made; zero: no bound. */
+    std::uint32_t maximumAttempts = 0;
+    /** Id that the caller gave the request. */
+    std::string callerId;
+    /** The service is divided by key; keyHash or key, and shard are set. */
     bool divided = false;
     std::uint64_t keyHash = 0;
+    /** Key of a numeric key space. */
+    std::uint32_t key = 0;
     ShardIndex shard;
     /** Host of another service; empty for this node's own. */
     std::string otherHost;
@@ -76,6 +90,8 @@
 
     /** Attempts that have ended. */
     std::uint32_t attempts = 0;
+    /** Attempts that may have run. */
+    std::uint32_t unknownAttempts = 0;
     /** Refusals by nodes that did not own the shard. */
     std::uint32_t ownerRefusals = 0;
     /** Requests of the same idempotency key that wait for this one. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -1,11 +1,12 @@
 #include "requestattempts.h"
 
 #include "effectlist.h"
-#include "replicachoice.h"
 #include "requestreplies.h"
 #include "requesttable.h"
 #include "targetadmission.h"
 
+#include <algorithm>
+
 namespace nutmeghinge {
 
 namespace {
@@ -26,10 +27,10 @@
 
 } // namespace
 
-RequestAttempts::RequestAttempts(RequestTable &table, TargetAdmission &admission, ReplicaChoice &replicas, RequestReplies &replies)
+RequestAttempts::RequestAttempts(RequestTable &table, TargetAdmission &admission, RoutePlanner &planner, RequestReplies &replies)
     : m_table(table)
     , m_admission(admission)
-    , m_replicas(replicas)
+    , m_planner(planner)
     , m_replies(replies)
 {
 }
@@ -51,6 +52,8 @@
     effect.shard = target.shard;
     effect.fence = target.fence;
     effect.deadline = deadline;
+    effect.deadlineForHeadOnly = request.safe;
+    effect.target = m_admission.health().target();
     effect.keepAnswer = !request.deduplicationKey.empty();
     effect.freshConnection = request.freshConnection;
     m_replies.record(TimelineRecord::Kind::RequestSentToTarget, request, effects);
@@ -68,6 +71,12 @@
     effect.peer = to.member->peerEndpoint;
     effect.deadline = request.deadline;
     effect.hops = request.hops + 1;
+    effect.deadlineForHeadOnly = request.safe;
+    if (request.routed) {
+        const bool hasObjective = request.objectiveAt != MonotonicTime::max();
+        const Duration left = hasObjective ? std::max(Duration(1), Duration(request.objectiveAt - now)) : Duration(0);
+        effect.routed = RoutedRequest{request.service, request.idempotent, request.priority, left};
+    }
     effect.freshConnection = request.freshConnection;
     m_replies.record(TimelineRecord::Kind::RequestForwarded, request, effects);
     effects.add(std::move(effect));
@@ -88,7 +97,7 @@
     request.answerBegun = false;
     request.replaced = false;
     if (countsForReplica(request)) {
-        m_replicas.started(member);
+        m_planner.replicasFor(request).started(member);
     }
 }
 
@@ -97,7 +106,7 @@
     m_table.endAttempt(request);
     request.state = Request::State::Routing;
     if (countsForReplica(request)) {
-        m_replicas.ended(request.member);
+        m_planner.replicasFor(request).ended(request.member);
     }
     if (request.destination == Request::Destination::Target) {
         learnOfTarget(request, finished, executionLimit, now);
--- a/src/libnutmeghinge/requestattempts.h
+++ b/src/libnutmeghinge/requestattempts.h
@@ -7,7 +7,6 @@
 namespace nutmeghinge {
 
 class EffectList;
-class ReplicaChoice;
 class RequestReplies;
 class RequestTable;
 class TargetAdmission;
@@ -20,7 +19,7 @@
 class RequestAttempts
 {
 public:
-    RequestAttempts(RequestTable &table, TargetAdmission &admission, ReplicaChoice &replicas, RequestReplies &replies);
+    RequestAttempts(RequestTable &table, TargetAdmission &admission, RoutePlanner &planner, RequestReplies &replies);
 
     /** Sends the request to the target beside this node, which is the given member. */
     void sendToTarget(Request &request, const RouteToTarget &target, MemberSlot self, MonotonicTime deadline, MonotonicTime now, EffectList &effects);
@@ -34,7 +33,7 @@
 
     RequestTable &m_table;
     TargetAdmission &m_admission;
-    ReplicaChoice &m_replicas;
+    RoutePlanner &m_planner;
     RequestReplies &m_replies;
 };
 
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -1,11 +1,14 @@
 #include "requestintake.h"
 
 #include "document.h"
+#include "routetable.h"
 #include "ownershipview.h"
+#include "pseudorandom.h"
 #include "requestmethod.h"
 #include "shardof.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace nutmeghinge {
 
@@ -50,18 +53,102 @@
 
 } // namespace
 
-std::variant<Request, Refusal> takeInRequest(const RequestArrived &arrived, const OwnershipView &ownership, const Event &event)
+namespace {
+
+/** Chooses one of the route's services by their weights. */
+const ServiceName &chooseService(const RequestRoute &route, PseudoRandom &random)
+{
+    std::uint64_t total = 0;
+    for (const WeightedService &part : route.services) {
+        total += part.weight;
+    }
+    std::uint64_t chosen = total == 0 ? 0 : random.below(total);
+    for (const WeightedService &part : route.services) {
+        if (chosen < part.weight) {
+            return part.service;
+        }
+        chosen -= part.weight;
+    }
+    return route.services.front().service;
+}
+
+/** Places the key of a request whose service has a numeric key space; one without a key may go to any owner. */
+std::optional<Refusal> readNumericKey(Request &request, const RequestArrived &arrived, const Document &document, PseudoRandom &random)
+{
+    request.divided = true;
+    const std::string *text = findHeader(arrived, document.keyHeader);
+    if (!text) {
+        request.key = static_cast<std::uint32_t>(random.below(numericKeys));
+        return std::nullopt;
+    }
+    const char *end = text->data() + text->size();
+    const auto [parsed, error] = std::from_chars(text->data(), end, request.key);
+    if (error != std::errc() || parsed != end || request.key >= numericKeys) {
+        return Refusal{400, NotRunReason::BadRequest, {}, "the key is no number from 0 to 65535"};
+    }
+    return std::nullopt;
+}
+
+std::variant<Request, Refusal>
+takeInRouted(const RequestArrived &arrived, const RouteTable &routes, const OwnershipView &ownership, const Event &event, PseudoRandom &random)
+{
+    Request request;
+    request.id = arrived.request;
+    request.callerId = arrived.callerId;
+    request.arrivedAt = event.at;
+    request.hops = arrived.hops;
+    request.routed = true;
+    RoutedRequest routed;
+    Duration timeout{0};
+    if (arrived.routed) {
+        routed = *arrived.routed;
+    } else {
+        const RequestRoute *route = routes.find(arrived.host, arrived.path);
+        if (!route) {
+            return Refusal{404, NotRunReason::BadRequest, {}, "no route for this host and path"};
+        }
+        routed = {chooseService(*route, random), route->repeatable, route->priority, route->objective};
+        timeout = route->timeout;
+        request.maximumAttempts = route->maximumAttempts;
+    }
+    const Document *document = ownership.documentOf(routed.service);
+    if (!document) {
+        return Refusal{503, NotRunReason::NotOwner, retryAfterWithoutDocument, "no document of the route's service in force"};
+    }
+    const Duration longest = timeout == Duration::zero() ? document->deadline : timeout;
+    request.deadline = event.at + std::min(arrived.timeout.value_or(longest), arrived.routed ? arrived.timeout.value_or(longest) : longest);
+    request.service = routed.service;
+    request.safe = routed.repeatable;
+    request.idempotent = routed.repeatable;
+    request.priority = routed.priority;
+    request.objectiveAt = routed.objective == Duration::zero() ? MonotonicTime::max() : event.at + routed.objective;
+    if (document->isDividedByKey()) {
+        if (std::optional<Refusal> refusal = readNumericKey(request, arrived, *document, random)) {
+            return *std::move(refusal);
+        }
+    }
+    return request;
+}
+
+} // namespace
+
+std::variant<Request, Refusal> takeInRequest(const RequestArrived &arrived, const OwnershipView &ownership, const Event &event, PseudoRandom &random)
 {
     const Document *document = ownership.document();
     if (!document) {
         return Refusal{503, NotRunReason::NotOwner, retryAfterWithoutDocument, "no document in force yet"};
     }
+    if (const RouteTable *routes = ownership.routes()) {
+        return takeInRouted(arrived, *routes, ownership, event, random);
+    }
     Request request = makeRequest(arrived, *document, event.at);
+    request.service = document->service;
     if (!isOwnHost(*document, arrived.host)) {
         if (!ownership.otherCell(arrived.host)) {
             return Refusal{404, NotRunReason::BadRequest, {}, "no service has this host"};
         }
         request.otherHost = arrived.host;
+        request.service = ServiceName();
         return request;
     }
     if (document->isStopped(event.wallTime)) {
--- a/src/libnutmeghinge/requestintake.h
+++ b/src/libnutmeghinge/requestintake.h
@@ -9,11 +9,13 @@
 namespace nutmeghinge {
 
 class OwnershipView;
+class PseudoRandom;
 
 /**
- * Checks an arrived request against the document in force and reads its key,
- * deadline and Idempotency-Key.
+ * Checks an arrived request against the document in force and reads its service,
+ * key, deadline and Idempotency-Key. The random numbers share out the requests of
+ * a route with several services.
  */
-std::variant<Request, Refusal> takeInRequest(const RequestArrived &arrived, const OwnershipView &ownership, const Event &event);
+std::variant<Request, Refusal> takeInRequest(const RequestArrived &arrived, const OwnershipView &ownership, const Event &event, PseudoRandom &random);
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -48,6 +48,7 @@
     explicit Private(std::uint64_t seed)
         : planner(seed)
         , retries(seed + 1)
+        , random(seed + 2)
     {
     }
 
@@ -101,10 +102,11 @@
     WakeQueue wakes;
     RoutePlanner planner;
     RetryPolicy retries;
+    PseudoRandom random;
     DeduplicationMemory memory;
     UnknownForwards unknownForwards;
     RequestReplies replies;
-    RequestAttempts attempts{table, admission, planner.replicas(), replies};
+    RequestAttempts attempts{table, admission, planner, replies};
     LoadMeter loadMeter;
     HeavyKeys heavyKeys;
     std::optional<MonotonicTime> loadSince;
@@ -158,10 +160,11 @@
     const Context context = contextOf(event, effects);
     const auto &arrived = std::get<RequestArrived>(event.body);
     ++m_d->replies.counters().arrived;
-    auto taken = takeInRequest(arrived, *m_d->ownership, event);
+    auto taken = takeInRequest(arrived, *m_d->ownership, event, m_d->random);
     if (auto *refusal = std::get_if<Refusal>(&taken)) {
         Request request;
         request.id = arrived.request;
+        request.callerId = arrived.callerId;
         m_d->replies.refuse(request, std::move(*refusal), effects);
         return;
     }
@@ -218,7 +221,7 @@
 {
     const Context context = contextOf(event, effects);
     m_d->setBounds();
-    m_d->planner.replicas().invalidate();
+    m_d->planner.invalidateReplicas();
     m_d->rerouteQueued(context);
     if (m_d->mapVersion != m_d->ownership->map().version) {
         m_d->mapVersion = m_d->ownership->map().version;
@@ -308,7 +311,7 @@
         return;
     }
     if (!request.divided) {
-        planner.replicas().setOwnTarget(admission.queue().size(), admission.health().isHealthy(context.now));
+        planner.replicasFor(request).setOwnTarget(admission.queue().size(), admission.health().isHealthy(context.now));
     }
     const Route route = planner.plan(request, *ownership, context.now, context.wallTime);
     if (mayHaveRunElsewhere(request, route, context)) {
@@ -338,7 +341,7 @@
     if (!request.counted) {
         request.counted = true;
         loadMeter.count(target.shard);
-        if (request.divided) {
+        if (request.divided && !request.routed) {
             heavyKeys.count(request.keyHash);
         }
     }
@@ -469,6 +472,7 @@
         unknownForwards.remember(request.deduplicationKey, request.member, context.now);
     }
     request.unknown = true;
+    ++request.unknownAttempts;
     request.freshConnection = true;
     if (request.cancelled) {
         erase(request);
@@ -479,7 +483,8 @@
         erase(request);
         return;
     }
-    if (request.idempotent) {
+    const bool triedOut = request.maximumAttempts != 0 && request.unknownAttempts >= request.maximumAttempts;
+    if (request.idempotent && !triedOut) {
         follow(request, retries.afterUnknown(request, result, context.now), context);
         return;
     }
--- a/src/libnutmeghinge/routeplanner.cpp
+++ b/src/libnutmeghinge/routeplanner.cpp
@@ -6,27 +6,53 @@
 #include "ownershipview.h"
 #include "shardof.h"
 
+#include <limits>
+
 namespace nutmeghinge {
 
 namespace {
 
+/** Beyond the shards of any map. */
+constexpr ShardIndex noShard{std::numeric_limits<std::uint32_t>::max()};
+
 ShardIndex shardOf(const Request &request, const OwnershipView &ownership)
 {
     const Document *document = ownership.document();
     if (!request.divided || !document) {
         return ShardIndex(0);
     }
+    if (request.routed) {
+        const ShardSection *section = ownership.map().section(request.service);
+        return section ? ShardIndex(section->first + shardOfNumber(request.key, section->count)) : noShard;
+    }
     return shardOfHash(request.keyHash, ownership.map(), document->shards);
 }
 
 } // namespace
 
 RoutePlanner::RoutePlanner(std::uint64_t seed)
-    : m_replicas(seed)
+    : m_seed(seed)
     , m_random(~seed)
 {
 }
 
+ReplicaChoice &RoutePlanner::replicasFor(const Request &request)
+{
+    const ServiceName service = request.routed ? request.service : ServiceName();
+    const auto found = m_replicas.find(service);
+    if (found != m_replicas.end()) {
+        return found->second;
+    }
+    return m_replicas.emplace(service, ReplicaChoice(m_seed + m_replicas.size(), service)).first->second;
+}
+
+void RoutePlanner::invalidateReplicas()
+{
+    for (auto &[service, replicas] : m_replicas) {
+        replicas.invalidate();
+    }
+}
+
 Route RoutePlanner::plan(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
 {
     if (!request.otherHost.empty()) {
@@ -46,6 +72,10 @@
 std::optional<RouteToTarget> RoutePlanner::planTarget(const Request &request, const OwnershipView &ownership, MonotonicTime now)
 {
     const OwnershipMap &map = ownership.map();
+    const Document *own = ownership.document();
+    if (request.routed && (!own || own->service != request.service)) {
+        return std::nullopt;
+    }
     const ShardIndex shard = shardOf(request, ownership);
     if (!ownership.mayAdmit(shard, now)) {
         return std::nullopt;
@@ -63,7 +93,9 @@
     }
     const ShardOwnership &entry = map.shards[shard.value()];
     const Member *owner = ownership.member(entry.owner);
-    if (entry.state != ShardOwnership::State::Owned || entry.owner == ownership.self() || !owner) {
+    // An owner that holds its keys by heartbeat serves a shard that moves until its target releases it.
+    const bool releasing = request.routed && entry.state == ShardOwnership::State::Releasing;
+    if ((entry.state != ShardOwnership::State::Owned && !releasing) || entry.owner == ownership.self() || !owner) {
         return NoRoute{};
     }
     return RouteToMember{owner, entry.fence};
@@ -72,8 +104,8 @@
 Route RoutePlanner::planReplica(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime)
 {
     const bool repeatsMustMeet = !request.deduplicationKey.empty();
-    const auto chosen = repeatsMustMeet ? m_replicas.chooseForKey(ownership, hashOfKey(request.deduplicationKey), now, wallTime)
-                                        : m_replicas.choose(ownership, request.member, now, wallTime);
+    const auto chosen = repeatsMustMeet ? replicasFor(request).chooseForKey(ownership, hashOfKey(request.deduplicationKey), now, wallTime)
+                                        : replicasFor(request).choose(ownership, request.member, now, wallTime);
     if (!chosen) {
         return NoRoute{};
     }
--- a/src/libnutmeghinge/routeplanner.h
+++ b/src/libnutmeghinge/routeplanner.h
@@ -4,6 +4,7 @@
 #include "replicachoice.h"
 #include "request.h"
 
+#include <map>
 #include <optional>
 #include <variant>
 
@@ -36,7 +37,10 @@
 public:
     explicit RoutePlanner(std::uint64_t seed);
 
-    ReplicaChoice &replicas() { return m_replicas; }
+    /** Choice among the replicas of the request's service. */
+    ReplicaChoice &replicasFor(const Request &request);
+    /** Members, loads or documents may have changed. */
+    void invalidateReplicas();
     Route plan(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
     /** Route to the target beside this node, where it may run the request now. */
     static std::optional<RouteToTarget> planTarget(const Request &request, const OwnershipView &ownership, MonotonicTime now);
@@ -46,7 +50,9 @@
     Route planReplica(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
     Route planOtherCell(const Request &request, const OwnershipView &ownership);
 
-    ReplicaChoice m_replicas;
+    std::uint64_t m_seed;
+    /** By service; that of the empty name chooses among all members of a cell of one service. */
+    std::map<ServiceName, ReplicaChoice> m_replicas;
     PseudoRandom m_random;
 };
 
--- /dev/null
+++ b/src/libnutmeghinge/routetable.cpp
@@ -0,0 +1,42 @@
+#include "routetable.h"
+
+namespace nutmeghinge {
+
+namespace {
+
+std::string keyOf(std::string_view host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + prefix.size());
+    key += host;
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::vector<RequestRoute> routes)
+{
+    m_routes.reserve(routes.size());
+    for (RequestRoute &route : routes) {
+        std::string key = keyOf(route.host, route.prefix);
+        m_routes.emplace(std::move(key), std::move(route));
+    }
+}
+
+const RequestRoute *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+        const auto found = m_routes.find(keyOf(host, path.substr(0, slash + 1)));
+        if (found != m_routes.end()) {
+            return &found->second;
+        }
+        if (slash == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/shardhandover.cpp
+++ b/src/libnutmeghinge/shardhandover.cpp
@@ -54,7 +54,8 @@
 
 void ShardHandover::proceed(ShardIndex shard, Release &release, MonotonicTime now, EffectList &effects)
 {
-    if (release.released || m_context.activity.blockingRequests(shard) > 0) {
+    const bool busy = m_context.holdsByHeartbeat() ? !m_context.holds.isFree(shard, now) : m_context.activity.blockingRequests(shard) > 0;
+    if (release.released || busy) {
         return;
     }
     if (release.next == noMember) {
@@ -65,7 +66,7 @@
         return;
     }
     release.offerAt = now + m_context.timings.heartbeat;
-    m_context.send(release.next, HandoverOffer{shard, release.fence, m_context.activity.exportDeduplication(shard, now)}, effects);
+    m_context.send(release.next, HandoverOffer{shard, release.fence, m_context.activity.exportDeduplication(shard, now), m_context.holds.handoverOf(shard)}, effects);
 }
 
 void ShardHandover::offered(MemberSlot from, const HandoverOffer &offer, MonotonicTime now, EffectList &effects)
@@ -74,6 +75,7 @@
     if (imported == m_imported.end() || imported->second < offer.fence) {
         m_imported[offer.shard] = offer.fence;
         m_context.activity.importDeduplication(offer.entries, now);
+        m_context.holds.setHandover(offer.shard, offer.token);
         effects.record(handoverRecord(TimelineRecord::Kind::HandoverReceived, offer.shard, from, offer.fence));
     }
     m_context.send(from, HandoverAccepted{offer.shard, offer.fence}, effects);
--- a/src/libnutmeghinge/shardof.cpp
+++ b/src/libnutmeghinge/shardof.cpp
@@ -1,5 +1,7 @@
 #include "shardof.h"
 
+#include "targethold.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -20,4 +22,9 @@
     return ShardIndex(static_cast<std::uint32_t>(keyHash % documentShards));
 }
 
+std::uint32_t shardOfNumber(std::uint32_t key, std::uint32_t shards)
+{
+    return static_cast<std::uint32_t>(std::uint64_t(key) * shards / numericKeys);
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -3,8 +3,10 @@
 #include "cellcontext.h"
 #include "effectlist.h"
 #include "events.h"
+#include "memberadmission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmeghinge {
 
@@ -25,6 +27,7 @@
 
 TablePolling::TablePolling(CellContext &context)
     : m_context(context)
+    , m_documentFollower(context)
     , m_writeRetry(firstWriteRetry)
     , m_random(context.identity.seed)
 {
@@ -36,6 +39,9 @@
         return;
     }
     announce(event.at, effects);
+    if (m_context.timings.followsDocument) {
+        m_documentFollower.tick(event.at, effects);
+    }
     readWhatIsDue(need, event.at, effects);
     if (!m_context.members.areAllProvedEnded()) {
         m_allEndedSince.reset();
@@ -74,22 +80,25 @@
 void TablePolling::readWhatIsDue(Need need, MonotonicTime now, EffectList &effects)
 {
     CellRowKeeper &row = m_context.row;
+    const Duration interval = need == Need::Searching ? m_context.timings.searchPoll : m_context.timings.tablePoll;
     const bool polls = need != Need::Settled && now >= m_nextPoll;
     if (row.isReadWanted(now) || (polls && need == Need::Searching)) {
         row.read(m_context.service, now, effects);
     }
     if (polls) {
-        m_nextPoll = now + jittered(m_context.timings.tablePoll);
+        m_nextPoll = now + jittered(interval);
         if (!m_readingMembers) {
             m_readingMembers = true;
+            m_membersAskedAt = now;
             effects.add(ReadMemberRows{m_context.service});
         }
-        if (!m_readingDocument) {
+        if (!m_readingDocument && !m_context.timings.followsDocument) {
             m_readingDocument = true;
             effects.add(ReadDocument{m_context.service, m_context.documents.highestSeen()});
         }
     }
-    if (now >= m_nextDirectoryPoll && !m_readingCells) {
+    // A cell of several services has all their nodes as members.
+    if (!m_context.spansServices() && now >= m_nextDirectoryPoll && !m_readingCells) {
         m_nextDirectoryPoll = now + jittered(m_context.timings.directoryPoll);
         m_readingCells = true;
         effects.add(ReadCells{});
@@ -104,7 +113,9 @@
         return;
     }
     if (row.isAbsent()) {
-        row.write(foundedRow(), now, effects);
+        if (mayFound()) {
+            row.write(foundedRow(), now, effects);
+        }
         return;
     }
     if (std::optional<CellRow> taken = takenOverRow(now)) {
@@ -112,19 +123,50 @@
     }
 }
 
+/** The announcements known are those of a time at which all nodes that started together have announced themselves. */
+bool TablePolling::mayFound() const
+{
+    const Duration delay = m_context.timings.foundingDelay;
+    return delay == Duration::zero() || m_membersKnownAt >= m_context.identity.startedAt + delay;
+}
+
 CellRow TablePolling::foundedRow() const
 {
     CellRow row;
     row.service = m_context.service;
     row.revision = CellRevision(1);
-    row.nextSlot = MemberSlot(2);
-    row.members = {m_context.announcement()};
-    row.members.front().slot = MemberSlot(1);
+    row.nextSlot = MemberSlot(1);
+    admitAnnounced(row);
     row.mark = 1;
     row.document = m_context.documents.revision();
     return row;
 }
 
+/**
+ * Makes this node a member, and, where nodes wait for each other, all that have announced themselves. before: members that
+ * have ended; of their nodes only later incarnations are known to live.
+ */
+void TablePolling::admitAnnounced(CellRow &row, const std::vector<Member> &before) const
+{
+    const auto admit = [&](Member member) {
+        member.slot = row.nextSlot;
+        row.nextSlot = MemberSlot(row.nextSlot.value() + 1);
+        row.members.push_back(std::move(member));
+    };
+    admit(m_context.announcement());
+    if (m_context.timings.foundingDelay == Duration::zero()) {
+        return;
+    }
+    for (const Member &announced : m_announced) {
+        const auto isEarlier = [&](const Member &member) { return member.node == announced.node && member.incarnation < announced.incarnation; };
+        const bool lives = before.empty() || std::any_of(before.begin(), before.end(), isEarlier);
+        if (announced.node != m_context.identity.node && !announced.leaving && lives && row.members.size() < cellMembers) {
+            admit(announced);
+        }
+    }
+    row.members = interleaveZones(row.members);
+}
+
 std::optional<CellRow> TablePolling::takenOverRow(MonotonicTime now) const
 {
     const std::optional<VersionedCellRow> &known = m_context.row.known();
@@ -134,20 +176,27 @@
     }
     const Timings &timings = m_context.timings;
     const Duration lastWork = timings.withDrift(timings.promise) + timings.withDrift(timings.memberLease) + m_context.executionWait();
-    const bool allEnded = m_allEndedSince && now >= *m_allEndedSince + lastWork;
+    // Targets that hold their keys by heartbeat tell the new cell themselves what their ended nodes granted.
+    const Duration endedWork = m_context.spansServices() ? Duration(0) : lastWork;
+    const bool allEnded = m_allEndedSince && now >= *m_allEndedSince + endedWork && mayFound();
     const bool abandoned = now >= m_context.row.unchangedSince() + timings.withDrift(document->holdLimit) + lastWork;
     if (!allEnded && !abandoned) {
         return std::nullopt;
     }
     CellRow row = known->row;
     row.revision = CellRevision(row.revision.value() + 1);
-    Member own = m_context.announcement();
-    own.slot = m_context.self;
-    if (own.slot == noMember) {
-        own.slot = row.nextSlot;
-        row.nextSlot = MemberSlot(row.nextSlot.value() + 1);
+    const std::vector<Member> before = std::exchange(row.members, {});
+    for (const Member &member : before) {
+        row.former.emplace_back(member.slot, member.node);
+    }
+    if (allEnded) {
+        admitAnnounced(row, before);
+    } else {
+        Member own = m_context.announcement();
+        own.slot = m_context.self == noMember ? row.nextSlot : m_context.self;
+        row.nextSlot = std::max(row.nextSlot, MemberSlot(own.slot.value() + 1));
+        row.members = {own};
     }
-    row.members = {own};
     ++row.mark;
     return row;
 }
@@ -158,18 +207,28 @@
     const auto &result = std::get<MemberRowsRead>(event.body).result;
     if (const auto *rows = std::get_if<std::vector<Member>>(&result)) {
         m_announced = *rows;
+        m_membersKnownAt = m_membersAskedAt;
         m_context.members.noteAnnounced(m_announced, event.at + m_context.timings.withDrift(m_context.timings.promise));
     }
 }
 
 void TablePolling::documentRead(const Event &event, EffectList &effects)
 {
+    if (m_context.timings.followsDocument) {
+        m_documentFollower.documentRead(std::get<DocumentRead>(event.body), event.at, effects);
+        return;
+    }
     m_readingDocument = false;
     if (const auto *copy = std::get_if<DocumentCopy>(&std::get<DocumentRead>(event.body).result)) {
         m_context.offerDocument(*copy, effects);
     }
 }
 
+void TablePolling::documentFollowed(const Event &event, EffectList &effects)
+{
+    m_documentFollower.documentFollowed(std::get<DocumentFollowed>(event.body), event.at, effects);
+}
+
 void TablePolling::cellsRead(const Event &event)
 {
     m_readingCells = false;
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cellrow.h"
+#include "documentfollower.h"
 #include "ids.h"
 #include "member.h"
 #include "units.h"
@@ -38,6 +39,7 @@
     void memberRowWriteFinished(const Event &event);
     void memberRowsRead(const Event &event);
     void documentRead(const Event &event, EffectList &effects);
+    void documentFollowed(const Event &event, EffectList &effects);
     void cellsRead(const Event &event);
 
     /** Nodes that announced themselves, as last read. */
@@ -49,11 +51,14 @@
 private:
     void readWhatIsDue(Need need, MonotonicTime now, EffectList &effects);
     void claimCell(MonotonicTime now, EffectList &effects);
+    bool mayFound() const;
     CellRow foundedRow() const;
+    void admitAnnounced(CellRow &row, const std::vector<Member> &before = {}) const;
     std::optional<CellRow> takenOverRow(MonotonicTime now) const;
     Duration jittered(Duration interval);
 
     CellContext &m_context;
+    DocumentFollower m_documentFollower;
     std::vector<Member> m_announced;
     std::vector<CellRow> m_cells;
     MemberSlot m_lostSlot;
@@ -64,6 +69,9 @@
     MonotonicTime m_nextPoll;
     MonotonicTime m_nextDirectoryPoll;
     bool m_readingMembers = false;
+    MonotonicTime m_membersAskedAt;
+    /** Time at which the known announcements were asked for. */
+    MonotonicTime m_membersKnownAt;
     bool m_readingDocument = false;
     bool m_readingCells = false;
     std::uint64_t m_random;
--- a/src/libnutmeghinge/targethealth.cpp
+++ b/src/libnutmeghinge/targethealth.cpp
@@ -35,6 +35,7 @@
     m_announced = true;
     m_announcedAt = now;
     m_endpoint = announcement.endpoint;
+    m_target = announcement.target;
     m_incarnation = announcement.targetIncarnation;
     m_slots = std::max(announcement.slots, 1U);
     if (restarted || resized) {
--- a/src/libnutmeghinge/targethealth.h
+++ b/src/libnutmeghinge/targethealth.h
@@ -29,6 +29,8 @@
     /** Requests that may run at one time; at least 1, which tries out an unhealthy target. */
     std::uint32_t limit(MonotonicTime now, Duration slowStart) const;
     std::uint32_t slots() const { return m_slots; }
+    /** Name of the target; empty before the first announcement. */
+    const TargetName &target() const { return m_target; }
     /** Empty before the first announcement. */
     const Endpoint &endpoint() const { return m_endpoint; }
 
@@ -37,6 +39,7 @@
     double hintedExcess(MonotonicTime now) const;
 
     Endpoint m_endpoint;
+    TargetName m_target;
     std::uint32_t m_slots = 1;
     std::uint64_t m_incarnation = 0;
     bool m_announced = false;
--- /dev/null
+++ b/src/libnutmeghinge/targetholds.cpp
@@ -0,0 +1,166 @@
+#include "targetholds.h"
+
+#include "events.h"
+
+#include <algorithm>
+
+namespace nutmeghinge {
+
+namespace {
+
+/** A target's clock may run slow by this; bound of the targets' protocol. */
+constexpr std::int64_t targetDriftPerMille = 20;
+/** A shorter hold would end before the target's next heartbeat can renew it. */
+constexpr Duration shortestHold = std::chrono::milliseconds(500);
+
+std::uint32_t firstKey(std::size_t shard, std::size_t shards)
+{
+    return static_cast<std::uint32_t>((shard * numericKeys + shards - 1) / shards);
+}
+
+std::uint32_t lastKey(std::size_t shard, std::size_t shards)
+{
+    return firstKey(shard + 1, shards) - 1;
+}
+
+} // namespace
+
+void TargetHolds::resize(const ShardSection &section)
+{
+    m_first = section.first;
+    if (m_entries.size() != section.count) {
+        m_entries.assign(section.count, Entry());
+    }
+}
+
+const TargetHolds::Entry *TargetHolds::entryOf(ShardIndex shard) const
+{
+    const std::uint32_t index = shard.value() - m_first;
+    return shard.value() >= m_first && index < m_entries.size() ? &m_entries[index] : nullptr;
+}
+
+TargetHolds::Entry *TargetHolds::entryOf(ShardIndex shard)
+{
+    return const_cast<Entry *>(std::as_const(*this).entryOf(shard));
+}
+
+/** Calls the function with the entry of each shard that lies in the range. */
+template <typename Range, typename Function>
+void TargetHolds::forEachShard(const Range &range, Function function)
+{
+    const std::size_t shards = m_entries.size();
+    for (std::size_t shard = std::size_t(range.first) * shards / numericKeys; shard < shards && firstKey(shard, shards) <= range.last; ++shard) {
+        function(m_entries[shard]);
+    }
+}
+
+void TargetHolds::announced(const TargetAnnounced &announcement, const ShardSection &section, const Fence &mapVersion, MonotonicTime now)
+{
+    resize(section);
+    if (announcement.targetIncarnation != m_targetIncarnation) {
+        // What a node that has just started finds held stays as it is.
+        m_earlierFences = m_targetIncarnation == 0 ? Fence() : mapVersion;
+        m_targetIncarnation = announcement.targetIncarnation;
+        clear();
+    }
+    if (!announcement.holds) {
+        return;
+    }
+    for (Entry &entry : m_entries) {
+        entry.reported = false;
+    }
+    for (const HeldRange &range : announcement.holds->held) {
+        forEachShard(range, [&](Entry &entry) {
+            entry.reported = true;
+            entry.reportedFence = range.fence;
+        });
+        // A node that has just started does not know what its predecessor granted.
+        m_holdEnd = std::max(m_holdEnd, now + m_holdTime + m_holdTime * targetDriftPerMille / 1000);
+    }
+    for (const ReleasedRange &range : announcement.holds->released) {
+        forEachShard(range, [&](Entry &entry) { entry.outgoing = range.handover; });
+    }
+    for (Entry &entry : m_entries) {
+        if (entry.reported) {
+            entry.outgoing.clear();
+            entry.incoming.clear();
+        } else {
+            entry.granted = false;
+        }
+    }
+}
+
+std::optional<HoldGrant> TargetHolds::grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now)
+{
+    resize(section);
+    HoldGrant grant;
+    grant.holdTime = std::min(m_holdTime, (leaseEnd - now) * 1000 / (1000 + targetDriftPerMille));
+    if (m_holdTime == Duration::zero() || grant.holdTime < shortestHold) {
+        return std::nullopt;
+    }
+    const std::size_t shards = m_entries.size();
+    for (std::size_t i = 0; i < shards; ++i) {
+        Entry &entry = m_entries[i];
+        const ShardOwnership &owned = map.shards[m_first + i];
+        entry.granted = owned.state == ShardOwnership::State::Owned && owned.owner == self && owned.fence > m_earlierFences;
+        if (!entry.granted) {
+            continue;
+        }
+        entry.grantedFence = owned.fence;
+        const std::uint32_t first = firstKey(i, shards);
+        GrantedRange *last = grant.ranges.empty() ? nullptr : &grant.ranges.back();
+        if (last && last->last + 1 == first && last->fence == owned.fence && last->handover == entry.incoming) {
+            last->last = lastKey(i, shards);
+        } else {
+            grant.ranges.push_back({first, lastKey(i, shards), owned.fence, entry.incoming});
+        }
+    }
+    m_holdEnd = std::max(m_holdEnd, now + grant.holdTime + grant.holdTime * targetDriftPerMille / 1000);
+    return grant;
+}
+
+bool TargetHolds::mayRun(ShardIndex shard, const Fence &fence, MonotonicTime now) const
+{
+    const Entry *entry = entryOf(shard);
+    return entry && entry->granted && entry->grantedFence == fence && now < m_holdEnd;
+}
+
+bool TargetHolds::isFree(ShardIndex shard, MonotonicTime now) const
+{
+    const Entry *entry = entryOf(shard);
+    return !entry || now >= m_holdEnd || (!entry->reported && !entry->granted);
+}
+
+std::vector<ShardIndex> TargetHolds::held(MonotonicTime now) const
+{
+    std::vector<ShardIndex> result;
+    for (std::uint32_t i = 0; i < m_entries.size(); ++i) {
+        if (!isFree(ShardIndex(m_first + i), now)) {
+            result.emplace_back(m_first + i);
+        }
+    }
+    return result;
+}
+
+std::string TargetHolds::handoverOf(ShardIndex shard) const
+{
+    const Entry *entry = entryOf(shard);
+    return entry ? entry->outgoing : std::string();
+}
+
+void TargetHolds::setHandover(ShardIndex shard, std::string handover)
+{
+    if (Entry *entry = entryOf(shard)) {
+        entry->incoming = std::move(handover);
+    }
+}
+
+void TargetHolds::clear()
+{
+    for (Entry &entry : m_entries) {
+        entry = Entry{.incoming = std::move(entry.incoming)};
+    }
+    m_holdEnd = MonotonicTime();
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/targetwatch.cpp
+++ b/src/libnutmeghinge/targetwatch.cpp
@@ -19,8 +19,22 @@
 {
 }
 
-void TargetWatch::announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+bool TargetWatch::isStale(const TargetAnnounced &announcement) const
 {
+    if (!m_latest || announcement.sequence == 0) {
+        return false;
+    }
+    if (announcement.targetIncarnation != m_latest->targetIncarnation) {
+        return announcement.targetIncarnation < m_latest->targetIncarnation;
+    }
+    return announcement.sequence <= m_latest->sequence;
+}
+
+bool TargetWatch::announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+{
+    if (isStale(announcement)) {
+        return false;
+    }
     const bool restarted = !m_latest || m_latest->targetIncarnation != announcement.targetIncarnation;
     if (restarted) {
         m_grants.clear();
@@ -32,9 +46,21 @@
         record.detail = announcement.target.value();
         effects.record(std::move(record));
     }
+    if (announcement.draining && (restarted || !m_latest->draining)) {
+        m_drainingSince = now;
+    }
     m_silent = false;
     m_latest = announcement;
     m_announcedAt = now;
+    return true;
+}
+
+void TargetWatch::leaving(const TargetLeaving &notice, MonotonicTime now)
+{
+    if (m_latest && m_latest->target == notice.target && !m_latest->draining) {
+        m_latest->draining = true;
+        m_drainingSince = now;
+    }
 }
 
 void TargetWatch::probed(const TargetProbed &result)
@@ -54,7 +80,7 @@
         record.detail = m_latest->target.value();
         effects.record(std::move(record));
     }
-    if (now >= m_nextProbe) {
+    if (m_probeInterval > Duration::zero() && now >= m_nextProbe) {
         m_nextProbe = now + m_probeInterval;
         effects.add(ProbeTarget{m_latest->endpoint});
     }
--- a/src/libnutmeghingeio/announcementserver.h
+++ b/src/libnutmeghingeio/announcementserver.h
@@ -1,10 +1,8 @@
 #pragma once
 
+#include "announcementport.h"
 #include "endpoint.h"
-#include "events.h"
-#include "httpserver.h"
 
-#include <functional>
 #include <memory>
 #include <string_view>
 #include <variant>
@@ -25,14 +23,14 @@
  * Listener for the target beside this node: POST /announce with a JSON object,
  * answered 204, or 400 with the reason. Borrows the loop.
  */
-class AnnouncementServer
+class AnnouncementServer : public AnnouncementPort
 {
 public:
-    using EventFunction = std::function<void(EventBody)>;
-
     AnnouncementServer(EventLoop &loop, EventFunction events);
 
-    std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint);
+    std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint) override;
+    /** Announcements of this protocol are answered as they come. */
+    void run(const AnswerTarget &) override {}
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange);
--- a/src/libnutmeghingeio/answerrefusal.cpp
+++ b/src/libnutmeghingeio/answerrefusal.cpp
@@ -34,7 +34,10 @@
 AttemptNotRun refusalOfPeer(const HttpAnswerHead &head)
 {
     const std::optional<NotRunReason> reason = notRunReasonOf(findHeader(head.headers, wire::reason).value_or(""));
-    return {.reason = reason.value_or(NotRunReason::Overloaded), .retryAfter = retryAfterOf(head), .newerFence = {}, .status = head.status};
+    const std::optional<std::uint64_t> milliseconds = parseNumber(findHeader(head.headers, wire::retryAfterMs).value_or(""));
+    const bool exact = milliseconds && *milliseconds <= static_cast<std::uint64_t>(maxRetryAfterS) * 1000;
+    const std::optional<Duration> retryAfter = exact ? std::optional<Duration>(std::chrono::milliseconds(*milliseconds)) : retryAfterOf(head);
+    return {.reason = reason.value_or(NotRunReason::Overloaded), .retryAfter = retryAfter, .newerFence = {}, .status = head.status};
 }
 
 } // namespace
--- a/src/libnutmeghingeio/cellrowcodec.cpp
+++ b/src/libnutmeghingeio/cellrowcodec.cpp
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr std::size_t ownershipFields = 5;
+constexpr std::size_t maximumShards = 65536;
 
 json toJson(const ShardOwnership &shard)
 {
@@ -94,10 +95,45 @@
     return entries;
 }
 
+/** Neighbouring shards with one ownership, as the ownership and their number. */
+json runsOf(const std::vector<ShardOwnership> &shards)
+{
+    json runs = json::array();
+    const ShardOwnership *last = nullptr;
+    for (const ShardOwnership &shard : shards) {
+        if (last == nullptr || *last != shard) {
+            runs.push_back({toJson(shard), 0});
+            last = &shard;
+        }
+        json &length = runs.back().back();
+        length = length.get<std::uint64_t>() + 1;
+    }
+    return runs;
+}
+
+std::vector<ShardOwnership> shardsOf(JsonReader &reader, const json &runs)
+{
+    std::vector<ShardOwnership> shards;
+    for (const json &run : runs) {
+        reader.check(run.is_array() && run.size() == 2, "runs");
+        const ShardOwnership shard = reader.fault() ? ShardOwnership() : ownershipOf(reader, run[0]);
+        const std::uint64_t length = reader.fault() ? 0 : reader.element(run[1], "length", maximumShards - shards.size());
+        shards.insert(shards.end(), length, shard);
+    }
+    return shards;
+}
+
 json toJson(const OwnershipMap &map)
 {
-    json result = {{"term", map.version.term.value()}, {"sequence", map.version.sequence}, {"hotKeys", map.hotKeys}};
-    writeIndexed(result, "ownerships", "shards", map.shards);
+    json result = {{"term", map.version.term.value()}, {"sequence", map.version.sequence}, {"hotKeys", map.hotKeys}, {"sections", json::array()}};
+    for (const ShardSection &section : map.sections) {
+        result["sections"].push_back({{"service", section.service.value()}, {"first", section.first}, {"count", section.count}});
+    }
+    if (map.sections.empty()) {
+        writeIndexed(result, "ownerships", "shards", map.shards);
+    } else {
+        result["runs"] = runsOf(map.shards);
+    }
     return result;
 }
 
@@ -105,10 +141,15 @@
 {
     OwnershipMap map;
     map.version = {Term(reader.number(from, "term")), reader.number(from, "sequence")};
-    map.shards = readIndexed<ShardOwnership>(reader, from, "ownerships", "shards", ownershipOf);
+    map.shards = from.is_object() && from.contains("runs")
+        ? shardsOf(reader, reader.list(from, "runs"))
+        : readIndexed<ShardOwnership>(reader, from, "ownerships", "shards", ownershipOf);
     for (const json &hash : reader.list(from, "hotKeys")) {
         map.hotKeys.push_back(reader.element(hash, "hotKeys"));
     }
+    for (const json &section : reader.list(from, "sections")) {
+        map.sections.push_back({ServiceName(reader.text(section, "service")), reader.number32(section, "first"), reader.number32(section, "count")});
+    }
     return map;
 }
 
@@ -124,9 +165,13 @@
                    {"revision", row.revision.value()},
                    {"nextSlot", row.nextSlot.value()},
                    {"members", std::move(members)},
+                   {"former", json::array()},
                    {"map", toJson(row.map)},
                    {"mark", row.mark},
                    {"document", row.document.value()}};
+    for (const auto &[slot, node] : row.former) {
+        result["former"].push_back({{"slot", slot.value()}, {"node", node.value()}});
+    }
     writeIndexed(result, "successorLists", "successors", row.successors);
     return jsonToText(result);
 }
@@ -142,6 +187,9 @@
     for (const json &member : reader.list(from, "members")) {
         row.members.push_back(MemberCodec::fromJson(reader, member));
     }
+    for (const json &former : reader.list(from, "former")) {
+        row.former.emplace_back(reader.number32(former, "slot"), reader.text(former, "node"));
+    }
     row.map = mapOf(reader, reader.object(from, "map"));
     row.successors = readIndexed<std::vector<MemberSlot>>(reader, from, "successorLists", "successors", slotsOf);
     row.mark = reader.number(from, "mark");
--- a/src/libnutmeghingeio/endtoendheaders.cpp
+++ b/src/libnutmeghingeio/endtoendheaders.cpp
@@ -1,6 +1,6 @@
 #include "endtoendheaders.h"
 
-#include "wireheaders.h"
+#include "requestprotocol.h"
 
 #include <algorithm>
 #include <array>
@@ -19,7 +19,7 @@
 
 } // namespace
 
-HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+HttpHeaders endToEndHeaders(const HttpHeaders &headers, const RequestProtocol &protocol)
 {
     std::vector<std::string> named;
     for (const auto &[name, value] : headers) {
@@ -30,7 +30,7 @@
     HttpHeaders kept;
     for (const auto &header : headers) {
         const std::string &name = header.first;
-        if (!isHopByHop(name) && !name.starts_with(wire::prefix) && std::ranges::find(named, name) == named.end()) {
+        if (!isHopByHop(name) && !protocol.isReserved(name) && std::ranges::find(named, name) == named.end()) {
             kept.push_back(header);
         }
     }
--- a/src/libnutmeghingeio/forwardedattempt.cpp
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -72,7 +72,7 @@
         finish(AttemptUnknown{.reason = AttemptUnknown::Reason::WrongAnswer, .answerBegun = false});
         return;
     }
-    if (const auto refusal = refusalOf(head, m_options.destination)) {
+    if (const auto refusal = refusalIn(head)) {
         std::visit([this](const auto &result) { finish(result); }, *refusal);
         return;
     }
@@ -81,12 +81,21 @@
 
 bool ForwardedAttempt::isOwnAnswer(const HttpAnswerHead &head) const
 {
-    return findHeader(head.headers, wire::requestId).value_or(m_options.requestId) == m_options.requestId;
+    if (m_options.destination == AttemptDestination::Target) {
+        return m_request->protocol().answersCall(head, m_request->headers(), m_options.call);
+    }
+    return findHeader(head.headers, wire::requestId).value_or(m_options.call.attemptId) == m_options.call.attemptId;
+}
+
+std::optional<std::variant<AttemptNotRun, AttemptUnknown>> ForwardedAttempt::refusalIn(const HttpAnswerHead &head) const
+{
+    const bool fromTarget = m_options.destination == AttemptDestination::Target;
+    return fromTarget ? m_request->protocol().refusalOf(head) : refusalOf(head, AttemptDestination::Peer);
 }
 
 void ForwardedAttempt::takeAnswer(const HttpAnswerHead &head)
 {
-    m_head = {.status = head.status, .headers = endToEndHeaders(head.headers), .contentLength = head.contentLength};
+    m_head = {.status = head.status, .headers = endToEndHeaders(head.headers, m_request->protocol()), .contentLength = head.contentLength};
     const bool fits = head.contentLength.value_or(0) <= m_options.keepLimit;
     m_state = State::Holding;
     if (!m_options.keepAnswer || !fits) {
--- a/src/libnutmeghingeio/forwardedattempt.h
+++ b/src/libnutmeghingeio/forwardedattempt.h
@@ -3,6 +3,7 @@
 #include "answerrefusal.h"
 #include "events.h"
 #include "httpclient.h"
+#include "requestprotocol.h"
 
 #include <functional>
 #include <memory>
@@ -22,8 +23,8 @@
     struct Options {
         AttemptId id;
         AttemptDestination destination = AttemptDestination::Target;
-        /** Value of wire::requestId that the attempt was sent with. */
-        std::string requestId;
+        /** What the target was told; of a peer's attempt the id alone. */
+        TargetCall call;
         /** Hold the answer back until it is whole, if it fits. */
         bool keepAnswer = false;
         /** Largest answer to hold back; bytes. */
@@ -60,6 +61,7 @@
     };
 
     bool isOwnAnswer(const HttpAnswerHead &head) const;
+    std::optional<std::variant<AttemptNotRun, AttemptUnknown>> refusalIn(const HttpAnswerHead &head) const;
     void takeAnswer(const HttpAnswerHead &head);
     void startStreaming();
     bool hold(std::string_view data);
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -3,6 +3,8 @@
 #include "endtoendheaders.h"
 #include "notrunreasonname.h"
 #include "numberparsing.h"
+#include "ownrequestprotocol.h"
+#include "requestprotocol.h"
 #include "wireheaders.h"
 
 #include <algorithm>
@@ -12,9 +14,9 @@
 
 namespace {
 
-constexpr std::string_view waitPreference = "wait=";
-constexpr std::uint64_t maxTimeoutMs = 86400000;
 constexpr std::uint32_t maxHops = 1000;
+constexpr std::uint64_t maxPriority = 1000;
+constexpr std::string_view yes = "1";
 
 /** Host without its port, in lower case. */
 std::string hostName(std::string_view authority)
@@ -27,41 +29,24 @@
     return lowerCase(authority);
 }
 
-std::optional<Duration> timeoutOfMilliseconds(std::optional<std::uint64_t> milliseconds)
-{
-    if (!milliseconds) {
-        return std::nullopt;
-    }
-    return std::chrono::milliseconds(std::min(*milliseconds, maxTimeoutMs));
-}
-
-/** Time that a caller allows by "Prefer: wait=SECONDS". */
-std::optional<Duration> preferredWait(const HttpHeaders &headers)
-{
-    for (const auto &[name, value] : headers) {
-        if (name != wire::prefer) {
-            continue;
-        }
-        for (const std::string &item : listItems(value)) {
-            if (!item.starts_with(waitPreference)) {
-                continue;
-            }
-            if (const auto seconds = parseNumber(std::string_view(item).substr(waitPreference.size()))) {
-                return timeoutOfMilliseconds(std::min(*seconds, maxTimeoutMs) * 1000);
-            }
-        }
-    }
-    return std::nullopt;
-}
-
 std::optional<std::uint64_t> numberIn(const HttpHeaders &headers, std::string_view name)
 {
     return parseNumber(findHeader(headers, name).value_or(""));
 }
 
-std::string_view nameOf(Outcome outcome)
+/** What the node that forwarded the request decided; nothing where it has no routes. */
+std::optional<RoutedRequest> routedOf(const HttpHeaders &headers)
 {
-    return outcome == Outcome::NotRun ? wire::notRun : wire::unknown;
+    const std::optional<std::string_view> service = findHeader(headers, wire::service);
+    if (!service) {
+        return std::nullopt;
+    }
+    RoutedRequest routed;
+    routed.service = ServiceName(std::string(*service));
+    routed.repeatable = findHeader(headers, wire::repeatable) == yes;
+    routed.priority = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(headers, wire::priority).value_or(0), maxPriority));
+    routed.objective = timeoutOfMilliseconds(numberIn(headers, wire::objective)).value_or(Duration(0));
+    return routed;
 }
 
 std::string refusalBody(const RefuseRequest &refusal)
@@ -72,17 +57,20 @@
 
 } // namespace
 
-ForwardedRequest::ForwardedRequest(RequestId id, RequestForwarder::Source source, std::shared_ptr<HttpExchange> exchange)
+ForwardedRequest::ForwardedRequest(RequestId id, RequestForwarder::Source source, const RequestProtocol &protocol, std::shared_ptr<HttpExchange> exchange)
     : m_id(id)
     , m_source(source)
+    , m_protocol(protocol)
     , m_exchange(std::move(exchange))
-    , m_headers(endToEndHeaders(m_exchange->request().headers))
+    , m_headers(endToEndHeaders(m_exchange->request().headers, protocol))
     , m_body(std::make_shared<const std::string>(m_exchange->request().body))
     , m_host(m_exchange->request().host)
     , m_method(m_exchange->request().method)
     , m_path(m_exchange->request().path)
 {
-    if (source == RequestForwarder::Source::Peer) {
+    if (source == RequestForwarder::Source::Caller) {
+        protocol.setCallerHeaders(m_headers);
+    } else {
         m_peerRequestId = findHeader(m_exchange->request().headers, wire::requestId).value_or("");
     }
 }
@@ -97,11 +85,13 @@
     event.path = m_path;
     event.headers = m_headers;
     event.bodySize = m_body->size();
+    event.callerId = m_protocol.callerId(received);
     if (m_source == RequestForwarder::Source::Caller) {
-        event.timeout = preferredWait(m_headers);
+        event.timeout = m_protocol.timeout(received);
         return event;
     }
     event.timeout = timeoutOfMilliseconds(numberIn(received, wire::deadline));
+    event.routed = routedOf(received);
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
     event.time.wall = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(numberIn(received, wire::clockMilliseconds).value_or(0))));
     event.time.counter = static_cast<std::uint32_t>(numberIn(received, wire::clockCounter).value_or(0));
@@ -161,11 +151,15 @@
     if (!exchange) {
         return;
     }
+    if (m_source == RequestForwarder::Source::Caller) {
+        exchange->answer(refusal.status, m_protocol.refusalHeaders(refusal), refusalBody(refusal));
+        return;
+    }
     HttpHeaders headers{{"content-type", "application/json"}, {std::string(wire::outcome), std::string(nameOf(refusal.outcome))}};
     if (refusal.retryAfter > Duration::zero()) {
-        headers.emplace_back(wire::retryAfter, std::to_string(std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter).count()));
+        headers.emplace_back(wire::retryAfterMs, std::to_string(std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter).count()));
     }
-    if (m_source == RequestForwarder::Source::Peer && refusal.outcome == Outcome::NotRun) {
+    if (refusal.outcome == Outcome::NotRun) {
         headers.emplace_back(wire::reason, nameOf(refusal.reason));
     }
     exchange->answer(refusal.status, withEcho(std::move(headers)), refusalBody(refusal));
--- a/src/libnutmeghingeio/forwardedrequest.h
+++ b/src/libnutmeghingeio/forwardedrequest.h
@@ -10,6 +10,8 @@
 
 namespace nutmeghinge {
 
+class RequestProtocol;
+
 /**
  * A request that waits for its answer: what of it is passed on, and how it is
  * answered. Owned by the RequestForwarder and the attempts of the request.
@@ -17,7 +19,8 @@
 class ForwardedRequest
 {
 public:
-    ForwardedRequest(RequestId id, RequestForwarder::Source source, std::shared_ptr<HttpExchange> exchange);
+    /** The protocol must outlive the request. */
+    ForwardedRequest(RequestId id, RequestForwarder::Source source, const RequestProtocol &protocol, std::shared_ptr<HttpExchange> exchange);
 
     RequestId id() const { return m_id; }
     /** Authority that the caller named. */
@@ -26,6 +29,7 @@
     const std::string &path() const { return m_path; }
     /** Headers that are passed on. */
     const HttpHeaders &headers() const { return m_headers; }
+    const RequestProtocol &protocol() const { return m_protocol; }
     const std::shared_ptr<const std::string> &body() const { return m_body; }
     /** The event of the request; only before its end. */
     RequestArrived arrival() const;
@@ -54,6 +58,7 @@
 
     RequestId m_id;
     RequestForwarder::Source m_source;
+    const RequestProtocol &m_protocol;
     std::shared_ptr<HttpExchange> m_exchange;
     HttpHeaders m_headers;
     std::shared_ptr<const std::string> m_body;
--- a/src/libnutmeghingeio/httpmessage.h
+++ b/src/libnutmeghingeio/httpmessage.h
@@ -40,4 +40,7 @@
     std::optional<std::uint64_t> contentLength;
 };
 
+/** Text that goes with a status in the head of an HTTP/1 answer. */
+const char *reasonPhrase(std::uint16_t status);
+
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -116,6 +116,7 @@
 {
     h2o_config_init(&config);
     config.max_request_entity_size = options.bodyLimit;
+    config.http1.req_timeout = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count());
     // Answers of targets keep the server's name that they state.
     config.server_name = h2o_iovec_init(nullptr, 0);
     h2o_hostconf_t *host = h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
--- a/src/libnutmeghingeio/httpserver.h
+++ b/src/libnutmeghingeio/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "endpoint.h"
+#include "httplistener.h"
+#include "units.h"
 
 #include <cstdint>
 #include <functional>
@@ -11,13 +12,6 @@
 namespace nutmeghinge {
 
 class EventLoop;
-class HttpExchange;
-
-/** A listener that could not be opened. */
-struct ListenFault {
-    Endpoint endpoint;
-    std::string reason;
-};
 
 /**
  * HTTP/1.1 and cleartext HTTP/2 server on h2o, one listener. Requests are handed
@@ -25,33 +19,27 @@
  * chunked, a body over the limit) is answered 400 or 413 and never handed over.
  * Borrowed by nobody; must be gone before the loop.
  */
-class HttpServer
+class HttpServer : public HttpListener
 {
 public:
-    using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
-
     struct Options {
         /** Largest request body; bytes. */
         std::uint64_t bodyLimit = 1048576;
         /** Name of the listener in log lines. */
         std::string name;
+        /** Time after which an idle connection is closed. */
+        Duration idleTimeout{std::chrono::seconds(10)};
     };
 
     HttpServer(EventLoop &loop, Options options, Handler handler);
-    ~HttpServer();
+    ~HttpServer() override;
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /** Opens the listener; port 0 takes a free one. Returns the endpoint in use. */
-    std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint);
-    /**
-     * Refuses new connections and asks the existing ones to end after their
-     * running answers (GOAWAY, "Connection: close"); calls the function when none is left.
-     */
-    void shutDown(std::function<void()> closed);
-    std::size_t openConnections() const;
-    /** Requests refused for faulty framing or size since the start. */
-    std::uint64_t refusedInputs() const;
+    std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint) override;
+    void shutDown(std::function<void()> closed) override;
+    std::size_t openConnections() const override;
+    std::uint64_t refusedInputs() const override;
 
 private:
     struct Private;
--- a/src/libnutmeghingeio/httpserverexchange.cpp
+++ b/src/libnutmeghingeio/httpserverexchange.cpp
@@ -51,54 +51,6 @@
     return request;
 }
 
-const char *reasonPhrase(std::uint16_t status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 201:
-        return "Created";
-    case 202:
-        return "Accepted";
-    case 204:
-        return "No Content";
-    case 206:
-        return "Partial Content";
-    case 301:
-        return "Moved Permanently";
-    case 302:
-        return "Found";
-    case 304:
-        return "Not Modified";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 409:
-        return "Conflict";
-    case 412:
-        return "Precondition Failed";
-    case 413:
-        return "Payload Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
 /** Resets the connection at once: what is in its buffers is lost, and no client takes it for the end of a body. */
 void resetConnection(int descriptor)
 {
--- a/src/libnutmeghingeio/membercodec.cpp
+++ b/src/libnutmeghingeio/membercodec.cpp
@@ -20,6 +20,7 @@
     return {{"slot", member.slot.value()},
             {"node", member.node.value()},
             {"incarnation", member.incarnation.value()},
+            {"service", member.service.value()},
             {"target", member.target.value()},
             {"zone", member.zone.value()},
             {"region", member.region.value()},
@@ -36,6 +37,7 @@
     member.slot = MemberSlot(reader.number32(json, "slot"));
     member.node = NodeName(reader.text(json, "node"));
     member.incarnation = Incarnation(reader.number(json, "incarnation"));
+    member.service = ServiceName(reader.text(json, "service"));
     member.target = TargetName(reader.text(json, "target"));
     member.zone = ZoneName(reader.text(json, "zone"));
     member.region = RegionName(reader.text(json, "region"));
--- /dev/null
+++ b/src/libnutmeghingeio/nodeadapters.cpp
@@ -0,0 +1,23 @@
+#include "nodeadapters.h"
+
+#include "announcementserver.h"
+#include "nodesettings.h"
+#include "ownrequestprotocol.h"
+#include "platformclient.h"
+
+namespace nutmeghinge {
+
+NodeAdapters makeOwnAdapters(const NodeSettings &settings)
+{
+    NodeAdapters adapters;
+    adapters.requests = std::make_unique<OwnRequestProtocol>();
+    adapters.makePlatform = [platform = settings.platform](EventLoop &loop, HttpClient &client, PlatformPort::EventFunction events) {
+        return std::make_unique<PlatformClient>(loop, client, platform, std::move(events));
+    };
+    adapters.makeAnnouncements = [](EventLoop &loop, AnnouncementPort::EventFunction events) {
+        return std::make_unique<AnnouncementServer>(loop, std::move(events));
+    };
+    return adapters;
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "document.h"
 #include "endpoint.h"
 #include "ids.h"
 #include "logsetup.h"
@@ -14,11 +15,23 @@
     NodeName node;
     ZoneName zone;
     RegionName region;
+    /** Service of the target beside the node; empty: learned from the target. */
+    ServiceName service;
+    /** Cell of several services that the node joins; empty: the cell of its service. */
+    ServiceName cell;
     /** The platform's table service and object store. */
     Endpoint platform;
+    /** Protocol that platform, targets and callers speak: "own", or one that the program was built with. */
+    std::string protocol = "own";
+    /** What holds for each service whose document comes in another protocol's form. */
+    Document serviceDefaults;
+    /** Interval of the target's heartbeats, where it holds its keys by them; zero: unknown. */
+    Duration targetHeartbeat{0};
 
     // Listeners; port 0 takes a free one.
     Endpoint listenCallers;
+    /** Callers speak HTTP/1.1 alone, and requests sent behind others on a connection run beside them. */
+    bool pipelining = false;
     /** Requests that other nodes forward. */
     Endpoint listenPeers;
     /** Control messages of other nodes. */
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -1,5 +1,6 @@
 #include "nodesettingsparser.h"
 
+#include "documentparser.h"
 #include "endpointtext.h"
 #include "nametext.h"
 #include "yamlreader.h"
@@ -46,6 +47,14 @@
     }
 }
 
+void readOptionalName(YamlMapping &fields, const char *field, ServiceName &name)
+{
+    std::string text;
+    if (fields.text(field, text, faultOfName)) {
+        name = ServiceName(text);
+    }
+}
+
 void readEndpoint(YamlMapping &fields, const char *field, Endpoint &endpoint, YamlMapping::TextCheck check = faultOfEndpoint)
 {
     std::string text;
@@ -89,10 +98,18 @@
     readName(root, "zone", settings.zone);
     readName(root, "region", settings.region);
     readEndpoint(root, "platform", settings.platform, faultOfPlatform);
+    readOptionalName(root, "service", settings.service);
+    readOptionalName(root, "cell", settings.cell);
+    root.text("protocol", settings.protocol, faultOfName);
+    root.duration("targetHeartbeat", settings.targetHeartbeat, std::chrono::milliseconds(10), std::chrono::minutes(1));
+    if (root.has("services")) {
+        settings.serviceDefaults = readServiceDefaults(root.mapping("services"));
+    }
     root.require("listen");
     if (root.has("listen")) {
         readListeners(root.mapping("listen"), settings);
     }
+    root.flag("pipelining", settings.pipelining);
     readLog(root.mapping("log"), settings);
     readTimeline(root.mapping("timeline"), settings);
     root.reportUnknown();
--- a/src/libnutmeghingeio/operationsserver.cpp
+++ b/src/libnutmeghingeio/operationsserver.cpp
@@ -11,7 +11,7 @@
 } // namespace
 
 OperationsServer::OperationsServer(EventLoop &loop)
-    : m_server(loop, HttpServer::Options{bodyLimitBytes, "operations"}, [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+    : m_server(loop, HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "operations"}, [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
 {
 }
 
@@ -20,6 +20,11 @@
     m_pages[path] = Entry{contentType, std::move(page)};
 }
 
+void OperationsServer::addCheck(const std::string &path, std::function<bool()> check)
+{
+    m_checks[path] = std::move(check);
+}
+
 std::variant<Endpoint, ListenFault> OperationsServer::listen(const Endpoint &endpoint)
 {
     return m_server.listen(endpoint);
@@ -33,6 +38,11 @@
         return;
     }
     const std::size_t mark = request.path.find('?');
+    if (const auto check = m_checks.find(request.path.substr(0, mark)); check != m_checks.end()) {
+        const bool passes = check->second();
+        exchange->answer(passes ? 200 : 503, {{"content-type", "text/plain"}}, passes ? "ok\n" : "not ready\n");
+        return;
+    }
     const auto entry = m_pages.find(request.path.substr(0, mark));
     if (entry == m_pages.end()) {
         exchange->answer(404, {{"content-type", "text/plain"}}, "no such page\n");
--- a/src/libnutmeghingeio/operationsserver.h
+++ b/src/libnutmeghingeio/operationsserver.h
@@ -27,6 +27,8 @@
 
     /** Serves the path; must be called before listen(). */
     void addPage(const std::string &path, const std::string &contentType, Page page);
+    /** Serves a path that is answered 200 while the function returns true, else 503. */
+    void addCheck(const std::string &path, std::function<bool()> check);
     std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint);
 
 private:
@@ -38,6 +40,7 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
     std::map<std::string, Entry> m_pages;
+    std::map<std::string, std::function<bool()>> m_checks;
     HttpServer m_server;
 };
 
--- /dev/null
+++ b/src/libnutmeghingeio/ownrequestprotocol.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "requestprotocol.h"
+
+namespace nutmeghinge {
+
+/** The product's own protocol, with the headers of wireheaders.h. */
+class OwnRequestProtocol : public RequestProtocol
+{
+public:
+    bool isReserved(std::string_view headerName) const override;
+    void setCallerHeaders(HttpHeaders &headers) const override;
+    std::optional<Duration> timeout(const HttpHeaders &received) const override;
+    std::string callerId(const HttpHeaders &received) const override;
+    HttpHeaders targetHeaders(const HttpHeaders &passed, const TargetCall &call) const override;
+    bool answersCall(const HttpAnswerHead &head, const HttpHeaders &passed, const TargetCall &call) const override;
+    std::optional<std::variant<AttemptNotRun, AttemptUnknown>> refusalOf(const HttpAnswerHead &head) const override;
+    HttpHeaders refusalHeaders(const RefuseRequest &refusal) const override;
+};
+
+/** Value of the header wire::outcome. */
+std::string_view nameOf(Outcome outcome);
+
+/** Time of so many milliseconds, bounded to a day; nothing without a number. */
+std::optional<Duration> timeoutOfMilliseconds(std::optional<std::uint64_t> milliseconds);
+
+} // namespace nutmeghinge
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -58,9 +58,25 @@
 void writeMap(wire::OwnershipMap::Builder to, const OwnershipMap &map)
 {
     writeFence(to.initVersion(), map.version);
-    auto shards = to.initShards(map.shards.size());
-    for (std::size_t i = 0; i < map.shards.size(); ++i) {
-        writeShard(shards[i], map.shards[i]);
+    // Neighbouring shards mostly have one owner.
+    std::vector<std::pair<const ShardOwnership *, std::uint32_t>> runs;
+    for (const ShardOwnership &shard : map.shards) {
+        if (runs.empty() || *runs.back().first != shard) {
+            runs.emplace_back(&shard, 0);
+        }
+        ++runs.back().second;
+    }
+    auto shards = to.initShards(runs.size());
+    auto runLengths = to.initRunLengths(runs.size());
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        writeShard(shards[i], *runs[i].first);
+        runLengths.set(i, runs[i].second);
+    }
+    auto sections = to.initSections(map.sections.size());
+    for (std::size_t i = 0; i < map.sections.size(); ++i) {
+        sections[i].setService(pointerTo(map.sections[i].service.value()));
+        sections[i].setFirst(map.sections[i].first);
+        sections[i].setCount(map.sections[i].count);
     }
     auto hotKeys = to.initHotKeys(map.hotKeys.size());
     for (std::size_t i = 0; i < map.hotKeys.size(); ++i) {
@@ -159,6 +175,7 @@
             released[i].setFenceSequence(message.released[i].second.sequence);
         }
         to.setLeaving(message.leaving);
+        to.setTargetIncarnation(message.targetIncarnation);
         writeLoad(to.initLoad(), message.load);
         if (message.newerDocument) {
             writeDocument(to.initNewerDocument(), *message.newerDocument);
@@ -195,6 +212,7 @@
         for (std::size_t i = 0; i < message.entries.size(); ++i) {
             writeEntry(entries[i], message.entries[i]);
         }
+        to.setToken(pointerTo(message.token));
     }
 
     void operator()(const HandoverAccepted &message)
@@ -315,10 +333,20 @@
         OwnershipMap map;
         map.version = fence(from.getVersion());
         const auto shards = from.getShards();
-        const std::uint32_t shardCount = listSize(shards.size(), Codec::maxShards, "number of shards");
-        map.shards.reserve(shardCount);
-        for (std::uint32_t i = 0; i < shardCount; ++i) {
-            map.shards.push_back(ownership(shards[i]));
+        const auto runLengths = from.getRunLengths();
+        const std::uint32_t runs = listSize(shards.size(), Codec::maxShards, "number of shards");
+        check(runLengths.size() == runs, "number of runs");
+        for (std::uint32_t i = 0; i < runs && !m_fault; ++i) {
+            const ShardOwnership shard = ownership(shards[i]);
+            const std::uint32_t length = listSize(runLengths[i], Codec::maxShards - map.shards.size(), "number of shards");
+            map.shards.insert(map.shards.end(), length, shard);
+        }
+        const auto sections = from.getSections();
+        const std::uint32_t sectionCount = listSize(sections.size(), Codec::maxSections, "number of sections");
+        for (std::uint32_t i = 0; i < sectionCount; ++i) {
+            const std::uint64_t end = std::uint64_t(sections[i].getFirst()) + sections[i].getCount();
+            check(end <= map.shards.size(), "section");
+            map.sections.push_back({ServiceName(stringOf(sections[i].getService())), sections[i].getFirst(), sections[i].getCount()});
         }
         const auto hotKeys = from.getHotKeys();
         const std::uint32_t hotKeyCount = listSize(hotKeys.size(), Codec::maxHotKeys, "number of hot keys");
@@ -415,6 +443,7 @@
             message.released.emplace_back(shard(released[i].getShard()), fence(released[i].getFenceTerm(), released[i].getFenceSequence()));
         }
         message.leaving = from.getLeaving();
+        message.targetIncarnation = counter(from.getTargetIncarnation(), "target incarnation");
         message.load = load(from.getLoad());
         if (from.hasNewerDocument()) {
             message.newerDocument = document(from.getNewerDocument());
@@ -455,6 +484,8 @@
         for (std::uint32_t i = 0; i < count; ++i) {
             message.entries.push_back(entry(entries[i]));
         }
+        check(from.getToken().size() <= Codec::maxTokenBytes, "handover token");
+        message.token = stringOf(from.getToken());
         return message;
     }
 
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -27,6 +27,9 @@
     static constexpr std::uint32_t maxShards = 65536;
     static constexpr std::uint32_t maxHotKeys = 1024;
     static constexpr std::uint32_t maxSlot = std::uint32_t(1) << 31U;
+    /** Services of one cell that are divided by key. */
+    static constexpr std::uint32_t maxSections = 256;
+    static constexpr std::size_t maxTokenBytes = 1024;
     static constexpr std::uint32_t maxMembers = 64;
     /** Requests in flight, queued or allowed at one member. */
     static constexpr std::uint32_t maxRequests = 1000000;
--- a/src/libnutmeghingeio/picohttpparser.h
+++ b/src/libnutmeghingeio/picohttpparser.h
@@ -4,7 +4,7 @@
 #include <sys/types.h>
 
 /**
- * The parts of picohttpparser that the client uses. libh2o exports them without
+ * The parts of picohttpparser that client and pipelined server use. libh2o exports them without
  * a header of their own.
  */
 extern "C" {
@@ -17,6 +17,18 @@
     size_t value_len;
 };
 
+/** Returns the size of the head, -1 where it is no HTTP/1 request, -2 where it is not yet whole. */
+int phr_parse_request(const char *buf,
+                      size_t len,
+                      const char **method,
+                      size_t *method_len,
+                      const char **path,
+                      size_t *path_len,
+                      int *minor_version,
+                      phr_header *headers,
+                      size_t *num_headers,
+                      size_t last_len);
+
 /** Returns the size of the head, -1 where it is no HTTP/1 answer, -2 where it is not yet whole. */
 int phr_parse_response(const char *buf,
                        size_t len,
--- /dev/null
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -0,0 +1,446 @@
+#include "pipelinedconnection.h"
+
+#include "eventloop.h"
+#include "httpmessage.h"
+#include "numberparsing.h"
+#include "pipelinedexchange.h"
+#include "requestframing.h"
+
+#include <algorithm>
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr std::size_t headLimitBytes = 65536;
+constexpr std::size_t headerLimit = 100;
+/** Requests of one connection that are handed over at a time; others wait in its buffer. */
+constexpr std::size_t pipelineLimit = 16;
+/** Bytes that wait for the client to take them before the answer's source is held back. */
+constexpr std::size_t congestedBytes = 262144;
+/** Time for which a client may still send after the last answer, so that its bytes do not reset the answer. */
+constexpr Duration lingerTime = std::chrono::seconds(1);
+/** Time that a running answer may stay unacknowledged by the client. */
+constexpr int clientTimeoutMs = 60000;
+
+void setOption(uv_tcp_t &socket, int option, int value)
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t *>(&socket), &descriptor) == 0) {
+        setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+    }
+}
+
+/** A write to the socket with its bytes. */
+struct Write {
+    uv_write_t request{};
+    std::string bytes;
+    std::shared_ptr<PipelinedConnection> connection;
+};
+
+HttpHeaders headersOf(const std::array<phr_header, headerLimit> &parsed, std::size_t count)
+{
+    HttpHeaders headers;
+    headers.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        headers.emplace_back(lowerCase({parsed[i].name, parsed[i].name_len}), std::string(parsed[i].value, parsed[i].value_len));
+    }
+    return headers;
+}
+
+bool hasToken(const HttpHeaders &headers, std::string_view name, std::string_view token)
+{
+    const std::vector<std::string> items = listItems(findHeader(headers, name).value_or(""));
+    return std::ranges::find(items, token) != items.end();
+}
+
+} // namespace
+
+PipelinedConnection::PipelinedConnection(EventLoop &loop, Owner &owner, Limits limits)
+    : m_loop(loop)
+    , m_owner(owner)
+    , m_limits(limits)
+{
+    uv_tcp_init(loop.handle(), &m_socket);
+    uv_timer_init(loop.handle(), &m_timer);
+    m_socket.data = this;
+    m_timer.data = this;
+}
+
+PipelinedConnection::~PipelinedConnection() = default;
+
+bool PipelinedConnection::accept(uv_stream_t *listener)
+{
+    m_self = shared_from_this();
+    if (uv_accept(listener, reinterpret_cast<uv_stream_t *>(&m_socket)) != 0) {
+        m_state = State::Lingering;
+        m_exchanges.clear();
+        close();
+        return false;
+    }
+    uv_tcp_nodelay(&m_socket, 1);
+    uv_tcp_keepalive(&m_socket, 1, 1);
+    setOption(m_socket, TCP_USER_TIMEOUT, clientTimeoutMs);
+    armTimer(m_limits.idleTimeout);
+    updateReading();
+    return true;
+}
+
+void PipelinedConnection::updateReading()
+{
+    const bool full = m_exchanges.size() >= pipelineLimit && m_input.size() >= headLimitBytes;
+    const bool wanted = m_state != State::Closed && !full;
+    if (wanted == m_reading) {
+        return;
+    }
+    m_reading = wanted;
+    if (!wanted) {
+        uv_read_stop(reinterpret_cast<uv_stream_t *>(&m_socket));
+        return;
+    }
+    const auto allocate = [](uv_handle_t *, std::size_t, uv_buf_t *buffer) {
+        static std::array<char, 65536> memory;
+        *buffer = uv_buf_init(memory.data(), memory.size());
+    };
+    const auto onRead = [](uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer) {
+        const std::shared_ptr<PipelinedConnection> self = static_cast<PipelinedConnection *>(stream->data)->shared_from_this();
+        self->received(size, buffer->base);
+    };
+    uv_read_start(reinterpret_cast<uv_stream_t *>(&m_socket), allocate, onRead);
+}
+
+void PipelinedConnection::received(ssize_t size, const char *data)
+{
+    if (size == 0 || m_state == State::Closed) {
+        return;
+    }
+    if (size < 0) {
+        clientGone();
+        return;
+    }
+    if (m_state == State::Lingering || m_inputEnded) {
+        return;
+    }
+    m_input.append(data, static_cast<std::size_t>(size));
+    parse();
+}
+
+void PipelinedConnection::parse()
+{
+    while (m_state == State::Open && !m_inputEnded && m_exchanges.size() < pipelineLimit) {
+        if (!m_partial && !parseHead()) {
+            break;
+        }
+        if (m_partial && !parseBody()) {
+            break;
+        }
+    }
+    if (m_state == State::Open) {
+        updateReading();
+    }
+}
+
+bool PipelinedConnection::parseHead()
+{
+    const std::size_t start = std::min(m_input.find_first_not_of("\r\n"), m_input.size());
+    m_input.erase(0, start);
+    if (m_input.empty()) {
+        return false;
+    }
+    const char *method = nullptr;
+    const char *path = nullptr;
+    std::size_t methodSize = 0;
+    std::size_t pathSize = 0;
+    int minorVersion = 0;
+    std::array<phr_header, headerLimit> parsed{};
+    std::size_t count = parsed.size();
+    const int size = phr_parse_request(m_input.data(), m_input.size(), &method, &methodSize, &path, &pathSize, &minorVersion, parsed.data(), &count, 0);
+    if (size == -2) {
+        if (m_input.size() > headLimitBytes) {
+            refuse(431, "the head of the request is too large");
+        }
+        return false;
+    }
+    if (size < 0) {
+        refuse(400, "the head of the request is no HTTP/1 head");
+        return false;
+    }
+    PartialRequest partial;
+    partial.request.method.assign(method, methodSize);
+    partial.request.path.assign(path, pathSize);
+    partial.request.headers = headersOf(parsed, count);
+    const HttpHeaders &headers = partial.request.headers;
+    partial.request.host = findHeader(headers, "host").value_or("");
+    partial.keepAlive = minorVersion >= 1 && !hasToken(headers, "connection", "close");
+    const std::string_view head(m_input.data(), static_cast<std::size_t>(size));
+    const auto encoding = findHeader(headers, "transfer-encoding");
+    const auto length = findHeader(headers, "content-length");
+    partial.chunked = encoding.has_value();
+    partial.decoder.consume_trailer = 1;
+    const std::optional<std::uint64_t> bodySize = length ? parseNumber(*length) : std::optional<std::uint64_t>(0);
+    const bool framed = hasSingleFraming(head) && bodySize && (!encoding || lowerCase(*encoding) == "chunked");
+    if (!framed || !isWritableAsHttp1(partial.request)) {
+        refuse(400, "the framing of the request is ambiguous");
+        return false;
+    }
+    if (*bodySize > m_limits.body) {
+        refuse(413, "the body of the request is too large");
+        return false;
+    }
+    partial.bodyLeft = *bodySize;
+    const bool expects = hasToken(headers, "expect", "100-continue");
+    std::erase_if(partial.request.headers, [](const auto &header) { return header.first == "host" || header.first == "expect"; });
+    m_input.erase(0, static_cast<std::size_t>(size));
+    m_partial = std::move(partial);
+    if (expects && m_exchanges.empty() && m_input.empty()) {
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
+}
+
+bool PipelinedConnection::parseBody()
+{
+    if (m_partial->chunked) {
+        return parseChunks();
+    }
+    const std::size_t size = std::min<std::uint64_t>(m_partial->bodyLeft, m_input.size());
+    m_partial->request.body.append(m_input, 0, size);
+    m_partial->bodyLeft -= size;
+    m_input.erase(0, size);
+    if (m_partial->bodyLeft > 0) {
+        return false;
+    }
+    handOver();
+    return true;
+}
+
+bool PipelinedConnection::parseChunks()
+{
+    if (m_input.empty()) {
+        return false;
+    }
+    std::size_t size = m_input.size();
+    const ssize_t left = phr_decode_chunked(&m_partial->decoder, m_input.data(), &size);
+    if (left == -1) {
+        refuse(400, "the chunks of the request are faulty");
+        return false;
+    }
+    m_partial->request.body.append(m_input, 0, size);
+    if (m_partial->request.body.size() > m_limits.body) {
+        refuse(413, "the body of the request is too large");
+        return false;
+    }
+    if (left == -2) {
+        m_input.clear();
+        return false;
+    }
+    m_input.erase(0, size);
+    m_input.resize(static_cast<std::size_t>(left));
+    handOver();
+    return true;
+}
+
+void PipelinedConnection::handOver()
+{
+    uv_timer_stop(&m_timer);
+    PartialRequest partial = *std::move(m_partial);
+    m_partial.reset();
+    m_inputEnded = !partial.keepAlive;
+    const auto exchange = std::make_shared<PipelinedExchange>(*this, std::move(partial.request), partial.keepAlive);
+    m_exchanges.push_back(exchange);
+    m_owner.requestArrived(exchange);
+}
+
+/** Answers after the requests before it; nothing more is read. */
+void PipelinedConnection::refuse(std::uint16_t status, const char *reason)
+{
+    m_owner.requestRefused(reason);
+    m_inputEnded = true;
+    m_partial.reset();
+    const auto exchange = std::make_shared<PipelinedExchange>(*this, HttpRequest(), false);
+    m_exchanges.push_back(exchange);
+    exchange->answer(status, {{"content-type", "text/plain"}}, std::string(reason) + '\n');
+}
+
+void PipelinedConnection::flush()
+{
+    if (m_flushing) {
+        return;
+    }
+    m_flushing = true;
+    bool popped = false;
+    while (m_state == State::Open && !m_exchanges.empty()) {
+        const std::shared_ptr<PipelinedExchange> front = m_exchanges.front();
+        if (!front->m_output.empty()) {
+            send(std::exchange(front->m_output, {}));
+        }
+        if (!front->m_finished || m_state != State::Open) {
+            break;
+        }
+        front->m_connection = nullptr;
+        front->m_closed = nullptr;
+        front->m_writable = nullptr;
+        m_exchanges.pop_front();
+        popped = true;
+        if (!front->m_keepAlive) {
+            finish();
+        }
+    }
+    m_flushing = false;
+    if (m_state != State::Open || !popped) {
+        return;
+    }
+    if (m_exchanges.empty()) {
+        armTimer(m_limits.idleTimeout);
+    } else if (m_exchanges.front()->m_writable) {
+        // What was held back while it waited can be read on.
+        m_exchanges.front()->m_writable();
+    }
+    if (!m_input.empty()) {
+        parse();
+    }
+}
+
+void PipelinedConnection::send(std::string bytes)
+{
+    auto *stream = reinterpret_cast<uv_stream_t *>(&m_socket);
+    std::size_t written = 0;
+    if (uv_stream_get_write_queue_size(stream) == 0) {
+        uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+        const int result = uv_try_write(stream, &buffer, 1);
+        if (result < 0 && result != UV_EAGAIN) {
+            // Reading tells how the connection ended.
+            return;
+        }
+        written = static_cast<std::size_t>(std::max(0, result));
+    }
+    if (written == bytes.size()) {
+        return;
+    }
+    auto *write = new Write;
+    write->bytes = bytes.substr(written);
+    write->connection = shared_from_this();
+    write->request.data = write;
+    uv_buf_t buffer = uv_buf_init(write->bytes.data(), static_cast<unsigned>(write->bytes.size()));
+    const auto onWritten = [](uv_write_t *request, int) {
+        const std::unique_ptr<Write> done(static_cast<Write *>(request->data));
+        done->connection->written();
+    };
+    if (uv_write(&write->request, stream, &buffer, 1, onWritten) != 0) {
+        delete write;
+    }
+}
+
+bool PipelinedConnection::isCongested() const
+{
+    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket)) > congestedBytes;
+}
+
+void PipelinedConnection::written()
+{
+    if (m_state == State::Open && !m_exchanges.empty() && !isCongested() && m_exchanges.front()->m_writable) {
+        m_exchanges.front()->m_writable();
+    }
+}
+
+void PipelinedConnection::closeIfIdle()
+{
+    m_closing = true;
+    if (m_state == State::Open && m_exchanges.empty() && !m_partial && m_input.empty()) {
+        finish();
+    }
+}
+
+void PipelinedConnection::clientGone()
+{
+    const auto exchanges = m_exchanges;
+    close();
+    for (const auto &exchange : exchanges) {
+        if (const std::function<void()> closed = std::exchange(exchange->m_closed, nullptr)) {
+            closed();
+        }
+    }
+}
+
+/** One answer broke: the client must not take it for whole, and those behind it are sent again. */
+void PipelinedConnection::reset()
+{
+    const auto exchanges = m_exchanges;
+    if (m_state != State::Closed) {
+        const linger now{1, 0};
+        uv_os_fd_t descriptor = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&m_socket), &descriptor) == 0) {
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        }
+    }
+    close();
+    for (const auto &exchange : exchanges) {
+        if (const std::function<void()> closed = std::exchange(exchange->m_closed, nullptr)) {
+            closed();
+        }
+    }
+}
+
+void PipelinedConnection::abort()
+{
+    for (const auto &exchange : m_exchanges) {
+        exchange->m_closed = nullptr;
+    }
+    reset();
+}
+
+void PipelinedConnection::finish()
+{
+    m_state = State::Lingering;
+    m_input.clear();
+    for (const auto &exchange : std::exchange(m_exchanges, {})) {
+        exchange->m_connection = nullptr;
+        if (const std::function<void()> closed = std::exchange(exchange->m_closed, nullptr)) {
+            closed();
+        }
+    }
+    auto *request = new uv_shutdown_t;
+    const auto onShutdown = [](uv_shutdown_t *done, int) { delete done; };
+    if (uv_shutdown(request, reinterpret_cast<uv_stream_t *>(&m_socket), onShutdown) != 0) {
+        delete request;
+    }
+    armTimer(lingerTime);
+}
+
+void PipelinedConnection::close()
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    m_state = State::Closed;
+    for (const auto &exchange : m_exchanges) {
+        exchange->m_connection = nullptr;
+        exchange->m_writable = nullptr;
+    }
+    m_exchanges.clear();
+    const auto onClose = [](uv_handle_t *handle) {
+        auto *connection = static_cast<PipelinedConnection *>(handle->data);
+        if (--connection->m_openHandles == 0) {
+            const std::shared_ptr<PipelinedConnection> last = std::move(connection->m_self);
+        }
+    };
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_socket), onClose);
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_timer), onClose);
+    m_owner.connectionClosed(*this);
+}
+
+void PipelinedConnection::armTimer(Duration duration)
+{
+    const auto onTimer = [](uv_timer_t *timer) {
+        const std::shared_ptr<PipelinedConnection> self = static_cast<PipelinedConnection *>(timer->data)->shared_from_this();
+        self->close();
+    };
+    uv_timer_start(&m_timer, onTimer, static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()), 0);
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/pipelinedexchange.cpp
@@ -0,0 +1,116 @@
+#include "pipelinedexchange.h"
+
+#include "pipelinedconnection.h"
+
+#include <algorithm>
+#include <array>
+#include <spdlog/fmt/fmt.h>
+
+namespace nutmeghinge {
+
+namespace {
+
+/** Answer that may be held while those before it are sent. */
+constexpr std::size_t heldLimitBytes = 65536;
+/** Headers that the server itself writes. */
+constexpr std::array<std::string_view, 4> serverHeaders{"connection", "content-length", "keep-alive", "transfer-encoding"};
+
+bool hasNoBody(std::uint16_t status)
+{
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+PipelinedExchange::PipelinedExchange(PipelinedConnection &connection, HttpRequest request, bool keepAlive)
+    : m_connection(&connection)
+    , m_request(std::move(request))
+    , m_keepAlive(keepAlive)
+{
+}
+
+void PipelinedExchange::answer(std::uint16_t status, HttpHeaders headers, std::string body)
+{
+    beginAnswer({.status = status, .headers = std::move(headers), .contentLength = body.size()});
+    write(body);
+    finish();
+}
+
+void PipelinedExchange::beginAnswer(HttpAnswerHead head)
+{
+    if (m_connection == nullptr || m_begun) {
+        return;
+    }
+    m_begun = true;
+    m_bodyless = hasNoBody(head.status) || m_request.method == "HEAD";
+    m_chunked = !m_bodyless && !head.contentLength;
+    m_bodyLeft = head.contentLength;
+    const bool last = m_connection->m_closing && m_connection->m_exchanges.back().get() == this;
+    m_keepAlive = m_keepAlive && !last;
+    m_output = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reasonPhrase(head.status));
+    for (const auto &[name, value] : head.headers) {
+        if (std::ranges::find(serverHeaders, name) == serverHeaders.end()) {
+            m_output += fmt::format("{}: {}\r\n", name, value);
+        }
+    }
+    if (head.contentLength) {
+        m_output += fmt::format("content-length: {}\r\n", *head.contentLength);
+    } else if (m_chunked) {
+        m_output += "transfer-encoding: chunked\r\n";
+    }
+    m_output += m_keepAlive ? "\r\n" : "connection: close\r\n\r\n";
+    if (!m_bodyless && head.contentLength == 0U) {
+        return;
+    }
+    m_connection->flush();
+}
+
+bool PipelinedExchange::write(std::string_view data)
+{
+    if (!canWrite() || m_bodyless || data.empty()) {
+        return true;
+    }
+    if (m_bodyLeft) {
+        if (data.size() > *m_bodyLeft) {
+            reset();
+            return true;
+        }
+        *m_bodyLeft -= data.size();
+    }
+    if (m_chunked) {
+        m_output += fmt::format("{:x}\r\n", data.size());
+        m_output += data;
+        m_output += "\r\n";
+    } else {
+        m_output += data;
+    }
+    PipelinedConnection &connection = *m_connection;
+    connection.flush();
+    return m_connection == nullptr || (m_output.size() < heldLimitBytes && !connection.isCongested());
+}
+
+void PipelinedExchange::finish()
+{
+    if (!canWrite()) {
+        return;
+    }
+    if (!m_bodyless && m_bodyLeft && *m_bodyLeft > 0) {
+        reset();
+        return;
+    }
+    if (m_chunked) {
+        m_output += "0\r\n\r\n";
+    }
+    m_finished = true;
+    m_connection->flush();
+}
+
+void PipelinedExchange::reset()
+{
+    if (m_connection != nullptr && !m_finished) {
+        m_closed = nullptr;
+        m_connection->reset();
+    }
+}
+
+} // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/pipelinedserver.cpp
@@ -0,0 +1,152 @@
+#include "pipelinedserver.h"
+
+#include "eventloop.h"
+#include "pipelinedconnection.h"
+#include "socketaddress.h"
+
+#include <spdlog/spdlog.h>
+#include <unordered_map>
+
+namespace nutmeghinge {
+
+namespace {
+
+constexpr int listenBacklog = 1024;
+/** Time at the start of a shutdown in which idle clients may still learn of it from an answer. */
+constexpr Duration idleGrace = std::chrono::milliseconds(250);
+
+} // namespace
+
+struct PipelinedServer::Private : public PipelinedConnection::Owner {
+    Private(EventLoop &usedLoop, Options usedOptions, Handler usedHandler)
+        : loop(usedLoop)
+        , options(std::move(usedOptions))
+        , handler(std::move(usedHandler))
+    {
+    }
+
+    void requestArrived(std::shared_ptr<HttpExchange> exchange) override { handler(std::move(exchange)); }
+    void requestRefused(const char *reason) override
+    {
+        ++refused;
+        spdlog::warn("{}: refused a request: {}", options.name, reason);
+    }
+    void connectionClosed(PipelinedConnection &connection) override
+    {
+        connections.erase(&connection);
+        finishShutdownIfClosed();
+    }
+
+    void accept();
+    void stopListening();
+    void finishShutdownIfClosed();
+
+    EventLoop &loop;
+    Options options;
+    Handler handler;
+    uv_tcp_t *listener = nullptr;
+    std::unordered_map<PipelinedConnection *, std::shared_ptr<PipelinedConnection>> connections;
+    std::function<void()> shutdownFinished;
+    std::uint64_t refused = 0;
+    bool shuttingDown = false;
+    /** Gone with the server, for functions that the loop calls later. */
+    std::shared_ptr<void> alive = std::make_shared<char>();
+};
+
+void PipelinedServer::Private::accept()
+{
+    auto connection = std::make_shared<PipelinedConnection>(loop, *this, PipelinedConnection::Limits{options.bodyLimit, options.idleTimeout});
+    if (connection->accept(reinterpret_cast<uv_stream_t *>(listener))) {
+        connections.emplace(connection.get(), connection);
+    }
+}
+
+void PipelinedServer::Private::stopListening()
+{
+    if (listener != nullptr) {
+        uv_close(reinterpret_cast<uv_handle_t *>(listener), [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
+        listener = nullptr;
+    }
+}
+
+void PipelinedServer::Private::finishShutdownIfClosed()
+{
+    if (shuttingDown && connections.empty() && shutdownFinished) {
+        const std::function<void()> finished = std::exchange(shutdownFinished, nullptr);
+        finished();
+    }
+}
+
+PipelinedServer::PipelinedServer(EventLoop &loop, Options options, Handler handler)
+    : m_d(std::make_unique<Private>(loop, std::move(options), std::move(handler)))
+{
+}
+
+PipelinedServer::~PipelinedServer()
+{
+    m_d->stopListening();
+    m_d->shutdownFinished = nullptr;
+    const auto connections = m_d->connections;
+    for (const auto &[key, connection] : connections) {
+        connection->abort();
+    }
+    // Closing handles are released in a turn of the loop.
+    uv_run(m_d->loop.handle(), UV_RUN_NOWAIT);
+}
+
+std::variant<Endpoint, ListenFault> PipelinedServer::listen(const Endpoint &endpoint)
+{
+    const std::optional<SocketAddress> address = SocketAddress::fromEndpoint(endpoint);
+    if (!address) {
+        return ListenFault{endpoint, "not an IP number"};
+    }
+    m_d->listener = new uv_tcp_t;
+    uv_tcp_init(m_d->loop.handle(), m_d->listener);
+    m_d->listener->data = m_d.get();
+    int result = uv_tcp_bind(m_d->listener, address->data(), 0);
+    if (result == 0) {
+        result = uv_listen(reinterpret_cast<uv_stream_t *>(m_d->listener), listenBacklog, [](uv_stream_t *stream, int status) {
+            if (status == 0) {
+                static_cast<Private *>(stream->data)->accept();
+            }
+        });
+    }
+    if (result != 0) {
+        m_d->stopListening();
+        return ListenFault{endpoint, uv_strerror(result)};
+    }
+    return SocketAddress::localEndpoint(m_d->listener);
+}
+
+void PipelinedServer::shutDown(std::function<void()> closed)
+{
+    m_d->stopListening();
+    m_d->shutdownFinished = std::move(closed);
+    m_d->shuttingDown = true;
+    const auto connections = m_d->connections;
+    for (const auto &[key, connection] : connections) {
+        connection->closeAfterAnswers();
+    }
+    m_d->loop.callLater(idleGrace, [this, exists = std::weak_ptr<void>(m_d->alive)] {
+        if (exists.expired()) {
+            return;
+        }
+        const auto idle = m_d->connections;
+        for (const auto &[key, connection] : idle) {
+            connection->closeIfIdle();
+        }
+        m_d->finishShutdownIfClosed();
+    });
+}
+
+std::size_t PipelinedServer::openConnections() const
+{
+    return m_d->connections.size();
+}
+
+std::uint64_t PipelinedServer::refusedInputs() const
+{
+    return m_d->refused;
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghingeio/platformclient.cpp
+++ b/src/libnutmeghingeio/platformclient.cpp
@@ -190,6 +190,12 @@
     m_d->table.readRow(platformkeys::documentRow(effect.service), m_d->whileAlive(finished));
 }
 
+/** The product's own protocol has no call that waits; its nodes poll. */
+void PlatformClient::run(const FollowDocument &)
+{
+    m_d->events(DocumentFollowed{PlatformUnavailable(), RowVersion()});
+}
+
 void PlatformClient::run(const ReadCells &)
 {
     const auto finished = [](Private &self, const std::variant<std::vector<TableRow>, PlatformUnavailable> &result) {
--- a/src/libnutmeghingeio/platformclient.h
+++ b/src/libnutmeghingeio/platformclient.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "effects.h"
 #include "endpoint.h"
-#include "events.h"
+#include "platformport.h"
 
-#include <functional>
 #include <memory>
 
 namespace nutmeghinge {
@@ -13,25 +11,24 @@
 class HttpClient;
 
 /**
- * Speaks to the platform's table service and object store. Runs the platform
- * effects; each ends with one event. Borrows loop and client.
+ * Speaks the product's own protocol with the table service and object store.
+ * Borrows loop and client.
  */
-class PlatformClient
+class PlatformClient : public PlatformPort
 {
 public:
-    using EventFunction = std::function<void(EventBody)>;
-
     PlatformClient(EventLoop &loop, HttpClient &client, Endpoint platform, EventFunction events);
-    ~PlatformClient();
+    ~PlatformClient() override;
     PlatformClient(const PlatformClient &) = delete;
     PlatformClient &operator=(const PlatformClient &) = delete;
 
-    void run(const ReadCellRow &effect);
-    void run(const WriteCellRow &effect);
-    void run(const ReadMemberRows &effect);
-    void run(const WriteMemberRow &effect);
-    void run(const ReadDocument &effect);
-    void run(const ReadCells &effect);
+    void run(const ReadCellRow &effect) override;
+    void run(const WriteCellRow &effect) override;
+    void run(const ReadMemberRows &effect) override;
+    void run(const WriteMemberRow &effect) override;
+    void run(const ReadDocument &effect) override;
+    void run(const FollowDocument &effect) override;
+    void run(const ReadCells &effect) override;
 
 private:
     struct Private;
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -1,10 +1,10 @@
 #include "requestforwarder.h"
 
 #include "eventloop.h"
-#include "fencetext.h"
 #include "forwardedattempt.h"
 #include "forwardedrequest.h"
 #include "httpclient.h"
+#include "requestprotocol.h"
 #include "wireheaders.h"
 
 #include <algorithm>
@@ -25,12 +25,6 @@
     return std::to_string(device()) + '-';
 }
 
-/** Safe methods (RFC 9110, 9.2.1). */
-bool isSafe(std::string_view method)
-{
-    return method == "GET" || method == "HEAD" || method == "OPTIONS";
-}
-
 /** Whether the connection may be silent: nothing was heard on it. */
 bool suggestsSilence(HttpCallResult result)
 {
@@ -49,11 +43,13 @@
         MonotonicTime deadline;
         bool freshConnection;
         bool keepAnswer;
+        bool deadlineForHeadOnly;
     };
 
-    Private(EventLoop &usedLoop, HttpClient &usedClient, EventFunction eventFunction)
+    Private(EventLoop &usedLoop, HttpClient &usedClient, const RequestProtocol &usedProtocol, EventFunction eventFunction)
         : loop(usedLoop)
         , client(usedClient)
+        , protocol(usedProtocol)
         , events(std::move(eventFunction))
         , idPrefix(makeIdPrefix())
     {
@@ -61,7 +57,7 @@
 
     Request find(RequestId id) const;
     void callerGone(RequestId id);
-    void start(RequestId id, AttemptId attempt, const Destination &destination, HttpHeaders headers);
+    void start(RequestId id, AttemptId attempt, const Destination &destination, TargetCall call, HttpHeaders headers);
     HttpClientRequest makeRequest(const ForwardedRequest &request, const Destination &destination, HttpHeaders headers) const;
     void attemptEnded(AttemptId attempt, const Endpoint &endpoint, HttpCallResult result);
     void refuseLater(AttemptId attempt);
@@ -69,6 +65,7 @@
 
     EventLoop &loop;
     HttpClient &client;
+    const RequestProtocol &protocol;
     EventFunction events;
     std::string idPrefix;
     std::uint64_t lastRequest = 0;
@@ -100,37 +97,43 @@
     events(RequestCancelled{id});
 }
 
-void RequestForwarder::Private::start(RequestId id, AttemptId attempt, const Destination &destination, HttpHeaders headers)
+/** headers: those of an attempt at a peer, beside the request's own. */
+void RequestForwarder::Private::start(RequestId id, AttemptId attempt, const Destination &destination, TargetCall call, HttpHeaders headers)
 {
     const Request request = find(id);
     if (!request) {
         refuseLater(attempt);
         return;
     }
-    const std::string requestId = idPrefix + std::to_string(attempt.value());
-    headers.emplace_back(wire::requestId, requestId);
+    call.attemptId = idPrefix + std::to_string(attempt.value());
+    call.timeLeft = std::max(Duration::zero(), destination.deadline - loop.now());
+    if (destination.kind == AttemptDestination::Target) {
+        headers = protocol.targetHeaders(request->headers(), call);
+    } else {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.timeLeft);
+        headers.emplace_back(wire::requestId, call.attemptId);
+        headers.emplace_back(wire::deadline, std::to_string(left.count()));
+        std::ranges::copy(request->headers(), std::back_inserter(headers));
+    }
+    HttpClientRequest sending = makeRequest(*request, destination, std::move(headers));
     const auto sent = std::make_shared<ForwardedAttempt>(
         client,
         request,
         ForwardedAttempt::Options{
-            .id = attempt, .destination = destination.kind, .requestId = requestId, .keepAnswer = destination.keepAnswer, .keepLimit = keepLimitBytes},
+            .id = attempt, .destination = destination.kind, .call = std::move(call), .keepAnswer = destination.keepAnswer, .keepLimit = keepLimitBytes},
         [this, id](EventBody event) {
             forgetIfOver(id);
             events(std::move(event));
         },
         [this, attempt, endpoint = destination.endpoint](HttpCallResult result) { attemptEnded(attempt, endpoint, result); });
     attempts.emplace(attempt, std::pair(id, sent));
-    sent->send(makeRequest(*request, destination, std::move(headers)));
+    sent->send(std::move(sending));
 }
 
 HttpClientRequest RequestForwarder::Private::makeRequest(const ForwardedRequest &request, const Destination &destination, HttpHeaders headers) const
 {
     const Duration timeLeft = std::max(Duration::zero(), destination.deadline - loop.now());
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft);
-    const bool safe = isSafe(request.method());
-    headers.emplace_back(wire::deadline, std::to_string(left.count()));
     headers.emplace_back("host", request.host());
-    std::ranges::copy(request.headers(), std::back_inserter(headers));
     return {.to = destination.endpoint,
             .method = request.method(),
             .path = request.path(),
@@ -139,8 +142,8 @@
             .freshConnection = destination.freshConnection,
             .deadline = destination.deadline,
             // A safe request can be tried again; another one may work in silence for as long as it is allowed to.
-            .deadlineForHeadOnly = safe,
-            .progressTimeout = safe ? safeProgressTimeout : std::max(safeProgressTimeout, timeLeft)};
+            .deadlineForHeadOnly = destination.deadlineForHeadOnly,
+            .progressTimeout = destination.deadlineForHeadOnly ? safeProgressTimeout : std::max(safeProgressTimeout, timeLeft)};
 }
 
 void RequestForwarder::Private::attemptEnded(AttemptId attempt, const Endpoint &endpoint, HttpCallResult result)
@@ -168,8 +171,8 @@
     }
 }
 
-RequestForwarder::RequestForwarder(EventLoop &loop, HttpClient &client, EventFunction events)
-    : m_d(std::make_unique<Private>(loop, client, std::move(events)))
+RequestForwarder::RequestForwarder(EventLoop &loop, HttpClient &client, const RequestProtocol &protocol, EventFunction events)
+    : m_d(std::make_unique<Private>(loop, client, protocol, std::move(events)))
 {
 }
 
@@ -188,7 +191,7 @@
 void RequestForwarder::accept(std::shared_ptr<HttpExchange> exchange, Source source)
 {
     const RequestId id(++m_d->lastRequest);
-    const auto request = std::make_shared<ForwardedRequest>(id, source, std::move(exchange));
+    const auto request = std::make_shared<ForwardedRequest>(id, source, m_d->protocol, std::move(exchange));
     m_d->requests.emplace(id, request);
     request->setClosedFunction([this, id] { m_d->callerGone(id); });
     m_d->events(request->arrival());
@@ -196,23 +199,38 @@
 
 void RequestForwarder::run(const SendToTarget &effect)
 {
-    const HttpHeaders headers{{std::string(wire::shard), std::to_string(effect.shard.value())}, {std::string(wire::fence), fenceToText(effect.fence)}};
     const Private::Destination target{.kind = AttemptDestination::Target,
                                       .endpoint = effect.endpoint,
                                       .deadline = effect.deadline,
                                       .freshConnection = effect.freshConnection,
-                                      .keepAnswer = effect.keepAnswer};
-    m_d->start(effect.request, effect.attempt, target, headers);
+                                      .keepAnswer = effect.keepAnswer,
+                                      .deadlineForHeadOnly = effect.deadlineForHeadOnly};
+    TargetCall call;
+    call.shard = effect.shard;
+    call.fence = effect.fence;
+    call.target = effect.target;
+    m_d->start(effect.request, effect.attempt, target, std::move(call), {});
 }
 
 void RequestForwarder::run(const ForwardRequest &effect)
 {
-    const HttpHeaders headers{{std::string(wire::hops), std::to_string(effect.hops)},
-                              {std::string(wire::clockMilliseconds), std::to_string(effect.time.wall.time_since_epoch().count())},
-                              {std::string(wire::clockCounter), std::to_string(effect.time.counter)}};
-    const Private::Destination peer{
-        .kind = AttemptDestination::Peer, .endpoint = effect.peer, .deadline = effect.deadline, .freshConnection = effect.freshConnection, .keepAnswer = false};
-    m_d->start(effect.request, effect.attempt, peer, headers);
+    HttpHeaders headers{{std::string(wire::hops), std::to_string(effect.hops)},
+                        {std::string(wire::clockMilliseconds), std::to_string(effect.time.wall.time_since_epoch().count())},
+                        {std::string(wire::clockCounter), std::to_string(effect.time.counter)}};
+    if (effect.routed) {
+        const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(effect.routed->objective);
+        headers.emplace_back(wire::service, effect.routed->service.value());
+        headers.emplace_back(wire::repeatable, effect.routed->repeatable ? "1" : "0");
+        headers.emplace_back(wire::priority, std::to_string(effect.routed->priority));
+        headers.emplace_back(wire::objective, std::to_string(objective.count()));
+    }
+    const Private::Destination peer{.kind = AttemptDestination::Peer,
+                                    .endpoint = effect.peer,
+                                    .deadline = effect.deadline,
+                                    .freshConnection = effect.freshConnection,
+                                    .keepAnswer = false,
+                                    .deadlineForHeadOnly = effect.deadlineForHeadOnly};
+    m_d->start(effect.request, effect.attempt, peer, {}, std::move(headers));
 }
 
 void RequestForwarder::run(const CancelAttempt &effect)
--- a/src/libnutmeghingeio/requestforwarder.h
+++ b/src/libnutmeghingeio/requestforwarder.h
@@ -11,11 +11,12 @@
 class EventLoop;
 class HttpClient;
 class HttpExchange;
+class RequestProtocol;
 
 /**
  * Holds the requests of callers and peers while the reducer decides, and carries
  * its effects out: sends to the target, forwards to other nodes, streams the
- * answer back with a bounded buffer, refuses. Borrows loop and client.
+ * answer back with a bounded buffer, refuses. Borrows loop, client and protocol.
  */
 class RequestForwarder
 {
@@ -27,7 +28,7 @@
         Peer,
     };
 
-    RequestForwarder(EventLoop &loop, HttpClient &client, EventFunction events);
+    RequestForwarder(EventLoop &loop, HttpClient &client, const RequestProtocol &protocol, EventFunction events);
     ~RequestForwarder();
     RequestForwarder(const RequestForwarder &) = delete;
     RequestForwarder &operator=(const RequestForwarder &) = delete;
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <string_view>
 
 /**
@@ -15,6 +16,13 @@
 inline constexpr std::string_view deadline = "nutmeghinge-deadline-ms";
 /** Node to node: times that the request was forwarded. */
 inline constexpr std::string_view hops = "nutmeghinge-hops";
+/** Node to node, where the sender's document has routes: what it decided on the request. */
+inline constexpr std::string_view service = "nutmeghinge-service";
+inline constexpr std::string_view repeatable = "nutmeghinge-repeatable";
+inline constexpr std::string_view priority = "nutmeghinge-priority";
+inline constexpr std::string_view objective = "nutmeghinge-objective-ms";
+/** Node to node, in a refusal: milliseconds after which to come again. */
+inline constexpr std::string_view retryAfterMs = "nutmeghinge-retry-after-ms";
 /** Node to node: the sender's hybrid clock, milliseconds of the time of day and counter. */
 inline constexpr std::string_view clockMilliseconds = "nutmeghinge-clock-ms";
 inline constexpr std::string_view clockCounter = "nutmeghinge-clock-counter";
@@ -39,4 +47,8 @@
 inline constexpr std::string_view notRun = "not-run";
 inline constexpr std::string_view unknown = "unknown";
 
+/** Headers that only nodes send each other. */
+inline constexpr std::array peerHeaders{
+    deadline, hops, service, repeatable, priority, objective, retryAfterMs, clockMilliseconds, clockCounter, requestId, outcome, reason};
+
 } // namespace nutmeghinge::wire
--- a/src/nutmeghinge/main.cpp
+++ b/src/nutmeghinge/main.cpp
@@ -1,5 +1,6 @@
 #include "commandline.h"
 #include "eventloop.h"
+#include "hostedadapters.h"
 #include "logsetup.h"
 #include "node.h"
 #include "nodesettingsparser.h"
@@ -14,49 +15,79 @@
 
 namespace {
 
-/** Calls Node::requestStop() for SIGTERM and SIGINT. */
-class StopSignals
+ParsedNodeSettings readNodeSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return std::vector<DocumentFault>{DocumentFault{0, {}, "cannot be read"}};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseNodeSettings(text.str());
+}
+
+NodeAdapters makeAdapters(const NodeSettings &settings)
+{
+    return settings.protocol == hosted::protocolName ? hosted::makeAdapters(settings) : makeOwnAdapters(settings);
+}
+
+/** Stops the node for SIGTERM and SIGINT, and lets it read its settings again for SIGHUP. */
+class NodeSignals
 {
 public:
-    StopSignals(EventLoop &loop, Node &node)
+    NodeSignals(EventLoop &loop, Node &node, std::string settingsFile)
+        : m_node(node)
+        , m_settingsFile(std::move(settingsFile))
     {
         for (std::size_t index = 0; index < m_handles.size(); ++index) {
             uv_signal_init(loop.handle(), &m_handles[index]);
-            m_handles[index].data = &node;
+            m_handles[index].data = this;
             uv_signal_start(&m_handles[index], onSignal, signals[index]);
         }
     }
 
 private:
-    static constexpr std::array<int, 2> signals{SIGTERM, SIGINT};
+    static constexpr std::array<int, 3> signals{SIGTERM, SIGINT, SIGHUP};
 
-    static void onSignal(uv_signal_t *handle, int) { static_cast<Node *>(handle->data)->requestStop(); }
-
-    std::array<uv_signal_t, 2> m_handles{};
-};
+    static void onSignal(uv_signal_t *handle, int number)
+    {
+        auto *self = static_cast<NodeSignals *>(handle->data);
+        if (number == SIGHUP) {
+            self->reload();
+        } else {
+            self->m_node.requestStop();
+        }
+    }
 
-ParsedNodeSettings readNodeSettings(const std::string &fileName)
-{
-    std::ifstream file(fileName);
-    if (!file) {
-        return std::vector<DocumentFault>{DocumentFault{0, {}, "cannot be read"}};
+    /** Faulty settings leave those in force as they are. */
+    void reload()
+    {
+        const ParsedNodeSettings settings = readNodeSettings(m_settingsFile);
+        if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&settings)) {
+            for (const DocumentFault &fault : *faults) {
+                spdlog::error("settings not reloaded: {}:{}: {}: {}", m_settingsFile, fault.line, fault.field, fault.reason);
+            }
+            return;
+        }
+        m_node.reload(std::get<NodeSettings>(settings));
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseNodeSettings(text.str());
-}
+
+    Node &m_node;
+    std::string m_settingsFile;
+    std::array<uv_signal_t, 3> m_handles{};
+};
 
 int runNode(const CommandLine &commandLine, const NodeSettings &settings)
 {
     setUpLog(commandLine.logLevel.value_or(settings.logLevel), settings.logFormat, settings.node.value());
     std::signal(SIGPIPE, SIG_IGN);
     EventLoop loop;
-    Node node(loop, settings);
+    Node node(loop, settings, makeAdapters(settings));
     if (const std::optional<ListenFault> fault = node.start()) {
         spdlog::error("cannot listen on {}:{}: {}", fault->endpoint.address, fault->endpoint.port, fault->reason);
         return 1;
     }
-    StopSignals signals(loop, node);
+    const NodeSignals signals(loop, node, commandLine.settingsFile);
     loop.run();
     spdlog::default_logger()->flush();
     // Adapters may still have handles on the loop; the process ends with them.
