--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -4,6 +4,7 @@
 #include "endpointtext.h"
 #include "httpexchange.h"
 #include "overloaded.h"
+#include "pipelinedserver.h"
 #include "shardof.h"
 
 #include <charconv>
@@ -17,7 +18,9 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 /** Above any document's limit; the document's own is checked by the reducer. */
-constexpr std::uint64_t bodyLimitBytes = 16777216;
+constexpr std::uint64_t bodyLimitBytes = 67108864;
+/** Longer than callers keep idle connections for reuse. */
+constexpr Duration callerIdleTimeout = std::chrono::seconds(20);
 
 std::uint64_t readSince(const std::string &query)
 {
@@ -80,21 +83,20 @@
 
 } // namespace
 
-Node::Node(EventLoop &loop, NodeSettings settings)
+Node::Node(EventLoop &loop, NodeSettings settings, NodeAdapters adapters)
     : m_loop(loop)
     , m_settings(std::move(settings))
+    , m_adapters(std::move(adapters))
     , m_client(loop, idleConnectionsPerEndpoint)
-    , m_forwarder(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_forwarder(loop, m_client, *m_adapters.requests, [this](EventBody body) { dispatch(std::move(body)); })
     , m_targetClient(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
-    , m_platformClient(loop, m_client, m_settings.platform, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_platform(m_adapters.makePlatform(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_peerLink(loop, [this](PeerMessageArrived message) { dispatch(std::move(message)); })
-    , m_callerServer(loop,
-                     HttpServer::Options{bodyLimitBytes, "callers"},
-                     [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Caller); })
+    , m_callerServer(makeCallerServer())
     , m_peerServer(loop,
-                   HttpServer::Options{bodyLimitBytes, "peers"},
+                   HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "peers", .idleTimeout = callerIdleTimeout},
                    [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); })
-    , m_announcementServer(loop, [this](EventBody body) { dispatch(std::move(body)); })
+    , m_announcements(m_adapters.makeAnnouncements(loop, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_operationsServer(loop)
     , m_timeline(m_settings.timelineRecords)
 {
@@ -102,11 +104,22 @@
 
 Node::~Node() = default;
 
+std::unique_ptr<HttpListener> Node::makeCallerServer()
+{
+    const auto accept = [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Caller); };
+    if (m_settings.pipelining) {
+        return std::make_unique<PipelinedServer>(m_loop, PipelinedServer::Options{bodyLimitBytes, "callers", callerIdleTimeout}, accept);
+    }
+    return std::make_unique<HttpServer>(m_loop, HttpServer::Options{bodyLimitBytes, "callers", callerIdleTimeout}, accept);
+}
+
 std::optional<ListenFault> Node::start()
 {
     m_identity.node = m_settings.node;
     m_identity.zone = m_settings.zone;
     m_identity.region = m_settings.region;
+    m_identity.service = m_settings.service;
+    m_identity.cell = m_settings.cell;
     // The VM keeps nothing, so the time of day numbers the process's runs.
     m_identity.incarnation = Incarnation(static_cast<std::uint64_t>(m_loop.wallTime().time_since_epoch().count()));
     m_identity.seed = hashOfKey(m_identity.node.value() + '/' + std::to_string(m_identity.incarnation.value()));
@@ -115,7 +128,7 @@
     if (std::optional<ListenFault> fault = openListeners()) {
         return fault;
     }
-    m_reducer = std::make_unique<Reducer>(m_identity, Timings());
+    m_reducer = std::make_unique<Reducer>(m_identity, m_adapters.timings, m_adapters.documents.get());
     TimelineRecord started;
     started.kind = TimelineRecord::Kind::NodeStarted;
     started.time.wall = m_loop.wallTime();
@@ -132,10 +145,10 @@
         const char *name;
     };
     const std::initializer_list<Listener> listeners{
-        {m_callerServer.listen(m_settings.listenCallers), m_callerEndpoint, "callers"},
+        {m_callerServer->listen(m_settings.listenCallers), m_callerEndpoint, "callers"},
         {m_peerServer.listen(m_settings.listenPeers), m_identity.peerEndpoint, "peers"},
         {m_peerLink.listen(m_settings.listenControl), m_identity.controlEndpoint, "control"},
-        {m_announcementServer.listen(m_settings.listenTarget), m_targetEndpoint, "target"},
+        {m_announcements->listen(m_settings.listenTarget), m_targetEndpoint, "target"},
         {m_operationsServer.listen(m_settings.listenOperations), m_identity.operationsEndpoint, "operations"},
     };
     for (const Listener &listener : listeners) {
@@ -150,9 +163,20 @@
 
 void Node::requestStop()
 {
+    m_stopping = true;
     dispatch(StopRequested{});
 }
 
+void Node::reload(const NodeSettings &settings)
+{
+    NodeSettings changed = settings;
+    changed.logLevel = m_settings.logLevel;
+    const bool needsRestart = changed != m_settings;
+    m_settings.logLevel = settings.logLevel;
+    spdlog::set_level(spdlog::level::from_str(settings.logLevel));
+    spdlog::info("settings reloaded: log level {}{}", settings.logLevel, needsRestart ? "; other changes hold from the next start" : "");
+}
+
 void Node::dispatch(EventBody body)
 {
     m_pending.push_back(std::move(body));
@@ -180,15 +204,17 @@
 void Node::run(const Effect &effect)
 {
     std::visit(Overloaded{
-                   [this](const ReadCellRow &read) { m_platformClient.run(read); },
-                   [this](const WriteCellRow &write) { m_platformClient.run(write); },
-                   [this](const ReadMemberRows &read) { m_platformClient.run(read); },
-                   [this](const WriteMemberRow &write) { m_platformClient.run(write); },
-                   [this](const ReadDocument &read) { m_platformClient.run(read); },
-                   [this](const ReadCells &read) { m_platformClient.run(read); },
+                   [this](const ReadCellRow &read) { m_platform->run(read); },
+                   [this](const WriteCellRow &write) { m_platform->run(write); },
+                   [this](const ReadMemberRows &read) { m_platform->run(read); },
+                   [this](const WriteMemberRow &write) { m_platform->run(write); },
+                   [this](const ReadDocument &read) { m_platform->run(read); },
+                   [this](const FollowDocument &follow) { m_platform->run(follow); },
+                   [this](const ReadCells &read) { m_platform->run(read); },
                    [this](const SendPeerMessage &send) { m_peerLink.send(send); },
                    [this](const ProbeTarget &probe) { m_targetClient.run(probe); },
                    [this](const GrantToTarget &grant) { m_targetClient.run(grant); },
+                   [this](const AnswerTarget &answer) { m_announcements->run(answer); },
                    [this](const SendToTarget &send) { m_forwarder.run(send); },
                    [this](const ForwardRequest &forward) { m_forwarder.run(forward); },
                    [this](const CancelAttempt &cancel) { m_forwarder.run(cancel); },
@@ -213,7 +239,7 @@
 
 void Node::runCloseListeners()
 {
-    m_callerServer.shutDown([this] { listenerClosed(); });
+    m_callerServer->shutDown([this] { listenerClosed(); });
     m_peerServer.shutDown([this] { listenerClosed(); });
 }
 
@@ -233,6 +259,7 @@
 void Node::addPages()
 {
     m_operationsServer.addPage("/healthz", "text/plain", [](const std::string &) { return std::string("ok\n"); });
+    m_operationsServer.addCheck("/readyz", [this] { return isReady(); });
     m_operationsServer.addPage("/metrics", "text/plain; version=0.0.4", [this](const std::string &) { return metricsPage(); });
     m_operationsServer.addPage("/status", "application/json", [this](const std::string &) { return statusPage(); });
     m_operationsServer.addPage("/timeline", "application/json", [this](const std::string &query) {
@@ -240,13 +267,20 @@
     });
 }
 
+/** The node takes callers' requests and can route them. */
+bool Node::isReady() const
+{
+    const Cell &cell = m_reducer->cell();
+    return !m_stopping && cell.document() && cell.self() != noMember;
+}
+
 std::string Node::metricsPage() const
 {
     AdapterCounters adapters;
     adapters.controlMessages = m_peerLink.messagesSent();
     adapters.controlBytes = m_peerLink.bytesSent();
-    adapters.refusedInputs = m_callerServer.refusedInputs() + m_peerServer.refusedInputs();
-    adapters.callerConnections = m_callerServer.openConnections();
+    adapters.refusedInputs = m_callerServer->refusedInputs() + m_peerServer.refusedInputs();
+    adapters.callerConnections = m_callerServer->openConnections();
     return m_metrics.toText(m_reducer->router().counters(), adapters);
 }
 
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -1,16 +1,15 @@
 #pragma once
 
-#include "announcementserver.h"
 #include "effects.h"
 #include "eventloop.h"
 #include "events.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "nodeadapters.h"
 #include "nodemetrics.h"
 #include "nodesettings.h"
 #include "operationsserver.h"
 #include "peerlink.h"
-#include "platformclient.h"
 #include "reducer.h"
 #include "requestforwarder.h"
 #include "targetclient.h"
@@ -29,13 +28,15 @@
 class Node
 {
 public:
-    Node(EventLoop &loop, NodeSettings settings);
+    Node(EventLoop &loop, NodeSettings settings, NodeAdapters adapters);
     ~Node();
 
     /** Opens all listeners and starts the clock; the first fault where one cannot be opened. */
     std::optional<ListenFault> start();
     /** Asks for a planned stop; the loop ends when it is complete. */
     void requestStop();
+    /** Takes over what may change in a running process: the level of the log. The rest holds from the next start. */
+    void reload(const NodeSettings &settings);
     /** Code for the process, once the loop has ended. */
     int exitCode() const { return m_exitCode; }
 
@@ -50,24 +51,27 @@
     void listenerClosed();
     void runExit(const Exit &effect);
 
+    std::unique_ptr<HttpListener> makeCallerServer();
     std::optional<ListenFault> openListeners();
     void addPages();
+    bool isReady() const;
     std::string statusPage() const;
     std::string metricsPage() const;
 
     EventLoop &m_loop;
     NodeSettings m_settings;
+    NodeAdapters m_adapters;
     NodeIdentity m_identity;
     Endpoint m_callerEndpoint;
     Endpoint m_targetEndpoint;
     HttpClient m_client;
     RequestForwarder m_forwarder;
     TargetClient m_targetClient;
-    PlatformClient m_platformClient;
+    std::unique_ptr<PlatformPort> m_platform;
     PeerLink m_peerLink;
-    HttpServer m_callerServer;
+    std::unique_ptr<HttpListener> m_callerServer;
     HttpServer m_peerServer;
-    AnnouncementServer m_announcementServer;
+    std::unique_ptr<AnnouncementPort> m_announcements;
     OperationsServer m_operationsServer;
     NodeMetrics m_metrics;
     TimelineRing m_timeline;
@@ -75,6 +79,7 @@
     std::unique_ptr<Reducer> m_reducer;
     std::deque<EventBody> m_pending;
     bool m_handling = false;
+    bool m_stopping = false;
     int m_openListeners = 2;
     int m_exitCode = 0;
 };
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -20,6 +20,7 @@
 {
 public:
     const Document *document() const override { return m_document ? &*m_document : nullptr; }
+    const Document *documentOf(const ServiceName &service) const override { return m_document && m_document->service == service ? &*m_document : nullptr; }
     MemberSlot self() const override { return m_self; }
     const Member *member(MemberSlot slot) const override
     {
--- a/tests/io/cellrowgenerator.cpp
+++ b/tests/io/cellrowgenerator.cpp
@@ -30,6 +30,7 @@
     return {slot(),
             NodeName(name()),
             Incarnation(any<std::uint64_t>()),
+            ServiceName(name()),
             TargetName(name()),
             ZoneName(name()),
             RegionName(name()),
@@ -53,8 +54,10 @@
     row.revision = CellRevision(any<std::uint64_t>());
     row.nextSlot = MemberSlot(any<std::uint32_t>());
     row.members = *rc::gen::container<std::vector<Member>>(anyMember());
+    row.former = {{slot(), NodeName(name())}};
     row.map.version = {Term(any<std::uint64_t>()), any<std::uint64_t>()};
     row.map.shards = *rc::gen::container<std::vector<ShardOwnership>>(rc::gen::exec(ownership));
+    row.map.sections = {{ServiceName(name()), any<std::uint32_t>(), any<std::uint32_t>()}};
     row.map.hotKeys = any<std::vector<std::uint64_t>>();
     row.successors = *rc::gen::container<std::vector<std::vector<MemberSlot>>>(rc::gen::container<std::vector<MemberSlot>>(rc::gen::exec(slot)));
     row.mark = any<std::uint64_t>();
--- a/tests/io/forwardersetup.cpp
+++ b/tests/io/forwardersetup.cpp
@@ -1,5 +1,7 @@
 #include "forwardersetup.h"
 
+#include "requestmethod.h"
+
 #include "httpexchange.h"
 
 namespace nutmeghinge {
@@ -22,7 +24,7 @@
     , peers(loop, {.name = "peers"}, [this](std::shared_ptr<HttpExchange> exchange) { forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); })
     , callerEndpoint(std::get<Endpoint>(callers.listen({"127.0.0.1", 0})))
     , peerEndpoint(std::get<Endpoint>(peers.listen({"127.0.0.1", 0})))
-    , forwarder(loop, client, [this](const EventBody &event) {
+    , forwarder(loop, client, protocol, [this](const EventBody &event) {
         events.push_back(event);
         if (onEvent) {
             onEvent(event);
@@ -60,6 +62,7 @@
         if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
             SendToTarget effect = toTarget(arrived->request, arrived->request.value());
             effect.keepAnswer = keepAnswer;
+            effect.deadlineForHeadOnly = isSafeMethod(arrived->method);
             forwarder.run(effect);
         }
     };
--- a/tests/io/forwardersetup.h
+++ b/tests/io/forwardersetup.h
@@ -4,6 +4,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "rawserver.h"
+#include "ownrequestprotocol.h"
 #include "requestforwarder.h"
 #include "rununtil.h"
 
@@ -66,6 +67,7 @@
     HttpServer peers;
     Endpoint callerEndpoint;
     Endpoint peerEndpoint;
+    OwnRequestProtocol protocol;
     RequestForwarder forwarder;
 };
 
--- a/tests/io/nodesettingstest.cpp
+++ b/tests/io/nodesettingstest.cpp
@@ -52,17 +52,18 @@
     REQUIRE(std::holds_alternative<NodeSettings>(parseNodeSettings(exampleText("node-roster-1.yaml"))));
     const ParsedNodeSettings parsed = parseNodeSettings(exampleText("node-advice-1.yaml"));
     REQUIRE(std::holds_alternative<NodeSettings>(parsed));
-    const NodeSettings expected{NodeName("advice-1"),
-                                ZoneName("bangkok-a"),
-                                RegionName("central-thailand"),
-                                {"10.20.0.10", 9000},
-                                {"10.20.1.1", 8080},
-                                {"10.20.1.1", 8081},
-                                {"10.20.1.1", 8082},
-                                {"127.0.0.1", 8083},
-                                {"10.20.1.1", 8084},
-                                "info",
-                                LogFormat::Json,
-                                20000};
+    NodeSettings expected;
+    expected.node = NodeName("advice-1");
+    expected.zone = ZoneName("bangkok-a");
+    expected.region = RegionName("central-thailand");
+    expected.platform = {"10.20.0.10", 9000};
+    expected.listenCallers = {"10.20.1.1", 8080};
+    expected.listenPeers = {"10.20.1.1", 8081};
+    expected.listenControl = {"10.20.1.1", 8082};
+    expected.listenTarget = {"127.0.0.1", 8083};
+    expected.listenOperations = {"10.20.1.1", 8084};
+    expected.logLevel = "info";
+    expected.logFormat = LogFormat::Json;
+    expected.timelineRecords = 20000;
     CHECK(std::get<NodeSettings>(parsed) == expected);
 }
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -141,6 +141,7 @@
                      listOf(shard),
                      listOf(released),
                      *rc::gen::arbitrary<bool>(),
+                     counter(),
                      load(),
                      perhaps(document)};
 }
@@ -160,7 +161,7 @@
 
 PeerMessage handoverOffer()
 {
-    return HandoverOffer{shard(), fence(), listOf(entry)};
+    return HandoverOffer{shard(), fence(), listOf(entry), std::to_string(counter())};
 }
 
 PeerMessage handoverAccepted()
