--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -62,6 +62,7 @@
     if (!isInOffice()) {
         return;
     }
+    noteMajority(now);
     noteSelf(event);
     if (isActive(now)) {
         noteLapses(now, effects);
@@ -228,6 +229,25 @@
     m_termEnd = m_term.state() == State::Follower ? MonotonicTime() : m_term.endsAt(m_context.members, now);
 }
 
+void Coordinator::noteMajority(MonotonicTime now)
+{
+    if (m_term.hasMajorityOfAll(m_context.members, now)) {
+        m_reducedSince.reset();
+    } else if (!m_reducedSince) {
+        m_reducedSince = now;
+    }
+}
+
+/**
+ * Nodes that restarted may take over the row of a cell most of whose members have ended. So a coordinator that counts only
+ * the others must have written the row since.
+ */
+bool Coordinator::needsProof() const
+{
+    const CellRowKeeper &row = m_context.row;
+    return m_context.spansServices() && m_reducedSince && !(row.hasWritten() && row.writtenAt() >= *m_reducedSince);
+}
+
 MonotonicTime Coordinator::holdEnd() const
 {
     const Document *document = m_context.documents.document();
@@ -779,7 +799,7 @@
     const bool holdIsShort = holdEnd() - now < document->holdLimit * (marksPerHoldLimit - 1) / marksPerHoldLimit;
     const bool changed =
         known->row.map.version != m_ledger.map().version || known->row.successors != m_successors || known->row.document != m_context.documents.revision();
-    if (!change && !holdIsShort && (!changed || now < m_nextRowWrite)) {
+    if (!change && !needsProof() && !holdIsShort && (!changed || now < m_nextRowWrite)) {
         return;
     }
     CellRow row = change ? *change : known->row;
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -45,7 +45,7 @@
 
     bool isInOffice() const { return m_term.state() == CoordinatorTerm::State::InOffice; }
     /** In office, promised by a majority, and within the hold limit. */
-    bool isActive(MonotonicTime now) const { return isInOffice() && now < activeUntil(); }
+    bool isActive(MonotonicTime now) const { return isInOffice() && now < activeUntil() && !needsProof(); }
     /** Time at which this node stops acting as coordinator unless it renews. */
     MonotonicTime activeUntil() const;
     Term term() const { return m_term.term(); }
@@ -58,6 +58,8 @@
     void requestPromises(const Event &event, EffectList &effects);
     void takeOfficeIfPromised(const Event &event, EffectList &effects);
     void refreshTermEnd(MonotonicTime now);
+    void noteMajority(MonotonicTime now);
+    bool needsProof() const;
     MonotonicTime holdEnd() const;
     void resignIfIdle(const Event &event, EffectList &effects);
 
@@ -119,6 +121,8 @@
     MonotonicTime m_nextRowWrite;
     MonotonicTime m_movesCountedAt;
     double m_moveBudget = 0;
+    /** Time since which the majority is one only without the members that have ended; nothing while it is one of all. */
+    std::optional<MonotonicTime> m_reducedSince;
     std::uint32_t m_failures = 0;
     bool m_renewFences = false;
 };
--- a/src/libnutmeghinge/memberlist.cpp
+++ b/src/libnutmeghinge/memberlist.cpp
@@ -49,6 +49,11 @@
     }
 }
 
+bool MemberList::areMostProvedEnded() const
+{
+    return 2 * m_ended.size() > m_members.size();
+}
+
 bool MemberList::areAllProvedEnded() const
 {
     return !m_members.empty() && m_ended.size() == m_members.size();
--- a/src/libnutmeghinge/memberlist.h
+++ b/src/libnutmeghinge/memberlist.h
@@ -39,6 +39,8 @@
      */
     void noteAnnounced(const std::vector<Member> &announced, MonotonicTime leaveCountAt);
     bool isProvedEnded(MemberSlot slot) const { return m_ended.contains(slot); }
+    /** More than half of the members are proved ended. */
+    bool areMostProvedEnded() const;
     /** Every member is proved ended; false for an empty list. */
     bool areAllProvedEnded() const;
     /** The member is proved ended and no longer counts for majorities. */
--- a/src/libnutmeghinge/ownershipledger.cpp
+++ b/src/libnutmeghinge/ownershipledger.cpp
@@ -268,6 +268,8 @@
             raiseVersion();
             changed = true;
         }
+        // One record stands for the slice.
+        effects.record(shardRecord(TimelineRecord::Kind::ShardReleased, first, m_map.shards[first]));
         for (; first < end; ++first) {
             handOn(first, eligible, now, effects);
         }
@@ -296,7 +298,6 @@
 void OwnershipLedger::handOn(std::size_t shard, const Eligible &eligible, MonotonicTime now, EffectList &effects)
 {
     ShardOwnership &entry = m_map.shards[shard];
-    recordShard(TimelineRecord::Kind::ShardReleased, shard, effects);
     if (entry.next != noMember && eligible(entry.next)) {
         grant(shard, entry.next, now, effects);
     } else {
--- a/src/libnutmeghinge/requestreplies.cpp
+++ b/src/libnutmeghinge/requestreplies.cpp
@@ -57,6 +57,7 @@
     TimelineRecord record;
     record.kind = kind;
     record.request = request.id;
+    record.callerId = request.callerId;
     if (request.divided) {
         record.shard = request.shard;
     }
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -187,7 +187,8 @@
         return;
     }
     request->cancelled = true;
-    if (request->safe) {
+    // Another node finds out that the caller has gone, and drops a request that has not reached its target.
+    if (request->safe || request->destination != Request::Destination::Target) {
         effects.add(CancelAttempt{request->attempt});
     }
 }
@@ -340,7 +341,10 @@
     request.shard = target.shard;
     if (!request.counted) {
         request.counted = true;
-        loadMeter.count(target.shard);
+        // A service that is not divided has no shards; in a cell of several services number 0 is another one's.
+        if (request.divided || !request.routed) {
+            loadMeter.count(target.shard);
+        }
         if (request.divided && !request.routed) {
             heavyKeys.count(request.keyHash);
         }
--- a/src/libnutmeghinge/shardhandover.cpp
+++ b/src/libnutmeghinge/shardhandover.cpp
@@ -76,7 +76,10 @@
         m_imported[offer.shard] = offer.fence;
         m_context.activity.importDeduplication(offer.entries, now);
         m_context.holds.setHandover(offer.shard, offer.token);
-        effects.record(handoverRecord(TimelineRecord::Kind::HandoverReceived, offer.shard, from, offer.fence));
+        const auto before = m_imported.find(ShardIndex(offer.shard.value() - 1));
+        if (before == m_imported.end() || before->second != offer.fence) {
+            effects.record(handoverRecord(TimelineRecord::Kind::HandoverReceived, offer.shard, from, offer.fence));
+        }
     }
     m_context.send(from, HandoverAccepted{offer.shard, offer.fence}, effects);
 }
@@ -93,6 +96,11 @@
 void ShardHandover::finish(ShardIndex shard, Release &release, EffectList &effects)
 {
     release.released = true;
+    // One record stands for a run of shards with one fence.
+    const auto before = m_releases.find(ShardIndex(shard.value() - 1));
+    if (before != m_releases.end() && before->second.released && before->second.fence == release.fence && before->second.next == release.next) {
+        return;
+    }
     effects.record(handoverRecord(TimelineRecord::Kind::HandoverSent, shard, release.next, release.fence));
 }
 
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -1,6 +1,7 @@
 #include "tablepolling.h"
 
 #include "cellcontext.h"
+#include "coordinatorterm.h"
 #include "effectlist.h"
 #include "events.h"
 #include "memberadmission.h"
@@ -123,6 +124,18 @@
     }
 }
 
+/**
+ * The coordinator and most members have ended. Those that are left cannot act beyond their leases without writing the row,
+ * which a row written now prevents; the new cell waits for their leases.
+ */
+bool TablePolling::isCoordinatorLostWithMost(const VersionedCellRow &known) const
+{
+    const MemberSlot coordinator = CoordinatorTerm::slotOf(known.row.map.version.term);
+    const MemberList &members = m_context.members;
+    const bool coordinatorEnded = members.isProvedEnded(coordinator) || !members.find(coordinator);
+    return m_context.spansServices() && mayFound() && coordinatorEnded && members.areMostProvedEnded();
+}
+
 /** The announcements known are those of a time at which all nodes that started together have announced themselves. */
 bool TablePolling::mayFound() const
 {
@@ -178,7 +191,7 @@
     const Duration lastWork = timings.withDrift(timings.promise) + timings.withDrift(timings.memberLease) + m_context.executionWait();
     // Targets that hold their keys by heartbeat tell the new cell themselves what their ended nodes granted.
     const Duration endedWork = m_context.spansServices() ? Duration(0) : lastWork;
-    const bool allEnded = m_allEndedSince && now >= *m_allEndedSince + endedWork && mayFound();
+    const bool allEnded = (m_allEndedSince && now >= *m_allEndedSince + endedWork && mayFound()) || isCoordinatorLostWithMost(*known);
     const bool abandoned = now >= m_context.row.unchangedSince() + timings.withDrift(document->holdLimit) + lastWork;
     if (!allEnded && !abandoned) {
         return std::nullopt;
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -13,6 +13,7 @@
 
 class EffectList;
 struct CellContext;
+struct VersionedCellRow;
 struct Event;
 
 /**
@@ -51,6 +52,7 @@
 private:
     void readWhatIsDue(Need need, MonotonicTime now, EffectList &effects);
     void claimCell(MonotonicTime now, EffectList &effects);
+    bool isCoordinatorLostWithMost(const VersionedCellRow &known) const;
     bool mayFound() const;
     CellRow foundedRow() const;
     void admitAnnounced(CellRow &row, const std::vector<Member> &before = {}) const;
--- a/src/libnutmeghinge/timelinerecord.cpp
+++ b/src/libnutmeghinge/timelinerecord.cpp
@@ -28,6 +28,9 @@
         }
     };
     append("request", record.request);
+    if (!record.callerId.empty()) {
+        text += " id=" + record.callerId;
+    }
     append("shard", record.shard);
     append("member", record.member);
     append("document", record.document);
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -57,6 +57,8 @@
     HybridTime time;
     Kind kind = Kind::NodeStarted;
     std::optional<RequestId> request;
+    /** Id that the caller gave the request; empty where it gave none. */
+    std::string callerId;
     std::optional<ShardIndex> shard;
     std::optional<MemberSlot> member;
     std::optional<Fence> fence;
--- a/src/libnutmeghinge/timings.cpp
+++ b/src/libnutmeghinge/timings.cpp
@@ -32,7 +32,7 @@
     timings.targetProbe = Duration(0);
     timings.memberRemoval = seconds(8);
     // Platforms end a process some seconds after they asked it to stop; its callers need the rest of them.
-    timings.stopPatience = milliseconds(2500);
+    timings.stopPatience = milliseconds(2000);
     timings.foundingDelay = milliseconds(700);
     timings.searchPoll = milliseconds(500);
     timings.loadsInterval = milliseconds(400);
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -250,7 +250,7 @@
     uv_timer_stop(&m_timer);
     PartialRequest partial = *std::move(m_partial);
     m_partial.reset();
-    m_inputEnded = !partial.keepAlive;
+    m_inputEnded = !partial.keepAlive || m_closing;
     const auto exchange = std::make_shared<PipelinedExchange>(*this, std::move(partial.request), partial.keepAlive);
     m_exchanges.push_back(exchange);
     m_owner.requestArrived(exchange);
@@ -287,7 +287,7 @@
         front->m_writable = nullptr;
         m_exchanges.pop_front();
         popped = true;
-        if (!front->m_keepAlive) {
+        if (!front->m_keepAlive || (m_closing && m_inputEnded && m_exchanges.empty())) {
             finish();
         }
     }
@@ -348,9 +348,16 @@
     }
 }
 
-void PipelinedConnection::closeIfIdle()
+/** Requests that have not been read are left to the client, which sends them again. */
+void PipelinedConnection::closeAfterAnswers()
 {
     m_closing = true;
+    m_inputEnded = m_inputEnded || (!m_exchanges.empty() && !m_partial);
+}
+
+void PipelinedConnection::closeIfIdle()
+{
+    closeAfterAnswers();
     if (m_state == State::Open && m_exchanges.empty() && !m_partial && m_input.empty()) {
         finish();
     }
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -49,7 +49,7 @@
     /** Takes the next connection of the listener; false where there is none. */
     bool accept(uv_stream_t *listener);
     /** The last answer that is awaited closes the connection. */
-    void closeAfterAnswers() { m_closing = true; }
+    void closeAfterAnswers();
     void closeIfIdle();
     /** Resets the connection; the holders of its exchanges are not told. */
     void abort();
--- a/src/libnutmeghingeio/pipelinedexchange.cpp
+++ b/src/libnutmeghingeio/pipelinedexchange.cpp
@@ -45,7 +45,7 @@
     m_bodyless = hasNoBody(head.status) || m_request.method == "HEAD";
     m_chunked = !m_bodyless && !head.contentLength;
     m_bodyLeft = head.contentLength;
-    const bool last = m_connection->m_closing && m_connection->m_exchanges.back().get() == this;
+    const bool last = m_connection->m_closing && m_connection->m_inputEnded && m_connection->m_exchanges.back().get() == this;
     m_keepAlive = m_keepAlive && !last;
     m_output = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reasonPhrase(head.status));
     for (const auto &[name, value] : head.headers) {
--- a/src/libnutmeghingeio/timelinering.cpp
+++ b/src/libnutmeghingeio/timelinering.cpp
@@ -18,6 +18,9 @@
     };
     if (record.request) {
         object["request"] = record.request->value();
+        if (!record.callerId.empty()) {
+            object["callerId"] = record.callerId;
+        }
     }
     if (record.shard) {
         object["shard"] = record.shard->value();
