Answer within the objective first, and refuse at once what comes too late

Cause: under a burst or a hot key the queue at the owner was served in the order of arrival, so that nearly all answers came late (glue-lookup waited 1.6 s of 0.6 s), and requests that could not be answered in time were held to their deadline. Change: queue ranked by lateness, priority and end of the objective; work estimated by kind of request; a request that will miss its objective waits as late only with room, else it is refused at once with the time at which the queue is drained. Routed requests may be silent while they wait. A reset right behind the data of an unframed answer is seen (libuv reports an end of the stream there); its test failed first. Ruled out: a longer queue in the target, which cannot be reordered.

--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -113,6 +113,8 @@
     MonotonicTime deadline;
     /** The deadline holds for the head of the answer; its body may take longer while there is progress. */
     bool deadlineForHeadOnly = false;
+    /** The other side may be silent until the deadline: the request may wait there for a slot. */
+    bool mayBeSilent = false;
     /** Target that is meant; another one at its address is to refuse. */
     TargetName target;
     /** Hold the answer back until it is whole and return it in AttemptAnswered, if it fits. */
@@ -129,6 +131,7 @@
     MonotonicTime deadline;
     std::uint32_t hops = 0;
     bool deadlineForHeadOnly = false;
+    bool mayBeSilent = false;
     /** Set where the sender's document has routes. */
     std::optional<RoutedRequest> routed;
     bool freshConnection = false;
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -175,6 +175,8 @@
     std::uint32_t priority = 0;
     /** Time left until the answer is worth less; zero: none is stated. */
     Duration objective{0};
+    /** Requests of one number are alike work; 0 where nothing is known. */
+    std::uint32_t workClass = 0;
 };
 
 /** A caller's or a peer's request has arrived whole. */
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -20,6 +20,7 @@
     , m_stopPatience(timings.stopPatience)
 {
     m_router.setOwnership(m_cell);
+    m_router.setTargetSilence(timings.targetSilence);
 }
 
 Effects Reducer::apply(const Event &event)
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -2,6 +2,7 @@
 
 #include "fence.h"
 #include "ids.h"
+#include "queuerank.h"
 #include "units.h"
 
 #include <cstdint>
@@ -49,6 +50,10 @@
     std::uint32_t priority = 0;
     /** Time after which the answer is worth less; the latest time there is where none is stated. */
     MonotonicTime objectiveAt = MonotonicTime::max();
+    /** Requests of one number are alike work. */
+    std::uint32_t workClass = 0;
+    /** Place in the target's queue, while the request is Queued. */
+    QueueRank rank;
     /** Attempts with an unknown outcome after which no other is made; zero: no bound. */
     std::uint32_t maximumAttempts = 0;
     /** Id that the caller gave the request. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -53,6 +53,7 @@
     effect.fence = target.fence;
     effect.deadline = deadline;
     effect.deadlineForHeadOnly = request.safe;
+    effect.mayBeSilent = request.routed || !request.safe;
     effect.target = m_admission.health().target();
     effect.keepAnswer = !request.deduplicationKey.empty();
     effect.freshConnection = request.freshConnection;
@@ -72,10 +73,11 @@
     effect.deadline = request.deadline;
     effect.hops = request.hops + 1;
     effect.deadlineForHeadOnly = request.safe;
+    effect.mayBeSilent = request.routed || !request.safe;
     if (request.routed) {
         const bool hasObjective = request.objectiveAt != MonotonicTime::max();
         const Duration left = hasObjective ? std::max(Duration(1), Duration(request.objectiveAt - now)) : Duration(0);
-        effect.routed = RoutedRequest{request.service, request.idempotent, request.priority, left};
+        effect.routed = RoutedRequest{request.service, request.idempotent, request.priority, left, request.workClass};
     }
     effect.freshConnection = request.freshConnection;
     m_replies.record(TimelineRecord::Kind::RequestForwarded, request, effects);
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -72,6 +72,14 @@
     return route.services.front().service;
 }
 
+/** Routes of one kind of request differ in name and prefix alone. */
+std::uint32_t workClassOf(const RequestRoute &route)
+{
+    const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(route.objective).count();
+    constexpr std::int64_t longest = 1 << 24;
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(objective, longest)) * 2 + (route.repeatable ? 1 : 0);
+}
+
 /** Places the key of a request whose service has a numeric key space; one without a key may go to any owner. */
 std::optional<Refusal> readNumericKey(Request &request, const RequestArrived &arrived, const Document &document, PseudoRandom &random)
 {
@@ -107,7 +115,7 @@
         if (!route) {
             return Refusal{404, NotRunReason::BadRequest, {}, "no route for this host and path"};
         }
-        routed = {chooseService(*route, random), route->repeatable, route->priority, route->objective};
+        routed = {chooseService(*route, random), route->repeatable, route->priority, route->objective, workClassOf(*route)};
         timeout = route->timeout;
         request.maximumAttempts = route->maximumAttempts;
     }
@@ -121,6 +129,7 @@
     request.safe = routed.repeatable;
     request.idempotent = routed.repeatable;
     request.priority = routed.priority;
+    request.workClass = routed.workClass;
     request.objectiveAt = routed.objective == Duration::zero() ? MonotonicTime::max() : event.at + routed.objective;
     if (document->isDividedByKey()) {
         if (std::optional<Refusal> refusal = readNumericKey(request, arrived, *document, random)) {
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -11,6 +11,7 @@
 #include "ownershipview.h"
 #include "requestattempts.h"
 #include "requestintake.h"
+#include "requestqueue.h"
 #include "requestreplies.h"
 #include "requesttable.h"
 #include "retrypolicy.h"
@@ -29,6 +30,8 @@
 
 constexpr std::uint32_t maximumHops = 2;
 constexpr Duration retryAfterWithoutOwner = std::chrono::seconds(1);
+/** A late request waits only where this many times its expected wait is left until it must be sent. */
+constexpr int lateRoom = 1;
 
 /** What one event lets the router use. */
 struct Context {
@@ -62,7 +65,10 @@
     void refuseAsFull(Request &request, const Context &context);
     void refuseAsLate(Request &request, const Context &context);
     void awaitOwner(Request &request, MonotonicTime at, const Context &context);
-    MonotonicTime giveUpTime(const Request &request) const { return request.deadline - admission.serviceTime(); }
+    MonotonicTime giveUpTime(const Request &request) const { return request.deadline - admission.serviceTime(request.workClass); }
+    bool missesObjective(const Request &request, MonotonicTime sentAt) const;
+    bool placeInQueue(Request &request, bool late, const Context &context);
+    void keepAsLate(Request &request, const Context &context);
 
     // Attempts.
     void sendToTarget(Request &request, const RouteToTarget &target, const Context &context);
@@ -125,6 +131,11 @@
     m_d->ownership = &ownership;
 }
 
+void RequestRouter::setTargetSilence(Duration silence)
+{
+    m_d->admission.health().setAnnouncementLifetime(silence);
+}
+
 void RequestRouter::tick(const Event &event, EffectList &effects)
 {
     const Context context = contextOf(event, effects);
@@ -358,17 +369,48 @@
 
 void RequestRouter::Private::enqueue(Request &request, const Context &context)
 {
-    const MonotonicTime expectedEnd = context.now + admission.expectedWait(document(), context.now) + admission.serviceTime();
-    if (admission.queue().size() >= document().queue || expectedEnd > request.deadline) {
+    if (admission.queue().size() >= document().queue || !(placeInQueue(request, false, context) || placeInQueue(request, true, context))) {
         refuseAsFull(request, context);
         return;
     }
-    request.state = Request::State::Queued;
-    admission.queue().push(request.id);
-    wakes.schedule(request, giveUpTime(request));
     replies.record(TimelineRecord::Kind::RequestQueued, request, context.effects);
 }
 
+/** The answer would come after the request's objective if it were sent then. */
+bool RequestRouter::Private::missesObjective(const Request &request, MonotonicTime sentAt) const
+{
+    return request.objectiveAt != MonotonicTime::max() && sentAt + admission.serviceTime(request.workClass) > request.objectiveAt;
+}
+
+/**
+ * Puts the request in the queue if it is expected to be answered in time there: within its objective, or, as a late one,
+ * with so much room that the requests which still come before it leave it a chance.
+ */
+bool RequestRouter::Private::placeInQueue(Request &request, bool late, const Context &context)
+{
+    const Duration work = admission.serviceTime(request.workClass);
+    const bool hasObjective = request.objectiveAt != MonotonicTime::max();
+    const QueueRank rank{late, request.priority, late ? request.deadline : request.objectiveAt, request.id.value()};
+    const MonotonicTime sentAt = context.now + admission.expectedWait(rank, document(), context.now);
+    const Duration room = giveUpTime(request) - sentAt;
+    if (room < Duration(0) || (!late && missesObjective(request, sentAt)) || (late && (!hasObjective || room < lateRoom * (sentAt - context.now)))) {
+        return false;
+    }
+    request.state = Request::State::Queued;
+    request.rank = rank;
+    admission.queue().push(request.id, rank, work);
+    wakes.schedule(request, late || !hasObjective ? giveUpTime(request) : request.objectiveAt - work);
+    return true;
+}
+
+/** A request that waited past its objective stays only where it still has a good chance. */
+void RequestRouter::Private::keepAsLate(Request &request, const Context &context)
+{
+    if (!placeInQueue(request, true, context)) {
+        refuseAsLate(request, context);
+    }
+}
+
 void RequestRouter::Private::refuseAsFull(Request &request, const Context &context)
 {
     const Duration retryAfter = admission.retryAfter(document(), context.now);
@@ -584,7 +626,7 @@
 {
     wakes.cancel(request);
     if (request.state == Request::State::Queued) {
-        admission.queue().remove(request.id);
+        admission.queue().remove(request.rank);
     } else if (request.state == Request::State::AwaitingOwner) {
         awaiting.remove(request.id);
     }
@@ -601,7 +643,11 @@
         return;
     }
     if (state == Request::State::Queued) {
-        refuseAsLate(request, context);
+        if (request.rank.late || context.now >= giveUpTime(request)) {
+            refuseAsLate(request, context);
+        } else {
+            keepAsLate(request, context);
+        }
         return;
     }
     route(request, context);
@@ -625,11 +671,11 @@
 
 void RequestRouter::Private::rerouteQueued(const Context &context)
 {
-    RequestQueue &queue = admission.queue();
+    RankedQueue &queue = admission.queue();
     if (queue.isEmpty()) {
         return;
     }
-    const Request &front = *table.find(queue.ids().front());
+    const Request &front = *table.find(queue.front());
     if (mapVersion == ownership->map().version && ownership->mayAdmit(front.shard, context.now)) {
         return;
     }
@@ -638,7 +684,7 @@
         const auto target = RoutePlanner::planTarget(request, *ownership, context.now);
         if (target) {
             request.shard = target->shard;
-            queue.push(id);
+            queue.push(id, request.rank, admission.serviceTime(request.workClass));
             continue;
         }
         wakes.cancel(request);
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -59,6 +59,8 @@
 
     /** Must be called once before the first event; the view must outlive the router. */
     void setOwnership(const OwnershipView &ownership);
+    /** Time after which a silent target counts as unhealthy. */
+    void setTargetSilence(Duration silence);
 
     // Events; each is called by the Reducer only, after the Cell has seen the event.
     void tick(const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/targetadmission.cpp
+++ b/src/libnutmeghinge/targetadmission.cpp
@@ -15,6 +15,15 @@
 constexpr int longestSampleInServiceTimes = 4;
 constexpr int serviceTimeWindow = 16;
 
+void learn(Duration &average, Duration sample)
+{
+    if (average == Duration::zero()) {
+        average = sample;
+        return;
+    }
+    average += (std::min(sample, average * longestSampleInServiceTimes) - average) / serviceTimeWindow;
+}
+
 bool blocksHandover(const Request &request)
 {
     return !request.safe || !request.answerBegun;
@@ -27,14 +36,22 @@
     return m_inFlight < m_health.limit(now, document.slowStart);
 }
 
-Duration TargetAdmission::expectedWait(const Document &document, MonotonicTime now) const
+Duration TargetAdmission::expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const
 {
-    return m_serviceTime * (m_queue.size() + 1) / m_health.limit(now, document.slowStart);
+    // The first slot becomes free when one of the running requests ends.
+    return (m_queue.workBefore(rank) + m_serviceTime) / m_health.limit(now, document.slowStart);
 }
 
 Duration TargetAdmission::retryAfter(const Document &document, MonotonicTime now) const
 {
-    return std::max(expectedWait(document, now), minimumRetryAfter);
+    const Duration drained = (m_queue.work() + m_serviceTime) / m_health.limit(now, document.slowStart);
+    return std::max(drained, minimumRetryAfter);
+}
+
+Duration TargetAdmission::serviceTime(std::uint32_t workClass) const
+{
+    const auto known = m_classTimes.find(workClass);
+    return known == m_classTimes.end() ? m_serviceTime : known->second;
 }
 
 void TargetAdmission::started(const Request &request)
@@ -67,11 +84,8 @@
 {
     m_health.answered(now);
     const Duration sample = now - request.sentAt;
-    if (m_serviceTime == Duration::zero()) {
-        m_serviceTime = sample;
-        return;
-    }
-    m_serviceTime += (std::min(sample, m_serviceTime * longestSampleInServiceTimes) - m_serviceTime) / serviceTimeWindow;
+    learn(m_serviceTime, sample);
+    learn(m_classTimes[request.workClass], sample);
 }
 
 std::uint32_t TargetAdmission::blocking(ShardIndex shard) const
--- a/src/libnutmeghinge/targetadmission.h
+++ b/src/libnutmeghinge/targetadmission.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "ids.h"
-#include "requestqueue.h"
+#include "rankedqueue.h"
 #include "targethealth.h"
 #include "units.h"
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace nutmeghinge {
@@ -22,17 +23,17 @@
 public:
     TargetHealth &health() { return m_health; }
     const TargetHealth &health() const { return m_health; }
-    RequestQueue &queue() { return m_queue; }
-    const RequestQueue &queue() const { return m_queue; }
+    RankedQueue &queue() { return m_queue; }
+    const RankedQueue &queue() const { return m_queue; }
 
     /** A slot is free at this time. */
     bool hasFreeSlot(const Document &document, MonotonicTime now) const;
-    /** Expected time until a request that joins the queue now is sent. */
-    Duration expectedWait(const Document &document, MonotonicTime now) const;
+    /** Expected time until a request that joins the queue at this rank is sent. */
+    Duration expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const;
     /** Time after which a refused caller finds the present queue drained. */
     Duration retryAfter(const Document &document, MonotonicTime now) const;
-    /** Time that the target takes for a request, as seen lately. */
-    Duration serviceTime() const { return m_serviceTime; }
+    /** Time that the target takes for a request of this work class, as seen lately; that of all where the class is new. */
+    Duration serviceTime(std::uint32_t workClass) const;
 
     /** The request is sent to the target. */
     void started(const Request &request);
@@ -49,11 +50,12 @@
 
 private:
     TargetHealth m_health;
-    RequestQueue m_queue;
+    RankedQueue m_queue;
     std::uint32_t m_inFlight = 0;
     /** By shard. */
     std::vector<std::uint32_t> m_blocking;
     Duration m_serviceTime{0};
+    std::map<std::uint32_t, Duration> m_classTimes;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/targethealth.cpp
+++ b/src/libnutmeghinge/targethealth.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration announcementLifetime = std::chrono::seconds(3);
 constexpr Duration hintLifetime = std::chrono::seconds(3);
 constexpr Duration failureLifetime = std::chrono::seconds(1);
 constexpr std::uint32_t failuresOfUnhealthy = 3;
@@ -89,7 +88,7 @@
 
 bool TargetHealth::isHealthy(MonotonicTime now) const
 {
-    if (!m_announced || now - m_announcedAt > announcementLifetime) {
+    if (!m_announced || now - m_announcedAt > m_announcementLifetime) {
         return false;
     }
     if (m_failuresInRow >= failuresOfUnhealthy && now - m_failedAt < failureLifetime) {
--- a/src/libnutmeghinge/targethealth.h
+++ b/src/libnutmeghinge/targethealth.h
@@ -15,6 +15,8 @@
 class TargetHealth
 {
 public:
+    /** Time after which a target that has not announced itself again counts as unhealthy. */
+    void setAnnouncementLifetime(Duration lifetime) { m_announcementLifetime = lifetime; }
     void announced(const TargetAnnounced &announcement, MonotonicTime now);
     /** inFlight: requests that this node runs on the target. */
     void probed(const TargetProbed &probe, std::uint32_t inFlight, MonotonicTime now);
@@ -38,6 +40,7 @@
     double warmShare(MonotonicTime now, Duration slowStart) const;
     double hintedExcess(MonotonicTime now) const;
 
+    Duration m_announcementLifetime{std::chrono::seconds(3)};
     Endpoint m_endpoint;
     TargetName m_target;
     std::uint32_t m_slots = 1;
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -8,6 +8,7 @@
 #include "wireheaders.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace nutmeghinge {
@@ -16,6 +17,7 @@
 
 constexpr std::uint32_t maxHops = 1000;
 constexpr std::uint64_t maxPriority = 1000;
+constexpr std::uint64_t maxWorkClass = std::numeric_limits<std::uint32_t>::max();
 constexpr std::string_view yes = "1";
 
 /** Host without its port, in lower case. */
@@ -46,6 +48,7 @@
     routed.repeatable = findHeader(headers, wire::repeatable) == yes;
     routed.priority = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(headers, wire::priority).value_or(0), maxPriority));
     routed.objective = timeoutOfMilliseconds(numberIn(headers, wire::objective)).value_or(Duration(0));
+    routed.workClass = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(headers, wire::workClass).value_or(0), maxWorkClass));
     return routed;
 }
 
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -263,7 +263,7 @@
 {
     if (!m_headComplete) {
         end(HttpCallResult::ConnectionLost);
-    } else if (cleanly && m_parser->endsWithConnection()) {
+    } else if (cleanly && m_parser->endsWithConnection() && endedCleanly()) {
         end(HttpCallResult::Complete);
     } else {
         end(HttpCallResult::Truncated);
@@ -393,6 +393,17 @@
     uv_close(reinterpret_cast<uv_handle_t *>(&m_timer), onClose);
 }
 
+/** libuv takes data with a reset right behind it for data with an end behind it. */
+bool HttpClientConnection::endedCleanly() const
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_socket), &descriptor) != 0) {
+        return false;
+    }
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 bool HttpClientConnection::isAlive() const
 {
     uv_os_fd_t descriptor = -1;
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -78,6 +78,7 @@
     MonotonicTime deadline() const;
     void armTimer();
     void end(HttpCallResult result);
+    bool endedCleanly() const;
     bool isAlive() const;
     void startReading();
 
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -44,6 +44,7 @@
         bool freshConnection;
         bool keepAnswer;
         bool deadlineForHeadOnly;
+        bool mayBeSilent;
     };
 
     Private(EventLoop &usedLoop, HttpClient &usedClient, const RequestProtocol &usedProtocol, EventFunction eventFunction)
@@ -143,7 +144,7 @@
             .deadline = destination.deadline,
             // A safe request can be tried again; another one may work in silence for as long as it is allowed to.
             .deadlineForHeadOnly = destination.deadlineForHeadOnly,
-            .progressTimeout = destination.deadlineForHeadOnly ? safeProgressTimeout : std::max(safeProgressTimeout, timeLeft)};
+            .progressTimeout = destination.mayBeSilent ? std::max(safeProgressTimeout, timeLeft) : safeProgressTimeout};
 }
 
 void RequestForwarder::Private::attemptEnded(AttemptId attempt, const Endpoint &endpoint, HttpCallResult result)
@@ -204,7 +205,8 @@
                                       .deadline = effect.deadline,
                                       .freshConnection = effect.freshConnection,
                                       .keepAnswer = effect.keepAnswer,
-                                      .deadlineForHeadOnly = effect.deadlineForHeadOnly};
+                                      .deadlineForHeadOnly = effect.deadlineForHeadOnly,
+                                      .mayBeSilent = effect.mayBeSilent};
     TargetCall call;
     call.shard = effect.shard;
     call.fence = effect.fence;
@@ -223,13 +225,15 @@
         headers.emplace_back(wire::repeatable, effect.routed->repeatable ? "1" : "0");
         headers.emplace_back(wire::priority, std::to_string(effect.routed->priority));
         headers.emplace_back(wire::objective, std::to_string(objective.count()));
+        headers.emplace_back(wire::workClass, std::to_string(effect.routed->workClass));
     }
     const Private::Destination peer{.kind = AttemptDestination::Peer,
                                     .endpoint = effect.peer,
                                     .deadline = effect.deadline,
                                     .freshConnection = effect.freshConnection,
                                     .keepAnswer = false,
-                                    .deadlineForHeadOnly = effect.deadlineForHeadOnly};
+                                    .deadlineForHeadOnly = effect.deadlineForHeadOnly,
+                                      .mayBeSilent = effect.mayBeSilent};
     m_d->start(effect.request, effect.attempt, peer, {}, std::move(headers));
 }
 
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -21,6 +21,7 @@
 inline constexpr std::string_view repeatable = "nutmeghinge-repeatable";
 inline constexpr std::string_view priority = "nutmeghinge-priority";
 inline constexpr std::string_view objective = "nutmeghinge-objective-ms";
+inline constexpr std::string_view workClass = "nutmeghinge-work-class";
 /** Node to node, in a refusal: milliseconds after which to come again. */
 inline constexpr std::string_view retryAfterMs = "nutmeghinge-retry-after-ms";
 /** Node to node: the sender's hybrid clock, milliseconds of the time of day and counter. */
@@ -49,6 +50,6 @@
 
 /** Headers that only nodes send each other. */
 inline constexpr std::array peerHeaders{
-    deadline, hops, service, repeatable, priority, objective, retryAfterMs, clockMilliseconds, clockCounter, requestId, outcome, reason};
+    deadline, hops, service, repeatable, priority, objective, workClass, retryAfterMs, clockMilliseconds, clockCounter, requestId, outcome, reason};
 
 } // namespace nutmeghinge::wire
--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -121,6 +121,17 @@
     CHECK(setup.run(setup.request()) == HttpCallResult::Truncated);
 }
 
+TEST_CASE("A reset right behind the data does not end a body that lasts until the close")
+{
+    // libuv reports this as an end of the stream when the data did not fill its buffer.
+    Setup setup;
+    setup.onRequest = [](RawConnection &connection) {
+        connection.send("HTTP/1.1 200 OK\r\n\r\nteak");
+        connection.reset();
+    };
+    CHECK(setup.run(setup.request()) != HttpCallResult::Complete);
+}
+
 TEST_CASE("The client sends the request as given")
 {
     Setup setup;
