Keep large answers in their zone

Change: the emptiest replica of the own zone while it has room, with more patience for routes with large answers. Ruled out: never crossing, which would refuse callers whose zone has no healthy target.

--- a/src/libnutmeghinge/replicachoice.cpp
+++ b/src/libnutmeghinge/replicachoice.cpp
@@ -4,11 +4,21 @@
 #include "member.h"
 #include "memberload.h"
 #include "ownershipview.h"
+#include "request.h"
 
 #include <algorithm>
 
 namespace nutmeghinge {
 
+namespace {
+
+/** Part of its slots that a replica of the own zone may have in use before others are looked at; the rest is for large answers. */
+constexpr std::uint64_t roomPercent = 60;
+/** The same for requests with large answers, which rather wait in the own zone. */
+constexpr std::uint64_t roomPercentOfLarge = 150;
+
+} // namespace
+
 ReplicaChoice::ReplicaChoice(std::uint64_t seed, ServiceName service)
     : m_random(seed)
     , m_service(std::move(service))
@@ -29,17 +39,16 @@
     }
 }
 
-std::optional<MemberSlot> ReplicaChoice::choose(const OwnershipView &ownership, MemberSlot excluded, MonotonicTime now, WallTime wallTime)
+std::optional<MemberSlot> ReplicaChoice::choose(const OwnershipView &ownership, const Request &request, MonotonicTime now, WallTime wallTime)
 {
     if (m_stale) {
         refresh(ownership, now, wallTime);
     }
-    const bool ownZoneOnly = !ownZoneIsFuller();
-    std::vector<const Candidate *> preferred;
+    std::vector<const Candidate *> own;
     std::vector<const Candidate *> healthy;
     std::vector<const Candidate *> any;
     for (const Candidate &candidate : m_candidates) {
-        if (candidate.slot == excluded) {
+        if (candidate.slot == request.member) {
             continue;
         }
         any.push_back(&candidate);
@@ -47,11 +56,16 @@
             continue;
         }
         healthy.push_back(&candidate);
-        if (ownZoneOnly && candidate.ownZone) {
-            preferred.push_back(&candidate);
+        if (candidate.ownZone) {
+            own.push_back(&candidate);
         }
     }
-    for (const auto *candidates : {&preferred, &healthy, &any}) {
+    const auto emptier = [this](const Candidate *a, const Candidate *b) { return isFuller(*b, *a); };
+    const auto best = std::min_element(own.begin(), own.end(), emptier);
+    if (best != own.end() && (hasRoom(**best, request) || !ownZoneIsFuller())) {
+        return (*best)->slot;
+    }
+    for (const auto *candidates : {&healthy, &any}) {
         if (!candidates->empty()) {
             return betterOfTwo(*candidates);
         }
@@ -59,6 +73,13 @@
     return m_candidates.empty() ? std::nullopt : std::optional(m_candidates.front().slot);
 }
 
+/** The candidate takes the request with a wait that is shorter than what the way to another zone costs. */
+bool ReplicaChoice::hasRoom(const Candidate &candidate, const Request &request) const
+{
+    const std::uint64_t percent = request.largeAnswer ? roomPercentOfLarge : roomPercent;
+    return std::uint64_t(inFlight(candidate)) * 100 < std::uint64_t(candidate.slots) * percent;
+}
+
 std::optional<MemberSlot> ReplicaChoice::chooseForKey(const OwnershipView &ownership, std::uint64_t keyHash, MonotonicTime now, WallTime wallTime)
 {
     if (m_stale) {
--- a/src/libnutmeghinge/replicachoice.h
+++ b/src/libnutmeghinge/replicachoice.h
@@ -12,11 +12,12 @@
 namespace nutmeghinge {
 
 class OwnershipView;
+struct Request;
 
 /**
  * Chooses a member for a request of a service that is not divided by key: the
- * better of two random ones by requests in flight per slot, in this node's zone
- * until that is fuller than the rest.
+ * emptiest of this node's zone by requests in flight per slot, while that has
+ * room or its zone is no fuller than the rest; else the better of two random ones.
  */
 class ReplicaChoice
 {
@@ -31,8 +32,8 @@
     /** This node sent a request to the member, itself included. */
     void started(MemberSlot member) { ++m_started[member]; }
     void ended(MemberSlot member);
-    /** Never the excluded member, unless there is no other; nothing where no member may serve. */
-    std::optional<MemberSlot> choose(const OwnershipView &ownership, MemberSlot excluded, MonotonicTime now, WallTime wallTime);
+    /** Never the member that the request was last sent to, unless there is no other; nothing where no member may serve. */
+    std::optional<MemberSlot> choose(const OwnershipView &ownership, const Request &request, MonotonicTime now, WallTime wallTime);
     /**
      * The same member for the same hash at every node, as long as the members
      * that may serve stay the same; for requests whose repeats must meet.
@@ -51,6 +52,7 @@
 
     void refresh(const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
     std::uint32_t inFlight(const Candidate &candidate) const;
+    bool hasRoom(const Candidate &candidate, const Request &request) const;
     bool ownZoneIsFuller() const;
     bool isFuller(const Candidate &a, const Candidate &b) const;
     std::optional<MemberSlot> betterOfTwo(const std::vector<const Candidate *> &candidates);
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -50,6 +50,8 @@
     std::uint32_t priority = 0;
     /** Time after which the answer is worth less; the latest time there is where none is stated. */
     MonotonicTime objectiveAt = MonotonicTime::max();
+    /** The answer is large: its way between zones costs more than a wait. */
+    bool largeAnswer = false;
     /** Requests of one number are alike work. */
     std::uint32_t workClass = 0;
     /** Place in the target's queue, while the request is Queued. */
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -118,6 +118,7 @@
         routed = {chooseService(*route, random), route->repeatable, route->priority, route->objective, workClassOf(*route)};
         timeout = route->timeout;
         request.maximumAttempts = route->maximumAttempts;
+        request.largeAnswer = route->largeAnswers;
     }
     const Document *document = ownership.documentOf(routed.service);
     if (!document) {
--- a/src/libnutmeghinge/requestroute.h
+++ b/src/libnutmeghinge/requestroute.h
@@ -29,6 +29,8 @@
     std::vector<WeightedService> services;
     /** A request may run more than once. */
     bool repeatable = false;
+    /** Answers are large: their way between zones costs more than a wait. */
+    bool largeAnswers = false;
     /** Longest time until the caller has an answer; zero: the service's deadline. */
     Duration timeout{0};
     /** Time within which an answer is worth most to the caller; zero: none is stated. */
--- a/src/libnutmeghinge/routeplanner.cpp
+++ b/src/libnutmeghinge/routeplanner.cpp
@@ -105,7 +105,7 @@
 {
     const bool repeatsMustMeet = !request.deduplicationKey.empty();
     const auto chosen = repeatsMustMeet ? replicasFor(request).chooseForKey(ownership, hashOfKey(request.deduplicationKey), now, wallTime)
-                                        : replicasFor(request).choose(ownership, request.member, now, wallTime);
+                                        : replicasFor(request).choose(ownership, request, now, wallTime);
     if (!chosen) {
         return NoRoute{};
     }
