Give slow targets fewer keys, by loads averaged over reports

Cause: targets of unequal speed got equal ranges, and the reports of one second sent ranges after noise. Change: heartbeats carry the target's service time, which weighs its slots; loads of shards are averaged over reports. Ruled out: weighing by slots alone.

--- a/src/libnutmeghinge/balancestrategy.h
+++ b/src/libnutmeghinge/balancestrategy.h
@@ -23,6 +23,8 @@
     bool eligible = false;
     /** Time at which the document's schedule takes it out of service. */
     std::optional<WallTime> leavesAt;
+    /** Time that its target takes for a request; zero where it is not known. */
+    Duration serviceTime{0};
     /** Time that the member has been eligible. */
     Duration eligibleFor{0};
 };
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -283,6 +283,7 @@
     self.document = m_context.documents.revision();
     self.leaving = m_context.isLeaving(event.wallTime);
     MemberLoad load = m_context.takeLoad(event.at);
+    m_smoothedLoads.note(m_context.self, load.shards, m_ledger.map());
     if (load.shards.empty() && load.heavyKeys.empty() && event.at < self.shardLoadAt + loadLifetime) {
         load.shards = std::move(self.load.shards);
         load.heavyKeys = std::move(self.load.heavyKeys);
@@ -320,6 +321,7 @@
     }
     noteTargetIncarnation(from, status, heartbeat, event.at, effects);
     noteHeartbeat(status, heartbeat, event.at);
+    m_smoothedLoads.note(from, heartbeat.load.shards, m_ledger.map());
     for (const auto &[shard, fence] : heartbeat.released) {
         m_ledger.noteReleased(from, shard, fence);
     }
@@ -730,6 +732,7 @@
         const auto status = m_status.find(member.slot);
         if (status != m_status.end() && status->second.load.slots > 0) {
             entry.slots = status->second.load.slots;
+            entry.serviceTime = status->second.load.serviceTime;
         }
         if (entry.eligible && status != m_status.end()) {
             entry.eligibleFor = event.at - status->second.eligibleSince;
@@ -741,6 +744,9 @@
 
 std::vector<std::uint64_t> Coordinator::shardLoads(MonotonicTime now) const
 {
+    if (m_context.spansServices()) {
+        return m_smoothedLoads.loads(m_ledger.map().shards.size());
+    }
     std::vector<std::uint64_t> loads(m_ledger.map().shards.size(), 0);
     for (const auto &[slot, status] : m_status) {
         if (now >= status.shardLoadAt + loadLifetime) {
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -7,6 +7,7 @@
 #include "memberstatus.h"
 #include "ownershipledger.h"
 #include "peermessages.h"
+#include "smoothedloads.h"
 #include "units.h"
 
 #include <map>
@@ -109,6 +110,7 @@
     CoordinatorTerm m_term;
     OwnershipLedger m_ledger;
     MemberAdmission m_admission;
+    SmoothedLoads m_smoothedLoads;
     std::map<MemberSlot, MemberStatus> m_status;
     std::vector<std::vector<MemberSlot>> m_successors;
     /** Node of each slot, also of those that are no longer listed. */
--- a/src/libnutmeghinge/memberload.h
+++ b/src/libnutmeghinge/memberload.h
@@ -2,6 +2,8 @@
 
 #include "ids.h"
 
+#include "units.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,6 +38,8 @@
     bool healthy = true;
     std::vector<ShardLoad> shards;
     std::vector<KeyLoad> heavyKeys;
+    /** Time that the target takes for a request, as seen lately; zero where none was answered yet. */
+    Duration serviceTime{0};
 
     friend bool operator==(const MemberLoad &, const MemberLoad &) = default;
 };
--- a/src/libnutmeghinge/rangestrategy.cpp
+++ b/src/libnutmeghinge/rangestrategy.cpp
@@ -12,6 +12,9 @@
 
 /** Runs of shards that one member may have, so that the answer to its target's heartbeat stays within 4 KiB. */
 constexpr std::size_t maximumRuns = 40;
+/** Bounds of the speed that a member counts with: a few slow answers must not empty it. */
+constexpr double slowestSpeed = 0.4;
+constexpr double fastestSpeed = 2;
 /** Part of the mean load of a shard that an idle one counts for, so that idle shards spread by their number. */
 constexpr double idleShardLoad = 0.2;
 /** A slice that moves takes at the most this part of the load that is to be evened out. */
@@ -45,6 +48,7 @@
         bool isEmpty() const { return first == end; }
     };
 
+    double speedOf(const BalanceMember &member) const;
     void addMembers();
     void addShards();
     void give(std::size_t shard, Holder &to);
@@ -69,6 +73,23 @@
     addShards();
 }
 
+/** Speed of the member's target against the mean of all, by the times that they take for a request. */
+double RangePlan::speedOf(const BalanceMember &member) const
+{
+    double total = 0;
+    int known = 0;
+    for (const BalanceMember &other : m_input.members) {
+        if (other.eligible && other.serviceTime > Duration::zero()) {
+            total += static_cast<double>(other.serviceTime.count());
+            ++known;
+        }
+    }
+    if (known == 0 || member.serviceTime == Duration::zero()) {
+        return 1;
+    }
+    return std::clamp(total / known / static_cast<double>(member.serviceTime.count()), slowestSpeed, fastestSpeed);
+}
+
 void RangePlan::addMembers()
 {
     for (const BalanceMember &member : m_input.members) {
@@ -77,7 +98,7 @@
         }
         Holder holder;
         holder.slot = member.slot;
-        holder.capacity = std::max(member.slots, 1U);
+        holder.capacity = std::max(member.slots, 1U) * speedOf(member);
         m_holders.push_back(holder);
     }
     std::sort(m_holders.begin(), m_holders.end(), [](const Holder &left, const Holder &right) { return left.slot < right.slot; });
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -267,6 +267,7 @@
     load.inFlight = m_d->admission.inFlight();
     load.queued = m_d->admission.queue().size();
     load.slots = m_d->admission.health().slots();
+    load.serviceTime = m_d->admission.serviceTime();
     load.healthy = m_d->admission.health().isHealthy(now);
     load.shards = m_d->loadMeter.take(elapsed);
     load.heavyKeys = m_d->heavyKeys.take(elapsed);
--- a/src/libnutmeghinge/targetadmission.h
+++ b/src/libnutmeghinge/targetadmission.h
@@ -34,6 +34,8 @@
     Duration retryAfter(const Document &document, MonotonicTime now) const;
     /** Time that the target takes for a request of this work class, as seen lately; that of all where the class is new. */
     Duration serviceTime(std::uint32_t workClass) const;
+    /** The same for requests of all classes. */
+    Duration serviceTime() const { return m_serviceTime; }
 
     /** The request is sent to the target. */
     void started(const Request &request);
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -91,6 +91,7 @@
     to.setQueued(load.queued);
     to.setSlots(load.slots);
     to.setHealthy(load.healthy);
+    to.setServiceTime(load.serviceTime.count());
     auto shards = to.initShards(load.shards.size());
     for (std::size_t i = 0; i < load.shards.size(); ++i) {
         shards[i].setShard(load.shards[i].shard.value());
@@ -364,6 +365,7 @@
         load.queued = requests(from.getQueued());
         load.slots = requests(from.getSlots());
         load.healthy = from.getHealthy();
+        load.serviceTime = duration(from.getServiceTime(), Codec::maxLease, "service time");
         const auto shards = from.getShards();
         const std::uint32_t shardCount = listSize(shards.size(), Codec::maxShards, "number of shard loads");
         for (std::uint32_t i = 0; i < shardCount; ++i) {
