Refuse what waits too long, so that a stopping node leaves no caller without an answer

Change: a routed request waits 4 s at the most in a queue, for a moving shard no longer than its objective allows, and is refused then with the time to come again; a stopping node tries no further replica. Ruled out: cutting forwarded requests at the end of the grace, which breaks off work that runs.

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -32,6 +32,9 @@
 constexpr Duration retryAfterWithoutOwner = std::chrono::seconds(1);
 /** A late request waits only where this many times its expected wait is left until it must be sent. */
 constexpr int lateRoom = 1;
+/** Longest wait of a routed request in a queue, so that a node that stops has answered all within its time to stop. */
+constexpr Duration longestWait = std::chrono::seconds(4);
+constexpr Duration retryAfterOfMove = std::chrono::milliseconds(500);
 
 /** What one event lets the router use. */
 struct Context {
@@ -65,7 +68,8 @@
     void refuseAsFull(Request &request, const Context &context);
     void refuseAsLate(Request &request, const Context &context);
     void awaitOwner(Request &request, MonotonicTime at, const Context &context);
-    MonotonicTime giveUpTime(const Request &request) const { return request.deadline - admission.serviceTime(request.workClass); }
+    MonotonicTime giveUpTime(const Request &request) const;
+    MonotonicTime ownerWaitEnd(const Request &request) const;
     bool missesObjective(const Request &request, MonotonicTime sentAt) const;
     bool placeInQueue(Request &request, bool late, const Context &context);
     void keepAsLate(Request &request, const Context &context);
@@ -117,6 +121,7 @@
     HeavyKeys heavyKeys;
     std::optional<MonotonicTime> loadSince;
     Fence mapVersion;
+    bool stopping = false;
 };
 
 RequestRouter::RequestRouter(std::uint64_t seed)
@@ -151,6 +156,7 @@
 
 void RequestRouter::stop(const Event &event, EffectList &effects)
 {
+    m_d->stopping = true;
     ownershipChanged(event, effects);
 }
 
@@ -377,6 +383,23 @@
     replies.record(TimelineRecord::Kind::RequestQueued, request, context.effects);
 }
 
+/** Latest time at which the request may leave a queue for the target. */
+MonotonicTime RequestRouter::Private::giveUpTime(const Request &request) const
+{
+    const MonotonicTime inTime = request.deadline - admission.serviceTime(request.workClass);
+    return request.routed ? std::min(inTime, request.arrivedAt + longestWait) : inTime;
+}
+
+/** A routed request waits for a shard that moves only while its objective can be met; its caller is told when to come again. */
+MonotonicTime RequestRouter::Private::ownerWaitEnd(const Request &request) const
+{
+    const MonotonicTime giveUpAt = giveUpTime(request);
+    if (!request.routed || request.objectiveAt == MonotonicTime::max()) {
+        return giveUpAt;
+    }
+    return std::min(giveUpAt, request.objectiveAt - admission.serviceTime(request.workClass));
+}
+
 /** The answer would come after the request's objective if it were sent then. */
 bool RequestRouter::Private::missesObjective(const Request &request, MonotonicTime sentAt) const
 {
@@ -437,9 +460,10 @@
 
 void RequestRouter::Private::awaitOwner(Request &request, MonotonicTime at, const Context &context)
 {
-    const MonotonicTime giveUpAt = giveUpTime(request);
+    const MonotonicTime giveUpAt = ownerWaitEnd(request);
     if (context.now >= giveUpAt || awaiting.size() >= document().queue) {
-        refuse(request, {503, NotRunReason::NotOwner, retryAfterWithoutOwner, "no node may serve the key now"}, context);
+        const Duration retryAfter = request.routed ? retryAfterOfMove : retryAfterWithoutOwner;
+        refuse(request, {503, NotRunReason::NotOwner, retryAfter, "no node may serve the key now"}, context);
         return;
     }
     request.state = Request::State::AwaitingOwner;
@@ -541,6 +565,11 @@
 
 void RequestRouter::Private::follow(Request &request, const RetryDecision &decision, const Context &context)
 {
+    if (stopping && request.routed && !std::holds_alternative<GiveUp>(decision)) {
+        const std::uint16_t status = request.unknown ? 502 : 503;
+        refuse(request, {status, NotRunReason::Stopping, retryAfterOfMove, "this node stops"}, context);
+        return;
+    }
     std::visit(Overloaded{
                    [&](const RetryNow &) { route(request, context); },
                    [&](const RetryAt &retry) {
