--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -423,7 +423,8 @@
     request.state = Request::State::Queued;
     request.rank = rank;
     admission.queue().push(request.id, rank, work);
-    wakes.schedule(request, late || !hasObjective ? giveUpTime(request) : request.objectiveAt - work);
+    const MonotonicTime giveUpAt = giveUpTime(request);
+    wakes.schedule(request, late || !hasObjective ? giveUpAt : std::min(giveUpAt, request.objectiveAt - work));
     return true;
 }
 
--- a/src/libnutmeghinge/routetable.cpp
+++ b/src/libnutmeghinge/routetable.cpp
@@ -7,8 +7,10 @@
 std::string keyOf(std::string_view host, std::string_view prefix)
 {
     std::string key;
-    key.reserve(host.size() + prefix.size());
+    key.reserve(host.size() + prefix.size() + 1);
     key += host;
+    // No host that was parsed from a request line holds it.
+    key += '\n';
     key += prefix;
     return key;
 }
--- /dev/null
+++ b/tests/core/rangestrategytest.cpp
@@ -0,0 +1,114 @@
+#include "fakeshardcell.h"
+#include "rangestrategy.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace nutmeghinge;
+
+namespace {
+
+std::size_t runsOf(const FakeShardCell &cell, MemberSlot slot)
+{
+    std::size_t runs = 0;
+    for (std::size_t i = 0; i < cell.map.shards.size(); ++i) {
+        const bool begins = i == 0 || cell.map.shards[i - 1].owner != slot;
+        runs += cell.map.shards[i].owner == slot && begins ? 1 : 0;
+    }
+    return runs;
+}
+
+std::map<MemberSlot, double> loadsOf(const FakeShardCell &cell)
+{
+    std::map<MemberSlot, double> loads;
+    for (std::size_t i = 0; i < cell.map.shards.size(); ++i) {
+        loads[cell.map.shards[i].owner] += static_cast<double>(cell.loads[i]);
+    }
+    return loads;
+}
+
+FakeShardCell settled(std::uint32_t members)
+{
+    FakeShardCell cell(512);
+    cell.document.numericKeys = true;
+    for (std::uint32_t i = 0; i < members; ++i) {
+        cell.addMember();
+    }
+    cell.apply(RangeStrategy().plan(cell.input()));
+    cell.cooling.assign(512, false);
+    return cell;
+}
+
+} // namespace
+
+TEST_CASE("A new cell's members get one range each, in proportion to their slots")
+{
+    FakeShardCell cell(512);
+    cell.addMember(10);
+    cell.addMember(30);
+    cell.apply(RangeStrategy().plan(cell.input()));
+    CHECK(runsOf(cell, MemberSlot(1)) == 1);
+    CHECK(runsOf(cell, MemberSlot(2)) == 1);
+    const auto first = std::count_if(cell.map.shards.begin(), cell.map.shards.end(), [](const auto &entry) { return entry.owner == MemberSlot(1); });
+    CHECK(first >= 120);
+    CHECK(first <= 136);
+}
+
+TEST_CASE("Busy keys that lie close to one another are parted by few rounds of short slices")
+{
+    FakeShardCell cell = settled(7);
+    std::fill(cell.loads.begin(), cell.loads.end(), 100);
+    // Two fifths of all requests fall on ten neighbouring shards.
+    std::fill(cell.loads.begin() + 200, cell.loads.begin() + 210, 3400);
+    std::size_t moved = 0;
+    for (int round = 0; round < 6; ++round) {
+        const std::vector<PlannedMove> moves = RangeStrategy().plan(cell.input());
+        moved += moves.size();
+        cell.apply(moves);
+    }
+    const auto loads = loadsOf(cell);
+    double total = 0;
+    double highest = 0;
+    for (const auto &[slot, load] : loads) {
+        total += load;
+        highest = std::max(highest, load);
+    }
+    CHECK(highest <= 1.5 * total / 7);
+    CHECK(moved <= 256);
+}
+
+TEST_CASE("A slow target gets fewer keys")
+{
+    FakeShardCell cell(512);
+    cell.addMember().serviceTime = std::chrono::milliseconds(100);
+    cell.addMember().serviceTime = std::chrono::milliseconds(300);
+    cell.apply(RangeStrategy().plan(cell.input()));
+    const auto fast = std::count_if(cell.map.shards.begin(), cell.map.shards.end(), [](const auto &entry) { return entry.owner == MemberSlot(1); });
+    CHECK(fast > 320);
+}
+
+TEST_CASE("Keys of a lost member are shared out in few pieces")
+{
+    FakeShardCell cell = settled(5);
+    cell.members[2].eligible = false;
+    for (ShardOwnership &entry : cell.map.shards) {
+        if (entry.owner == MemberSlot(3)) {
+            entry.state = ShardOwnership::State::Unowned;
+        }
+    }
+    const std::vector<PlannedMove> moves = RangeStrategy().plan(cell.input());
+    cell.apply(moves);
+    for (const std::uint32_t slot : {1U, 2U, 4U, 5U}) {
+        CHECK(runsOf(cell, MemberSlot(slot)) <= 3);
+    }
+}
+
+TEST_CASE("Shards that have just moved stay, and the budget bounds the rest")
+{
+    FakeShardCell cell = settled(3);
+    std::fill(cell.loads.begin(), cell.loads.begin() + 100, 1000);
+    cell.cooling.assign(512, true);
+    CHECK(RangeStrategy().plan(cell.input()).empty());
+    cell.cooling.assign(512, false);
+    CHECK(RangeStrategy().plan(cell.input(0)).empty());
+}
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -7,6 +7,7 @@
 #include "ownershipmap.h"
 #include "ownershipview.h"
 #include "requestrouter.h"
+#include "routetable.h"
 #include "shardof.h"
 
 #include <optional>
@@ -21,6 +22,7 @@
 public:
     const Document *document() const override { return m_document ? &*m_document : nullptr; }
     const Document *documentOf(const ServiceName &service) const override { return m_document && m_document->service == service ? &*m_document : nullptr; }
+    const RouteTable *routes() const override { return m_routes ? &*m_routes : nullptr; }
     MemberSlot self() const override { return m_self; }
     const Member *member(MemberSlot slot) const override
     {
@@ -68,6 +70,8 @@
     }
 
     std::optional<Document> m_document;
+    /** Where it is set, the document has routes. */
+    std::optional<RouteTable> m_routes;
     MemberSlot m_self{1};
     std::vector<Member> m_members;
     OwnershipMap m_map;
--- /dev/null
+++ b/tests/core/targetholdstest.cpp
@@ -0,0 +1,144 @@
+#include "events.h"
+#include "targetholds.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MemberSlot self{1};
+constexpr MemberSlot other{2};
+
+/** A section of four shards, a quarter of the keys each, all owned by this node. */
+struct Setup {
+    Setup()
+    {
+        section = {ServiceName("roster"), 0, 4};
+        map.version = {Term(5), 1};
+        map.sections = {section};
+        map.shards.assign(4, {ShardOwnership::State::Owned, self, noMember, {Term(5), 1}});
+        holds.setHoldTime(4s);
+    }
+
+    void heartbeat(std::vector<HeldRange> held, std::vector<ReleasedRange> released = {}, std::uint64_t incarnation = 1)
+    {
+        TargetAnnounced announced;
+        announced.targetIncarnation = incarnation;
+        announced.holds = HoldReport{std::move(held), std::move(released)};
+        holds.announced(announced, section, map.version, now);
+    }
+    std::optional<HoldGrant> grant(Duration lease = 10s) { return holds.grant(map, section, self, now + lease, now); }
+
+    ShardSection section;
+    OwnershipMap map;
+    TargetHolds holds;
+    MonotonicTime now{100s};
+};
+
+} // namespace
+
+TEST_CASE("Neighbouring shards with one fence are granted as one range")
+{
+    Setup setup;
+    setup.heartbeat({});
+    setup.map.shards[2].fence = {Term(5), 2};
+    const std::optional<HoldGrant> grant = setup.grant();
+    REQUIRE(grant);
+    CHECK(grant->ranges
+          == std::vector<GrantedRange>{{0, 32767, {Term(5), 1}, ""}, {32768, 49151, {Term(5), 2}, ""}, {49152, 65535, {Term(5), 1}, ""}});
+    CHECK(grant->holdTime == 4s);
+}
+
+TEST_CASE("A hold ends inside the lease, also on a target's slow clock")
+{
+    Setup setup;
+    setup.heartbeat({});
+    const std::optional<HoldGrant> grant = setup.grant(2s);
+    REQUIRE(grant);
+    CHECK(grant->holdTime + grant->holdTime * 20 / 1000 <= 2s);
+    CHECK_FALSE(setup.grant(100ms));
+}
+
+TEST_CASE("Requests run only on granted shards, by their fence and while the hold lasts")
+{
+    Setup setup;
+    setup.heartbeat({});
+    CHECK_FALSE(setup.holds.mayRun(ShardIndex(0), {Term(5), 1}, setup.now));
+    setup.map.shards[3].owner = other;
+    REQUIRE(setup.grant());
+    CHECK(setup.holds.mayRun(ShardIndex(0), {Term(5), 1}, setup.now));
+    CHECK_FALSE(setup.holds.mayRun(ShardIndex(0), {Term(5), 2}, setup.now));
+    CHECK_FALSE(setup.holds.mayRun(ShardIndex(3), {Term(5), 1}, setup.now));
+    CHECK_FALSE(setup.holds.mayRun(ShardIndex(0), {Term(5), 1}, setup.now + 5s));
+}
+
+TEST_CASE("A shard is free only once a heartbeat shows that it was given up, or its hold has run out")
+{
+    Setup setup;
+    setup.heartbeat({});
+    REQUIRE(setup.grant());
+    CHECK_FALSE(setup.holds.isFree(ShardIndex(0), setup.now));
+    setup.heartbeat({{0, 65535, {Term(5), 1}}});
+    setup.map.shards[0].state = ShardOwnership::State::Releasing;
+    REQUIRE(setup.grant());
+    CHECK_FALSE(setup.holds.mayRun(ShardIndex(0), {Term(5), 1}, setup.now));
+    CHECK_FALSE(setup.holds.isFree(ShardIndex(0), setup.now));
+    // Work that still runs keeps it listed.
+    setup.heartbeat({{0, 65535, {Term(5), 1}}});
+    CHECK_FALSE(setup.holds.isFree(ShardIndex(0), setup.now));
+    setup.heartbeat({{16384, 65535, {Term(5), 1}}}, {{0, 16383, "token"}});
+    CHECK(setup.holds.isFree(ShardIndex(0), setup.now));
+    CHECK(setup.holds.handoverOf(ShardIndex(0)) == "token");
+    CHECK_FALSE(setup.holds.isFree(ShardIndex(1), setup.now));
+    CHECK(setup.holds.isFree(ShardIndex(1), setup.now + 5s));
+}
+
+TEST_CASE("A handover token goes with the next grant until the target reports the shard")
+{
+    Setup setup;
+    setup.heartbeat({});
+    setup.holds.setHandover(ShardIndex(1), "warm");
+    std::optional<HoldGrant> grant = setup.grant();
+    REQUIRE(grant);
+    REQUIRE(grant->ranges.size() == 3);
+    CHECK(grant->ranges[1].handover == "warm");
+    setup.heartbeat({{0, 65535, {Term(5), 1}}});
+    grant = setup.grant();
+    REQUIRE(grant);
+    CHECK(grant->ranges.size() == 1);
+}
+
+TEST_CASE("A new start of the target is granted only what it is given after it")
+{
+    Setup setup;
+    setup.heartbeat({});
+    REQUIRE(setup.grant());
+    setup.heartbeat({}, {}, 2);
+    CHECK(setup.holds.isFree(ShardIndex(0), setup.now));
+    std::optional<HoldGrant> grant = setup.grant();
+    REQUIRE(grant);
+    CHECK(grant->ranges.empty());
+    setup.map.version = {Term(5), 2};
+    setup.map.shards[0].fence = {Term(5), 2};
+    grant = setup.grant();
+    REQUIRE(grant);
+    REQUIRE(grant->ranges.size() == 1);
+    CHECK(grant->ranges[0].fence == Fence{Term(5), 2});
+}
+
+TEST_CASE("A node that has just started counts what its target reports as held")
+{
+    Setup setup;
+    setup.heartbeat({{0, 32767, {Term(4), 9}}});
+    CHECK(setup.holds.held(setup.now) == std::vector<ShardIndex>{ShardIndex(0), ShardIndex(1)});
+    CHECK(setup.holds.held(setup.now + 5s).empty());
+}
+
+TEST_CASE("A range that covers a part of a shard counts as the whole of it")
+{
+    Setup setup;
+    setup.heartbeat({{100, 200, {Term(4), 9}}});
+    CHECK(setup.holds.held(setup.now) == std::vector<ShardIndex>{ShardIndex(0)});
+}
--- /dev/null
+++ b/tests/io/pipelinedservertest.cpp
@@ -0,0 +1,164 @@
+#include "eventloop.h"
+#include "httpexchange.h"
+#include "pipelinedserver.h"
+#include "rawconnection.h"
+#include "rununtil.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A server that keeps its exchanges, and one client. */
+struct Setup {
+    Setup()
+        : server(loop, PipelinedServer::Options{1000, "test", 10s}, [this](std::shared_ptr<HttpExchange> exchange) {
+            exchange->setClosedFunction([this] { ++closed; });
+            exchanges.push_back(std::move(exchange));
+        })
+        , endpoint(std::get<Endpoint>(server.listen({"127.0.0.1", 0})))
+        , client(loop, endpoint)
+    {
+    }
+
+    void send(const std::string &bytes, std::size_t expected)
+    {
+        client.send(bytes);
+        REQUIRE(runUntil(loop, [&] { return exchanges.size() == expected; }));
+    }
+    bool receives(const std::string &text)
+    {
+        return runUntil(loop, [&] { return client.received().find(text) != std::string::npos; });
+    }
+    bool ends()
+    {
+        return runUntil(loop, [&] { return client.isEnded(); });
+    }
+
+    EventLoop loop;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    int closed = 0;
+    PipelinedServer server;
+    Endpoint endpoint;
+    RawConnection client;
+};
+
+const std::string get = "GET /a HTTP/1.1\r\nHost: desk\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("Requests of one connection are handed over beside each other and answered in their order")
+{
+    Setup setup;
+    setup.send(get + "GET /b HTTP/1.1\r\nHost: desk\r\n\r\n" + get, 3);
+    CHECK(setup.exchanges[1]->request().path == "/b");
+    CHECK(setup.exchanges[1]->request().host == "desk");
+    setup.exchanges[2]->answer(200, {}, "third");
+    setup.exchanges[1]->answer(200, {}, "second");
+    setup.exchanges[0]->answer(200, {}, "first");
+    REQUIRE(setup.receives("third"));
+    const std::string &received = setup.client.received();
+    CHECK(received.find("first") < received.find("second"));
+    CHECK(received.find("second") < received.find("third"));
+}
+
+TEST_CASE("Bodies with a length and in chunks are taken whole, also in pieces")
+{
+    Setup setup;
+    setup.send("POST /a HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\n\r\nteakPOST /b HTTP/1.1\r\nHost: d\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nelm", 1);
+    setup.send("\r\n2\r\n!!\r\n0\r\n\r\n" + get, 3);
+    CHECK(setup.exchanges[0]->request().body == "teak");
+    CHECK(setup.exchanges[1]->request().body == "elm!!");
+}
+
+TEST_CASE("An answer without a length is sent in chunks, and one that breaks off does not look whole")
+{
+    Setup setup;
+    setup.send(get + get, 2);
+    setup.exchanges[0]->beginAnswer({200, {}, std::nullopt});
+    setup.exchanges[0]->write("teak");
+    setup.exchanges[0]->finish();
+    REQUIRE(setup.receives("4\r\nteak\r\n0\r\n\r\n"));
+    setup.exchanges[1]->beginAnswer({200, {}, std::nullopt});
+    setup.exchanges[1]->write("oak");
+    setup.exchanges[1]->reset();
+    REQUIRE(setup.ends());
+    CHECK(setup.client.received().find("oak\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE("Faulty framing is answered after the requests before it and closes the connection")
+{
+    const auto [request, status] = GENERATE(table<std::string, std::string>({
+        {"POST /a HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nteak!", "400"},
+        {"POST /a HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+        {"POST /a HTTP/1.1\r\nHost: d\r\nTransfer-Encoding: gzip\r\n\r\n", "400"},
+        {"POST /a HTTP/1.1\r\nHost: d\r\nTransfer-Encoding: chunked\r\n\r\nnonsense\r\n", "400"},
+        {"POST /a HTTP/1.1\r\nHost: d\r\nContent-Length: 2000\r\n\r\n", "413"},
+        {"no request at all\r\n\r\n", "400"},
+        {"GET /a HTTP/1.1\r\nHost: d\r\nX: " + std::string(70000, 'x'), "431"},
+    }));
+    Setup setup;
+    setup.send(get + request, 1);
+    setup.exchanges[0]->answer(200, {}, "first");
+    REQUIRE(setup.receives("HTTP/1.1 " + status));
+    CHECK(setup.client.received().find("first") < setup.client.received().find("HTTP/1.1 " + status));
+    CHECK(setup.ends());
+    CHECK(setup.exchanges.size() == 1);
+    CHECK(setup.server.refusedInputs() == 1);
+}
+
+TEST_CASE("A client that goes is told to all its exchanges")
+{
+    Setup setup;
+    setup.send(get + get, 2);
+    setup.client.close();
+    CHECK(runUntil(setup.loop, [&] { return setup.closed == 2; }));
+    setup.exchanges[0]->answer(200, {}, "late");
+    CHECK(setup.server.openConnections() == 0);
+}
+
+TEST_CASE("A connection that is to close reads no further request, and its last answer says so")
+{
+    Setup setup;
+    setup.send(get + get, 2);
+    bool done = false;
+    setup.server.shutDown([&] { done = true; });
+    setup.client.send(get);
+    setup.exchanges[0]->answer(200, {}, "first");
+    setup.exchanges[1]->answer(200, {}, "second");
+    REQUIRE(setup.receives("second"));
+    CHECK(setup.exchanges.size() == 2);
+    const std::string &received = setup.client.received();
+    CHECK(received.find("connection: close") > received.find("first"));
+    CHECK(setup.ends());
+    CHECK(runUntil(setup.loop, [&] { return done; }));
+}
+
+TEST_CASE("An idle connection is closed when the server shuts down")
+{
+    Setup setup;
+    setup.send(get, 1);
+    setup.exchanges[0]->answer(204, {}, {});
+    REQUIRE(setup.receives("204"));
+    bool done = false;
+    setup.server.shutDown([&] { done = true; });
+    CHECK(runUntil(setup.loop, [&] { return done; }));
+}
+
+TEST_CASE("A large answer is held back while its client does not read")
+{
+    Setup setup;
+    setup.send(get, 1);
+    setup.exchanges[0]->beginAnswer({200, {}, std::nullopt});
+    const std::string part(65536, 'x');
+    bool accepts = true;
+    int parts = 0;
+    while (accepts && parts < 1000) {
+        accepts = setup.exchanges[0]->write(part);
+        ++parts;
+    }
+    CHECK_FALSE(accepts);
+    CHECK(parts < 1000);
+}
--- /dev/null
+++ b/tests/platform/heartbeattest.cpp
@@ -0,0 +1,96 @@
+#include "fencenumber.h"
+#include "heartbeatserver.h"
+#include "jsonreader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using namespace nutmeghinge::hosted;
+using namespace std::chrono_literals;
+
+namespace {
+
+nlohmann::json heartbeat()
+{
+    return {{"service", "roster"}, {"address", "10.1.0.9:8080"}, {"zone", "a"}, {"version", "v1"}, {"slots", 9}, {"state", "ready"}, {"warmup_left", 1500},
+            {"sequence", 4},       {"born", 1777627295050}};
+}
+
+} // namespace
+
+TEST_CASE("A heartbeat tells service, address, slots, state and start of the target")
+{
+    nlohmann::json body = heartbeat();
+    body["holds"] = {{0, 4095, fenceToNumber({Term(65537), 3})}};
+    body["released"] = {{4096, 8191, "5c0e"}};
+    const auto read = parseHeartbeat("i-1", jsonToText(body));
+    const auto &announced = std::get<TargetAnnounced>(read);
+    CHECK(announced.target == TargetName("i-1"));
+    CHECK(announced.service == ServiceName("roster"));
+    CHECK(announced.endpoint == Endpoint{"10.1.0.9", 8080});
+    CHECK(announced.slots == 9);
+    CHECK_FALSE(announced.draining);
+    CHECK(announced.sequence == 4);
+    CHECK(announced.targetIncarnation == 1777627295050);
+    CHECK(announced.warmUpLeft == 1500ms);
+    REQUIRE(announced.holds);
+    CHECK(announced.holds->held == std::vector<HeldRange>{{0, 4095, {Term(65537), 3}}});
+    CHECK(announced.holds->released == std::vector<ReleasedRange>{{4096, 8191, "5c0e"}});
+}
+
+TEST_CASE("A heartbeat with a field missing, of another type or out of range is a fault that names it")
+{
+    const auto [field, value] = GENERATE(table<std::string, nlohmann::json>({
+        {"service", 5},
+        {"address", "nowhere"},
+        {"slots", 0},
+        {"slots", "9"},
+        {"state", "resting"},
+        {"sequence", -1},
+        {"holds", {{0, 65536, 1}}},
+        {"holds", {{0, 5}}},
+        {"holds", "all"},
+        {"released", {{0, "x", ""}}},
+        {"born", 1.5},
+    }));
+    nlohmann::json body = heartbeat();
+    body["holds"] = nlohmann::json::array();
+    body[field] = value;
+    CHECK(std::holds_alternative<HeartbeatFault>(parseHeartbeat("i-1", jsonToText(body))));
+    body.erase(field);
+    const bool optional = field == "holds" || field == "released" || field == "born";
+    CHECK(std::holds_alternative<HeartbeatFault>(parseHeartbeat("i-1", jsonToText(body))) == !optional);
+}
+
+TEST_CASE("Bytes that are no heartbeat are a fault")
+{
+    for (const std::string text : {"", "{", "[]", "null", "\xff\xfe"}) {
+        CHECK(std::holds_alternative<HeartbeatFault>(parseHeartbeat("i-1", text)));
+    }
+}
+
+TEST_CASE("The answer lists all that the target is to hold; without a grant it renews nothing")
+{
+    CHECK(heartbeatAnswer({1, std::nullopt}) == "{}");
+    const HoldGrant grant{{{0, 4095, {Term(65537), 3}, ""}, {9000, 9999, {Term(65537), 4}, "7a21"}}, 4000ms};
+    const nlohmann::json answer = nlohmann::json::parse(heartbeatAnswer({1, grant}));
+    CHECK(answer["hold_time"] == 4000);
+    CHECK(answer["holds"] == nlohmann::json({{0, 4095, fenceToNumber({Term(65537), 3}), ""}, {9000, 9999, fenceToNumber({Term(65537), 4}), "7a21"}}));
+}
+
+TEST_CASE("Forty ranges with tokens fit into the answer that a target takes")
+{
+    HoldGrant grant;
+    for (std::uint32_t i = 0; i < 40; ++i) {
+        grant.ranges.push_back({65000 + i, 65001 + i, {Term(65537 * 9), 1000 + i}, "0123456789abcdef"});
+    }
+    CHECK(heartbeatAnswer({1, grant}).size() <= 4096);
+}
+
+TEST_CASE("Fences keep their order as numbers that JSON readers keep exact")
+{
+    CHECK(fenceToNumber({Term(65537), 9}) < fenceToNumber({Term(65538), 1}));
+    CHECK(fenceToNumber({Term(65537), 9}) < fenceToNumber({Term(65537), 10}));
+    CHECK(fenceFromNumber(fenceToNumber({Term(65537), 9})) == Fence{Term(65537), 9});
+    CHECK(fenceToNumber({Term(65536ULL * 60000 + 65535), 1 << 19}) < (std::uint64_t(1) << 53U));
+}
