--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -169,7 +169,8 @@
         for (const HeldRange &range : announcement.holds ? announcement.holds->held : std::vector<HeldRange>()) {
             context.promises.sawFence(range.fence.term);
         }
-        follower.targetReported(announcement.targetIncarnation);
+        context.reportedTarget = announcement.targetIncarnation;
+        follower.targetReported();
     }
     return true;
 }
--- a/src/libnutmeghinge/cellcontext.h
+++ b/src/libnutmeghinge/cellcontext.h
@@ -67,6 +67,8 @@
     DocumentKeeper documents;
     TargetWatch target;
     TargetHolds holds;
+    /** Incarnation of the target that has said what it holds; 0 where none has. */
+    std::uint64_t reportedTarget = 0;
     CellRowKeeper row;
     OwnershipMap map;
     std::vector<MemberLoad> loads;
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -63,7 +63,7 @@
         return;
     }
     noteMajority(now);
-    noteSelf(event);
+    noteSelf(event, effects);
     if (isActive(now)) {
         noteLapses(now, effects);
         refreshEligibility(event);
@@ -87,7 +87,8 @@
 void Coordinator::standIfDue(const Event &event, EffectList &effects)
 {
     const PromiseKeeper &promises = m_context.promises;
-    const bool bound = event.at < promises.boundUntil() && promises.candidate() != m_context.self;
+    const bool promised = event.at < promises.boundUntil() && promises.candidate() != m_context.self;
+    const bool bound = promised || event.at < promises.otherUntil();
     const bool lastMember = m_context.members.members().size() == 1;
     if (m_term.state() != State::Follower || bound || (m_context.stopping && !lastMember)) {
         m_standAtSet = false;
@@ -145,6 +146,10 @@
     if (answer.revision > m_context.members.revision()) {
         m_context.row.wantRead();
     }
+    if (!answer.granted && isInOffice() && answer.term == m_term.term() && answer.highestTerm > m_term.term()) {
+        raiseTerm(event, effects);
+        return;
+    }
     if (!answer.granted || answer.term != m_term.term() || m_term.state() == State::Follower || !m_context.members.find(from)) {
         return;
     }
@@ -179,12 +184,16 @@
         start.shards = document->isDividedByKey() ? document->shards : 0;
     }
     start.self = m_context.self;
-    start.selfHolds = CoordinatorTerm::slotOf(base->version.term) == m_context.self || m_context.lease.isValid(now);
+    // What the target holds is known by its own report there.
+    start.selfHolds = !m_context.holdsByHeartbeat() && (CoordinatorTerm::slotOf(base->version.term) == m_context.self || m_context.lease.isValid(now));
     // Where targets hold their keys by heartbeat, the earlier coordinator granted by a member lease like any other.
     start.baseCoordinatorIsFree = !m_context.spansServices() && m_term.hasMajorityOfAll(m_context.members, now);
     start.renewFences = m_renewFences;
     start.freeAt = now + m_context.executionWait();
     m_ledger.start(start);
+    if (m_context.holdsByHeartbeat()) {
+        m_ledger.confirmHeld(m_context.self, m_context.holds.held(now));
+    }
     m_renewFences = false;
     m_term.takeOffice();
     m_status.clear();
@@ -208,6 +217,8 @@
             m_context.lease.lapse(event.at);
         }
         m_context.holdUntil = std::max(m_context.holdUntil, holdEnd());
+    } else if (m_term.state() == State::Candidate) {
+        m_context.promises.withdraw(m_term.term(), m_context.self, event.at);
     }
     m_term.end();
     m_standAtSet = false;
@@ -224,6 +235,17 @@
     stand(event, effects);
 }
 
+/** A member promised a higher term to a candidate that failed, and can only follow one above it. */
+void Coordinator::raiseTerm(const Event &event, EffectList &effects)
+{
+    if (event.at < m_officeAt + 2 * m_context.timings.promise) {
+        // The other candidate may still win, and its promises lapse first.
+        return;
+    }
+    end("a member can only follow a higher term", event, effects);
+    stand(event, effects);
+}
+
 void Coordinator::refreshTermEnd(MonotonicTime now)
 {
     m_termEnd = m_term.state() == State::Follower ? MonotonicTime() : m_term.endsAt(m_context.members, now);
@@ -271,7 +293,7 @@
 
 // Members.
 
-void Coordinator::noteSelf(const Event &event)
+void Coordinator::noteSelf(const Event &event, EffectList &effects)
 {
     MemberStatus &self = m_status[m_context.self];
     self.heard = true;
@@ -294,6 +316,9 @@
     for (const auto &[shard, fence] : m_handover.released()) {
         m_ledger.noteReleased(m_context.self, shard, fence);
     }
+    if (m_context.holdsByHeartbeat()) {
+        noteTargetIncarnation(m_context.self, self, m_context.reportedTarget, m_context.holds.held(event.at), event.at, effects);
+    }
     if (m_context.holdsByHeartbeat() && isActive(event.at) && acknowledgedVersion(event.at).term == m_term.term()) {
         m_context.lease.extend(event.at, m_context.timings.memberLease);
     }
@@ -319,7 +344,7 @@
         m_ledger.confirmHeld(from, heartbeat.held);
         status.leaseEnd = event.at + m_context.timings.withDrift(m_context.timings.memberLease);
     }
-    noteTargetIncarnation(from, status, heartbeat, event.at, effects);
+    noteTargetIncarnation(from, status, heartbeat.targetIncarnation, heartbeat.held, event.at, effects);
     noteHeartbeat(status, heartbeat, event.at);
     m_smoothedLoads.note(from, heartbeat.load.shards, m_ledger.map());
     for (const auto &[shard, fence] : heartbeat.released) {
@@ -330,13 +355,18 @@
 }
 
 /** The target's keys are known by its own report: an earlier start of it, or an earlier run of its node, holds nothing more. */
-void Coordinator::noteTargetIncarnation(MemberSlot from, MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now, EffectList &effects)
-{
-    if (heartbeat.targetIncarnation == 0 || heartbeat.targetIncarnation == status.targetIncarnation) {
+void Coordinator::noteTargetIncarnation(MemberSlot from,
+                                        MemberStatus &status,
+                                        std::uint64_t targetIncarnation,
+                                        const std::vector<ShardIndex> &held,
+                                        MonotonicTime now,
+                                        EffectList &effects)
+{
+    if (targetIncarnation == 0 || targetIncarnation == status.targetIncarnation) {
         return;
     }
     const bool restarted = status.targetIncarnation != 0;
-    status.targetIncarnation = heartbeat.targetIncarnation;
+    status.targetIncarnation = targetIncarnation;
     if (restarted) {
         m_ledger.lose(from, now, effects);
         return;
@@ -344,7 +374,7 @@
     const auto node = m_nodes.find(from);
     for (const auto &[slot, name] : m_nodes) {
         if (slot != from && node != m_nodes.end() && name == node->second) {
-            m_ledger.transfer(slot, from, heartbeat.held, now, effects);
+            m_ledger.transfer(slot, from, held, now, effects);
             m_ledger.lose(slot, now, effects);
         }
     }
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -58,6 +58,7 @@
     void stand(const Event &event, EffectList &effects);
     void requestPromises(const Event &event, EffectList &effects);
     void takeOfficeIfPromised(const Event &event, EffectList &effects);
+    void raiseTerm(const Event &event, EffectList &effects);
     void refreshTermEnd(MonotonicTime now);
     void noteMajority(MonotonicTime now);
     bool needsProof() const;
@@ -65,7 +66,7 @@
     void resignIfIdle(const Event &event, EffectList &effects);
 
     // Members.
-    void noteSelf(const Event &event);
+    void noteSelf(const Event &event, EffectList &effects);
     void noteHeartbeat(MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now);
     void answer(MemberSlot to, const Heartbeat &heartbeat, MemberStatus &status, const Event &event, EffectList &effects);
     void pushMap(MonotonicTime now, EffectList &effects);
@@ -86,7 +87,12 @@
     std::vector<ShardSection> sections() const;
     std::vector<ShardSection> sectionsWith(const std::vector<ShardSection> &known) const;
     const Document *documentOf(const ShardSection &section) const;
-    void noteTargetIncarnation(MemberSlot from, MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now, EffectList &effects);
+    void noteTargetIncarnation(MemberSlot from,
+                               MemberStatus &status,
+                               std::uint64_t targetIncarnation,
+                               const std::vector<ShardIndex> &held,
+                               MonotonicTime now,
+                               EffectList &effects);
     void noteNodes(const CellRow &row);
     std::vector<std::pair<MemberSlot, NodeName>> formerNodes(const CellRow &row) const;
     bool areHoldersKnown() const;
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -81,6 +81,9 @@
     answer.document = m_context.documents.revision();
     answer.granted = request.revision >= m_context.members.revision() && promises.promise(request.term, from, event.at);
     promises.sawTerm(request.term);
+    if (!answer.granted) {
+        promises.heardOther(event.at);
+    }
     answer.highestTerm = answer.granted ? std::max(request.term, promises.fenceTerm()) : promises.highestTerm();
     if (answer.granted && m_answeredTerm != request.term) {
         answer.map = m_context.map;
@@ -116,10 +119,10 @@
     recordLease(event.at, effects);
 }
 
-void Follower::targetReported(std::uint64_t targetIncarnation)
+void Follower::targetReported()
 {
-    if (m_targetIncarnation != targetIncarnation) {
-        m_targetIncarnation = targetIncarnation;
+    if (m_targetIncarnation != m_context.reportedTarget) {
+        m_targetIncarnation = m_context.reportedTarget;
         m_reportHolds = true;
         m_hurry = true;
     }
--- a/src/libnutmeghinge/follower.h
+++ b/src/libnutmeghinge/follower.h
@@ -23,7 +23,7 @@
     void tick(const Event &event, EffectList &effects);
     void promiseRequested(MemberSlot from, const PromiseRequest &request, const Event &event, EffectList &effects);
     /** The target beside this node has said what it holds. */
-    void targetReported(std::uint64_t targetIncarnation);
+    void targetReported();
     void heartbeatAnswered(MemberSlot from, const HeartbeatAnswer &answer, const Event &event, EffectList &effects);
     /** The next heartbeat goes out with the next tick. */
     void hurry() { m_hurry = true; }
--- a/src/libnutmeghinge/ownershipledger.cpp
+++ b/src/libnutmeghinge/ownershipledger.cpp
@@ -103,7 +103,8 @@
 {
     std::set<MemberSlot> owners;
     for (const Progress &progress : m_progress) {
-        if (progress.pending && progress.claim.state != State::Unowned) {
+        // A base made during another recovery shows shards as unowned that their last owner may still hold.
+        if (progress.pending && progress.claim.owner != noMember) {
             owners.insert(progress.claim.owner);
         }
     }
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -1,10 +1,10 @@
 #include "requestintake.h"
 
 #include "document.h"
-#include "routetable.h"
 #include "ownershipview.h"
 #include "pseudorandom.h"
 #include "requestmethod.h"
+#include "routetable.h"
 #include "shardof.h"
 
 #include <algorithm>
--- a/src/libnutmeghinge/shardhandover.cpp
+++ b/src/libnutmeghinge/shardhandover.cpp
@@ -66,7 +66,8 @@
         return;
     }
     release.offerAt = now + m_context.timings.heartbeat;
-    m_context.send(release.next, HandoverOffer{shard, release.fence, m_context.activity.exportDeduplication(shard, now), m_context.holds.handoverOf(shard)}, effects);
+    m_context.send(
+        release.next, HandoverOffer{shard, release.fence, m_context.activity.exportDeduplication(shard, now), m_context.holds.handoverOf(shard)}, effects);
 }
 
 void ShardHandover::offered(MemberSlot from, const HandoverOffer &offer, MonotonicTime now, EffectList &effects)
--- a/src/libnutmeghinge/timings.cpp
+++ b/src/libnutmeghinge/timings.cpp
@@ -23,6 +23,8 @@
     // A key's gap after a loss is at least the hold: renewing faster would gain nothing.
     timings.heartbeat = milliseconds(400);
     timings.promise = milliseconds(1000);
+    // An earlier run of the node had a slot of its own; one promise covers what is on its way.
+    timings.quietPromises = 1;
     timings.promiseRenewal = milliseconds(300);
     timings.candidateStagger = milliseconds(150);
     // Holds lie inside the lease, which is counted on a clock that also runs while the VM sleeps.
--- a/src/libnutmeghinge/timings.h
+++ b/src/libnutmeghinge/timings.h
@@ -12,6 +12,8 @@
     Duration memberLease{std::chrono::milliseconds(500)};
     /** Promise of a member to follow a coordinator, counted by the coordinator from when it asked. */
     Duration promise{std::chrono::milliseconds(250)};
+    /** Lengths of a promise for which a node that has started gives none; an earlier run of it may have given one. */
+    int quietPromises = 2;
     /** Between two renewals of the promises. */
     Duration promiseRenewal{std::chrono::milliseconds(80)};
     /** Delay of each further candidate before it asks for a term. */
--- a/src/libnutmeghingeio/announcementserver.cpp
+++ b/src/libnutmeghingeio/announcementserver.cpp
@@ -64,7 +64,9 @@
 
 AnnouncementServer::AnnouncementServer(EventLoop &loop, EventFunction events)
     : m_events(std::move(events))
-    , m_server(loop, HttpServer::Options{.bodyLimit = announcementLimitBytes, .name = "target"}, [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+    , m_server(loop, HttpServer::Options{.bodyLimit = announcementLimitBytes, .name = "target"}, [this](const std::shared_ptr<HttpExchange> &exchange) {
+        handle(exchange);
+    })
 {
 }
 
--- a/src/libnutmeghingeio/announcementserver.h
+++ b/src/libnutmeghingeio/announcementserver.h
@@ -30,7 +30,7 @@
 
     std::variant<Endpoint, ListenFault> listen(const Endpoint &endpoint) override;
     /** Announcements of this protocol are answered as they come. */
-    void run(const AnswerTarget &) override {}
+    void run(const AnswerTarget &) override { }
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange);
--- a/src/libnutmeghingeio/cellrowcodec.cpp
+++ b/src/libnutmeghingeio/cellrowcodec.cpp
@@ -141,9 +141,8 @@
 {
     OwnershipMap map;
     map.version = {Term(reader.number(from, "term")), reader.number(from, "sequence")};
-    map.shards = from.is_object() && from.contains("runs")
-        ? shardsOf(reader, reader.list(from, "runs"))
-        : readIndexed<ShardOwnership>(reader, from, "ownerships", "shards", ownershipOf);
+    map.shards = from.is_object() && from.contains("runs") ? shardsOf(reader, reader.list(from, "runs"))
+                                                           : readIndexed<ShardOwnership>(reader, from, "ownerships", "shards", ownershipOf);
     for (const json &hash : reader.list(from, "hotKeys")) {
         map.hotKeys.push_back(reader.element(hash, "hotKeys"));
     }
--- a/src/libnutmeghingeio/operationsserver.cpp
+++ b/src/libnutmeghingeio/operationsserver.cpp
@@ -11,7 +11,9 @@
 } // namespace
 
 OperationsServer::OperationsServer(EventLoop &loop)
-    : m_server(loop, HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "operations"}, [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+    : m_server(loop, HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "operations"}, [this](const std::shared_ptr<HttpExchange> &exchange) {
+        handle(exchange);
+    })
 {
 }
 
--- a/src/libnutmeghingeio/ownrequestprotocol.cpp
+++ b/src/libnutmeghingeio/ownrequestprotocol.cpp
@@ -33,9 +33,7 @@
     return headerName.starts_with(wire::prefix);
 }
 
-void OwnRequestProtocol::setCallerHeaders(HttpHeaders &) const
-{
-}
+void OwnRequestProtocol::setCallerHeaders(HttpHeaders &) const { }
 
 /** Time that a caller allows by "Prefer: wait=SECONDS". */
 std::optional<Duration> OwnRequestProtocol::timeout(const HttpHeaders &received) const
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -233,7 +233,7 @@
                                     .freshConnection = effect.freshConnection,
                                     .keepAnswer = false,
                                     .deadlineForHeadOnly = effect.deadlineForHeadOnly,
-                                      .mayBeSilent = effect.mayBeSilent};
+                                    .mayBeSilent = effect.mayBeSilent};
     m_d->start(effect.request, effect.attempt, peer, {}, std::move(headers));
 }
 
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -49,7 +49,7 @@
 inline constexpr std::string_view unknown = "unknown";
 
 /** Headers that only nodes send each other. */
-inline constexpr std::array peerHeaders{
-    deadline, hops, service, repeatable, priority, objective, workClass, retryAfterMs, clockMilliseconds, clockCounter, requestId, outcome, reason};
+inline constexpr std::array
+    peerHeaders{deadline, hops, service, repeatable, priority, objective, workClass, retryAfterMs, clockMilliseconds, clockCounter, requestId, outcome, reason};
 
 } // namespace nutmeghinge::wire
--- a/tests/core/documentfollowertest.cpp
+++ b/tests/core/documentfollowertest.cpp
@@ -1,5 +1,5 @@
-#include "cellcontext.h"
 #include "documentfollower.h"
+#include "cellcontext.h"
 #include "documentformat.h"
 #include "effectlist.h"
 #include "fakeactivity.h"
--- a/tests/core/rangestrategytest.cpp
+++ b/tests/core/rangestrategytest.cpp
@@ -1,5 +1,5 @@
-#include "fakeshardcell.h"
 #include "rangestrategy.h"
+#include "fakeshardcell.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/tests/core/targetholdstest.cpp
+++ b/tests/core/targetholdstest.cpp
@@ -1,5 +1,5 @@
-#include "events.h"
 #include "targetholds.h"
+#include "events.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,8 +46,7 @@
     setup.map.shards[2].fence = {Term(5), 2};
     const std::optional<HoldGrant> grant = setup.grant();
     REQUIRE(grant);
-    CHECK(grant->ranges
-          == std::vector<GrantedRange>{{0, 32767, {Term(5), 1}, ""}, {32768, 49151, {Term(5), 2}, ""}, {49152, 65535, {Term(5), 1}, ""}});
+    CHECK(grant->ranges == std::vector<GrantedRange>{{0, 32767, {Term(5), 1}, ""}, {32768, 49151, {Term(5), 2}, ""}, {49152, 65535, {Term(5), 1}, ""}});
     CHECK(grant->holdTime == 4s);
 }
 
--- a/tests/io/forwardersetup.h
+++ b/tests/io/forwardersetup.h
@@ -3,8 +3,8 @@
 #include "eventloop.h"
 #include "httpclient.h"
 #include "httpserver.h"
-#include "rawserver.h"
 #include "ownrequestprotocol.h"
+#include "rawserver.h"
 #include "requestforwarder.h"
 #include "rununtil.h"
 
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -96,8 +96,14 @@
 
 MemberLoad load()
 {
-    return {
-        slot(), upTo(Codec::maxRequests), upTo(Codec::maxRequests), upTo(Codec::maxRequests), *rc::gen::arbitrary<bool>(), listOf(shardLoad), listOf(keyLoad), Duration(upTo<std::int64_t>(Codec::maxLease.count()))};
+    return {slot(),
+            upTo(Codec::maxRequests),
+            upTo(Codec::maxRequests),
+            upTo(Codec::maxRequests),
+            *rc::gen::arbitrary<bool>(),
+            listOf(shardLoad),
+            listOf(keyLoad),
+            Duration(upTo<std::int64_t>(Codec::maxLease.count()))};
 }
 
 std::pair<std::string, std::string> header()
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -1,6 +1,6 @@
+#include "pipelinedserver.h"
 #include "eventloop.h"
 #include "httpexchange.h"
-#include "pipelinedserver.h"
 #include "rawconnection.h"
 #include "rununtil.h"
 
@@ -14,10 +14,12 @@
 /** A server that keeps its exchanges, and one client. */
 struct Setup {
     Setup()
-        : server(loop, PipelinedServer::Options{1000, "test", 10s}, [this](std::shared_ptr<HttpExchange> exchange) {
-            exchange->setClosedFunction([this] { ++closed; });
-            exchanges.push_back(std::move(exchange));
-        })
+        : server(loop,
+                 PipelinedServer::Options{1000, "test", 10s},
+                 [this](std::shared_ptr<HttpExchange> exchange) {
+                     exchange->setClosedFunction([this] { ++closed; });
+                     exchanges.push_back(std::move(exchange));
+                 })
         , endpoint(std::get<Endpoint>(server.listen({"127.0.0.1", 0})))
         , client(loop, endpoint)
     {
--- a/tests/io/platformclienttest.cpp
+++ b/tests/io/platformclienttest.cpp
@@ -54,7 +54,8 @@
     CellRow row;
     row.service = service;
     row.revision = CellRevision(4);
-    row.members.push_back({MemberSlot(1), NodeName("n1"), Incarnation(2), roster, TargetName("t1"), ZoneName("z1"), RegionName("texas"), {}, {}, {}, 10, false});
+    row.members.push_back(
+        {MemberSlot(1), NodeName("n1"), Incarnation(2), roster, TargetName("t1"), ZoneName("z1"), RegionName("texas"), {}, {}, {}, 10, false});
     return row;
 }
 
--- a/tests/platform/heartbeattest.cpp
+++ b/tests/platform/heartbeattest.cpp
@@ -12,8 +12,15 @@
 
 nlohmann::json heartbeat()
 {
-    return {{"service", "roster"}, {"address", "10.1.0.9:8080"}, {"zone", "a"}, {"version", "v1"}, {"slots", 9}, {"state", "ready"}, {"warmup_left", 1500},
-            {"sequence", 4},       {"born", 1777627295050}};
+    return {{"service", "roster"},
+            {"address", "10.1.0.9:8080"},
+            {"zone", "a"},
+            {"version", "v1"},
+            {"slots", 9},
+            {"state", "ready"},
+            {"warmup_left", 1500},
+            {"sequence", 4},
+            {"born", 1777627295050}};
 }
 
 } // namespace
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -1,10 +1,10 @@
+#include "storeclient.h"
 #include "base64.h"
 #include "cellrowcodec.h"
 #include "eventloop.h"
 #include "httpclient.h"
 #include "rununtil.h"
 #include "scriptedserver.h"
-#include "storeclient.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -46,7 +46,9 @@
 
 std::string rowsJson(const std::string &table, const std::string &key, const std::string &value, std::uint64_t ver)
 {
-    return json{{"rows", {{{"table", table}, {"part", ""}, {"key", key}, {"value", toBase64(value)}, {"ver", 12}}}}, {"has_more", false}, {"ver", ver}, {"now", 5}}.dump();
+    return json{
+        {"rows", {{{"table", table}, {"part", ""}, {"key", key}, {"value", toBase64(value)}, {"ver", 12}}}}, {"has_more", false}, {"ver", ver}, {"now", 5}}
+        .dump();
 }
 
 CellRow someCell()
