Log each failed request with its reason, a bounded number a second

Cause: why a request was refused stood on the time line and at the debug level alone. Change: refusals and unknown outcomes are logged at info with the caller's id, at most 20 a second a node; the rest is counted in one line a second. Ruled out: all of them, which a burst would turn into processor time.

--- /dev/null
+++ b/src/libnutmeghingeio/loglimiter.cpp
@@ -0,0 +1,34 @@
+#include "loglimiter.h"
+
+#include <utility>
+
+namespace nutmeghinge {
+
+void LogLimiter::startSecond(MonotonicTime now)
+{
+    if (now < m_secondEnd) {
+        return;
+    }
+    m_secondEnd = now + std::chrono::seconds(1);
+    m_lines = 0;
+    m_leftOutBefore += std::exchange(m_leftOut, 0);
+}
+
+bool LogLimiter::admit(MonotonicTime now)
+{
+    startSecond(now);
+    if (m_lines < m_linesPerSecond) {
+        ++m_lines;
+        return true;
+    }
+    ++m_leftOut;
+    return false;
+}
+
+std::uint64_t LogLimiter::takeLeftOut(MonotonicTime now)
+{
+    startSecond(now);
+    return std::exchange(m_leftOutBefore, 0);
+}
+
+} // namespace nutmeghinge
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
+/** Lines on failed requests in a second; a node at twice its load refuses more, and each line costs its processor time. */
+constexpr std::uint32_t failureLinesPerSecond = 20;
+constexpr Duration leftOutInterval = std::chrono::seconds(1);
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 /** Above any document's limit; the document's own is checked by the reducer. */
 constexpr std::uint64_t bodyLimitBytes = 67108864;
@@ -99,6 +102,7 @@
     , m_announcements(m_adapters.makeAnnouncements(loop, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_operationsServer(loop)
     , m_timeline(m_settings.timelineRecords)
+    , m_failureLog(failureLinesPerSecond)
 {
 }
 
@@ -134,6 +138,7 @@
     started.time.wall = m_loop.wallTime();
     runRecord(Record{std::move(started)});
     m_loop.callEvery(tickInterval, [this] { dispatch(Tick{}); });
+    m_loop.callEvery(leftOutInterval, [this] { logLeftOut(); });
     return std::nullopt;
 }
 
@@ -230,13 +235,22 @@
 void Node::runRecord(const Record &effect)
 {
     const TimelineRecord &record = effect.record;
-    const auto level = isAboutRequest(record.kind) ? spdlog::level::debug : spdlog::level::info;
+    const bool failed = record.kind == TimelineRecord::Kind::RequestRefused || record.kind == TimelineRecord::Kind::RequestUnknown;
+    const bool tells = !isAboutRequest(record.kind) || (failed && m_failureLog.admit(m_loop.now()));
+    const auto level = tells ? spdlog::level::info : spdlog::level::debug;
     if (spdlog::should_log(level)) {
         spdlog::log(level, "{}", toText(record));
     }
     m_timeline.add(record);
 }
 
+void Node::logLeftOut()
+{
+    if (const std::uint64_t leftOut = m_failureLog.takeLeftOut(m_loop.now())) {
+        spdlog::info("{} more requests were refused or ended unknown; the time line has them", leftOut);
+    }
+}
+
 void Node::runCloseListeners()
 {
     m_callerServer->shutDown([this] { listenerClosed(); });
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -5,6 +5,7 @@
 #include "events.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "loglimiter.h"
 #include "nodeadapters.h"
 #include "nodemetrics.h"
 #include "nodesettings.h"
@@ -47,6 +48,7 @@
 
     // Effects with a handler of their own; the others go to an adapter as they are.
     void runRecord(const Record &effect);
+    void logLeftOut();
     void runCloseListeners();
     void listenerClosed();
     void runExit(const Exit &effect);
@@ -75,6 +77,7 @@
     OperationsServer m_operationsServer;
     NodeMetrics m_metrics;
     TimelineRing m_timeline;
+    LogLimiter m_failureLog;
     /** Made when the listeners' endpoints are known. */
     std::unique_ptr<Reducer> m_reducer;
     std::deque<EventBody> m_pending;
--- /dev/null
+++ b/tests/io/loglimitertest.cpp
@@ -0,0 +1,21 @@
+#include "loglimiter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using namespace std::chrono_literals;
+
+TEST_CASE("A log gets no more lines of a kind in a second than it may, and learns how many were left out")
+{
+    LogLimiter limiter(20);
+    const MonotonicTime start(100s);
+    int written = 0;
+    for (int line = 0; line < 1000; ++line) {
+        written += limiter.admit(start + line * 1ms) ? 1 : 0;
+    }
+    CHECK(written == 20);
+    CHECK(limiter.takeLeftOut(start + 999ms) == 0);
+    CHECK(limiter.takeLeftOut(start + 1s) == 980);
+    CHECK(limiter.takeLeftOut(start + 1s) == 0);
+    CHECK(limiter.admit(start + 1500ms));
+}
