Grant nothing new by the map of an earlier coordinator

Reading the recovery showed a hole: a member that had told a new coordinator what its target holds went on to grant, by its old map, shards that it had not named, while the new coordinator gave them to others. Change: under the map of another term than the one followed, holds are renewed and nothing else is granted. Ruled out: naming all shards of the old map as held, which would keep shards of dead targets from others.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -181,7 +181,9 @@
     if (!context.holdsByHeartbeat() || !section || !hasAuthority(now) || section->first + section->count > context.map.shards.size()) {
         return std::nullopt;
     }
-    return context.holds.grant(context.map, *section, context.self, context.lease.end(), now);
+    const Term followed = coordinator.isInOffice() ? coordinator.term() : context.promises.term();
+    const bool renewsOnly = context.map.version.term != followed;
+    return context.holds.grant(context.map, *section, context.self, context.lease.end(), now, renewsOnly);
 }
 
 /** The target has just asked for no more work, and its shards still have no other owner. */
--- a/src/libnutmeghinge/targetholds.cpp
+++ b/src/libnutmeghinge/targetholds.cpp
@@ -90,7 +90,8 @@
     }
 }
 
-std::optional<HoldGrant> TargetHolds::grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now)
+std::optional<HoldGrant>
+TargetHolds::grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now, bool renewsOnly)
 {
     resize(section);
     HoldGrant grant;
@@ -102,7 +103,8 @@
     for (std::size_t i = 0; i < shards; ++i) {
         Entry &entry = m_entries[i];
         const ShardOwnership &owned = map.shards[m_first + i];
-        entry.granted = owned.state == ShardOwnership::State::Owned && owned.owner == self && owned.fence > m_earlierFences;
+        const bool mayGrant = !renewsOnly || !isFree(ShardIndex(static_cast<std::uint32_t>(m_first + i)), now);
+        entry.granted = mayGrant && owned.state == ShardOwnership::State::Owned && owned.owner == self && owned.fence > m_earlierFences;
         if (!entry.granted) {
             continue;
         }
--- a/src/libnutmeghinge/targetholds.h
+++ b/src/libnutmeghinge/targetholds.h
@@ -32,9 +32,11 @@
     /**
      * The answer to the heartbeat that was taken last: all shards that the map
      * gives to the node, for a time that ends inside its lease. Nothing where
-     * the lease is too short to be of use.
+     * the lease is too short to be of use. renewsOnly: the map is of an earlier
+     * coordinator, and the present one knows only of what is held already.
      */
-    std::optional<HoldGrant> grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now);
+    std::optional<HoldGrant>
+    grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now, bool renewsOnly = false);
 
     /** The target runs requests on the shard now, by the grant with this fence. */
     bool mayRun(ShardIndex shard, const Fence &fence, MonotonicTime now) const;
--- a/tests/core/targetholdstest.cpp
+++ b/tests/core/targetholdstest.cpp
@@ -94,6 +94,21 @@
     CHECK(setup.holds.isFree(ShardIndex(1), setup.now + 5s));
 }
 
+TEST_CASE("Under the map of an earlier coordinator, what is held is renewed and nothing else is granted")
+{
+    // The new coordinator learned from a heartbeat what is held, and gives the rest to others.
+    Setup setup;
+    setup.map.shards[1].owner = other;
+    setup.heartbeat({});
+    REQUIRE(setup.grant());
+    setup.map.shards[1].owner = self;
+    const std::optional<HoldGrant> renewed = setup.holds.grant(setup.map, setup.section, self, setup.now + 10s, setup.now, true);
+    REQUIRE(renewed);
+    CHECK(renewed->ranges == std::vector<GrantedRange>{{0, 16383, {Term(5), 1}, ""}, {32768, 65535, {Term(5), 1}, ""}});
+    CHECK_FALSE(setup.holds.mayRun(ShardIndex(1), {Term(5), 1}, setup.now));
+    CHECK(setup.grant()->ranges.size() == 1);
+}
+
 TEST_CASE("A handover token goes with the next grant until the target reports the shard")
 {
     Setup setup;
