--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -102,6 +102,27 @@
     CHECK(std::holds_alternative<PlatformUnavailable>(setup.run<DocumentFollowed>(follow).result));
 }
 
+TEST_CASE("Of several changes of the document in one answer the last one holds")
+{
+    Setup setup;
+    const FollowDocument follow{ServiceName("desk"), RowVersion(40), std::chrono::milliseconds(10)};
+    const auto row = [](int revision, bool removed) {
+        const std::string value = toBase64(R"({"version":)" + std::to_string(revision) + "}");
+        json row = {{"table", "op"}, {"part", ""}, {"key", "config"}, {"value", value}, {"ver", 500 + revision}};
+        if (removed) {
+            row["removed"] = true;
+        }
+        return row;
+    };
+    const auto answer = [](json rows) { return json({{"rows", std::move(rows)}, {"ver", 510}, {"now", 1}}).dump(); };
+    setup.answerWith(200, answer({row(6, false), row(8, false)}));
+    CHECK(std::get<DocumentCopy>(setup.run<DocumentFollowed>(follow).result).revision == DocumentRevision(8));
+    setup.answerWith(200, answer({row(6, false), row(8, true)}));
+    CHECK(std::holds_alternative<RowAbsent>(setup.run<DocumentFollowed>(follow).result));
+    setup.answerWith(200, answer({row(6, true), row(8, false)}));
+    CHECK(std::get<DocumentCopy>(setup.run<DocumentFollowed>(follow).result).revision == DocumentRevision(8));
+}
+
 TEST_CASE("A cell is written on condition of its version")
 {
     Setup setup;
