Answer all requests shortly before a stopped node is ended from outside

A seventh of it before its end what waits is refused as not run, what runs is given up and answered as unknown, and no attempt is made any more; answers that have begun go on. Answers that were ready behind such a request are delivered then. Ruled out: the two seconds for the handover (the node was still there at 6 s); the waits in queues (4 s at most, from before SIGTERM on). A shorter deadline for forwarded requests was not taken: it would end work that goes well. Figures: three tests in requestendingtest, none could pass before (no such bound).

--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -11,6 +11,8 @@
 
 /** A peer's clock further ahead than this is not followed. */
 constexpr Duration clockSkewLimit = std::chrono::minutes(1);
+/** Part of the time to stop that is kept for answers of the node's own; targets at work may use all of it but a sixth. */
+constexpr int partToAnswer = 7;
 
 } // namespace
 
@@ -18,6 +20,7 @@
     : m_router(identity.seed)
     , m_cell(std::move(identity), timings, m_router, format)
     , m_stopPatience(timings.stopPatience)
+    , m_stopLimit(timings.stopLimit)
 {
     m_router.setOwnership(m_cell);
     m_router.setTargetSilence(timings.targetSilence);
@@ -94,6 +97,10 @@
     if (!m_stopping || m_exited) {
         return;
     }
+    if (!m_requestsEnded && m_stopLimit > Duration::zero() && event.at >= m_stopAskedAt + m_stopLimit - m_stopLimit / partToAnswer) {
+        m_requestsEnded = true;
+        m_router.endRequests(event, effects);
+    }
     const bool outOfPatience = m_stopPatience > Duration::zero() && event.at >= m_stopAskedAt + m_stopPatience;
     if ((m_cell.isStopped() || outOfPatience) && !m_listenersClosed) {
         m_listenersClosed = true;
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -47,9 +47,11 @@
     Cell m_cell;
     HybridTime m_clock;
     Duration m_stopPatience;
+    Duration m_stopLimit;
     MonotonicTime m_stopAskedAt;
     bool m_stopping = false;
     bool m_listenersClosed = false;
+    bool m_requestsEnded = false;
     bool m_connectionsClosed = false;
     bool m_exited = false;
 };
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -67,6 +67,7 @@
     void enqueue(Request &request, const Context &context);
     void refuseAsFull(Request &request, const Context &context);
     void refuseAsLate(Request &request, const Context &context);
+    void refuseAsStopping(Request &request, const Context &context);
     void awaitOwner(Request &request, MonotonicTime at, const Context &context);
     MonotonicTime giveUpTime(const Request &request) const;
     MonotonicTime ownerWaitEnd(const Request &request) const;
@@ -122,6 +123,8 @@
     std::optional<MonotonicTime> loadSince;
     Fence mapVersion;
     bool stopping = false;
+    /** Nothing is begun any more. */
+    bool ending = false;
 };
 
 RequestRouter::RequestRouter(std::uint64_t seed)
@@ -160,6 +163,25 @@
     ownershipChanged(event, effects);
 }
 
+void RequestRouter::endRequests(const Event &event, EffectList &effects)
+{
+    const Context context = contextOf(event, effects);
+    m_d->ending = true;
+    for (const RequestId id : m_d->table.ids()) {
+        Request *request = m_d->table.find(id);
+        // Answers of a request that others had joined may have ended it.
+        if (!request || request->cancelled || request->answerBegun) {
+            continue;
+        }
+        if (request->state == Request::State::Running) {
+            effects.add(CancelAttempt{request->attempt});
+            continue;
+        }
+        m_d->leaveQueues(*request);
+        m_d->refuseAsStopping(*request, context);
+    }
+}
+
 void RequestRouter::targetAnnounced(const Event &event, EffectList &effects)
 {
     m_d->admission.health().announced(std::get<TargetAnnounced>(event.body), event.at);
@@ -322,6 +344,10 @@
 void RequestRouter::Private::route(Request &request, const Context &context)
 {
     request.state = Request::State::Routing;
+    if (ending) {
+        refuseAsStopping(request, context);
+        return;
+    }
     if (context.now >= request.deadline) {
         refuse(request, {503, NotRunReason::DeadlineExpired, retryAfterWithoutOwner, "deadline expired"}, context);
         return;
@@ -459,6 +485,12 @@
     refuse(request, {503, NotRunReason::DeadlineExpired, retryAfter, "no slot of the target became free in time"}, context);
 }
 
+void RequestRouter::Private::refuseAsStopping(Request &request, const Context &context)
+{
+    const std::uint16_t status = request.unknown ? 502 : 503;
+    refuse(request, {status, NotRunReason::Stopping, retryAfterOfMove, "this node stops"}, context);
+}
+
 void RequestRouter::Private::awaitOwner(Request &request, MonotonicTime at, const Context &context)
 {
     const MonotonicTime giveUpAt = ownerWaitEnd(request);
@@ -566,9 +598,8 @@
 
 void RequestRouter::Private::follow(Request &request, const RetryDecision &decision, const Context &context)
 {
-    if (stopping && request.routed && !std::holds_alternative<GiveUp>(decision)) {
-        const std::uint16_t status = request.unknown ? 502 : 503;
-        refuse(request, {status, NotRunReason::Stopping, retryAfterOfMove, "this node stops"}, context);
+    if (((stopping && request.routed) || ending) && !std::holds_alternative<GiveUp>(decision)) {
+        refuseAsStopping(request, context);
         return;
     }
     std::visit(Overloaded{
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -65,6 +65,8 @@
     // Events; each is called by the Reducer only, after the Cell has seen the event.
     void tick(const Event &event, EffectList &effects);
     void stop(const Event &event, EffectList &effects);
+    /** Ends every request that has no answer yet: the process is about to be ended, and an answer of its own is better than a connection that breaks. */
+    void endRequests(const Event &event, EffectList &effects);
     void targetAnnounced(const Event &event, EffectList &effects);
     void targetProbed(const Event &event, EffectList &effects);
     void requestArrived(const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/requesttable.cpp
+++ b/src/libnutmeghinge/requesttable.cpp
@@ -42,4 +42,14 @@
     m_requests.erase(id);
 }
 
+std::vector<RequestId> RequestTable::ids() const
+{
+    std::vector<RequestId> ids;
+    ids.reserve(m_requests.size());
+    for (const auto &[id, request] : m_requests) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/requesttable.h
+++ b/src/libnutmeghinge/requesttable.h
@@ -3,6 +3,7 @@
 #include "request.h"
 
 #include <unordered_map>
+#include <vector>
 
 namespace nutmeghinge {
 
@@ -22,6 +23,7 @@
     void erase(RequestId id);
 
     std::size_t size() const { return m_requests.size(); }
+    std::vector<RequestId> ids() const;
 
     /** Calls the function with each request that has a running attempt. */
     template <typename Function>
--- a/src/libnutmeghinge/timings.h
+++ b/src/libnutmeghinge/timings.h
@@ -44,6 +44,8 @@
 
     /** Longest time after a stop was asked for that a node waits for its shards to be handed over before it closes its listeners; zero: as long as it takes. */
     Duration stopPatience{0};
+    /** Time after a stop was asked for at which the platform ends the process; zero: it waits as long as it takes. */
+    Duration stopLimit{0};
 
     /** Without a release for this long a moving shard gets another next owner. */
     Duration moveRetarget{std::chrono::seconds(5)};
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -27,6 +27,8 @@
     Document serviceDefaults;
     /** Interval of the target's heartbeats, where it holds its keys by them; zero: unknown. */
     Duration targetHeartbeat{0};
+    /** Time after SIGTERM at which the process is ended from outside; zero: it is not. */
+    Duration stopLimit{0};
 
     // Listeners; port 0 takes a free one.
     Endpoint listenCallers;
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -102,6 +102,7 @@
     readOptionalName(root, "cell", settings.cell);
     root.text("protocol", settings.protocol, faultOfName);
     root.duration("targetHeartbeat", settings.targetHeartbeat, std::chrono::milliseconds(10), std::chrono::minutes(1));
+    root.duration("stopLimit", settings.stopLimit, std::chrono::seconds(1), std::chrono::hours(1));
     if (root.has("services")) {
         settings.serviceDefaults = readServiceDefaults(root.mapping("services"));
     }
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -132,7 +132,9 @@
     if (std::optional<ListenFault> fault = openListeners()) {
         return fault;
     }
-    m_reducer = std::make_unique<Reducer>(m_identity, m_adapters.timings, m_adapters.documents.get());
+    Timings timings = m_adapters.timings;
+    timings.stopLimit = m_settings.stopLimit;
+    m_reducer = std::make_unique<Reducer>(m_identity, timings, m_adapters.documents.get());
     TimelineRecord started;
     started.kind = TimelineRecord::Kind::NodeStarted;
     started.time.wall = m_loop.wallTime();
--- /dev/null
+++ b/tests/core/requestendingtest.cpp
@@ -0,0 +1,66 @@
+#include "requestfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using namespace nutmeghinge::test;
+
+namespace {
+
+void endRequests(RouterFixture &fixture)
+{
+    EffectList effects{HybridTime{}};
+    fixture.m_router.endRequests(Event{fixture.m_now, WallTime(), Tick{}}, effects);
+    fixture.m_effects = effects.take();
+}
+
+} // namespace
+
+TEST_CASE("A node about to be ended answers a forwarded request whose peer is silent, and does not send it again")
+{
+    RouterFixture fixture;
+    fixture.m_ownership.own(MemberSlot(2));
+    fixture.ownershipChanged();
+    fixture.arrive(RouterFixture::request(1));
+    const AttemptId attempt = fixture.only<ForwardRequest>().attempt;
+    endRequests(fixture);
+    CHECK(fixture.only<CancelAttempt>().attempt == attempt);
+    fixture.unknown(attempt);
+    CHECK(fixture.all<ForwardRequest>().empty());
+    const auto refused = fixture.only<RefuseRequest>();
+    CHECK(refused.request == RequestId(1));
+    CHECK(refused.status == 502);
+    CHECK(refused.outcome == Outcome::Unknown);
+    CHECK(fixture.m_router.runningRequests() == 0);
+}
+
+TEST_CASE("A node about to be ended refuses what waits as not run, and what comes after")
+{
+    RouterFixture fixture(true, 1);
+    fixture.arrive(RouterFixture::request(1));
+    const AttemptId running = fixture.only<SendToTarget>().attempt;
+    fixture.arrive(RouterFixture::request(2, "POST"));
+    CHECK(fixture.m_router.runningRequests() == 2);
+    endRequests(fixture);
+    CHECK(fixture.only<CancelAttempt>().attempt == running);
+    const auto refused = fixture.only<RefuseRequest>();
+    CHECK(refused.request == RequestId(2));
+    CHECK(refused.outcome == Outcome::NotRun);
+    CHECK(refused.reason == NotRunReason::Stopping);
+    CHECK(refused.status == 503);
+    fixture.arrive(RouterFixture::request(3));
+    CHECK(fixture.only<RefuseRequest>().request == RequestId(3));
+    CHECK(fixture.all<SendToTarget>().empty());
+}
+
+TEST_CASE("An answer that has begun is not broken off by a node about to be ended")
+{
+    RouterFixture fixture;
+    fixture.arrive(RouterFixture::request(1));
+    const AttemptId attempt = fixture.only<SendToTarget>().attempt;
+    fixture.answering(attempt);
+    endRequests(fixture);
+    CHECK(fixture.all<CancelAttempt>().empty());
+    fixture.answered(attempt);
+    CHECK(fixture.m_router.runningRequests() == 0);
+}
