Explain a failed request from the logs: nutmeghingectl explain

Lines on failed requests told only their end; what the nodes knew at each step had to be found by hand, and at level info the earlier steps were not in the log at all. Logs went to standard error, written by the loop itself. Change: log lines go to the standard output by a thread, which drops the oldest of 1,024 waiting lines rather than block the loop, and counts them. A request that is refused, unknown or, new, answered after its objective is told with all its steps, at most ten requests a second and node. `nutmeghingectl explain REQUEST-ID FILE...` puts the steps of all nodes in causal order, with the grant, term, lease, platform, target and document that each node knew of and for how long, and says where the time went and whether the request may have run; as text, JSON or page. Ruled out: fields of JSON for each id instead of the line (spdlog has no typed fields; one codec serves both log formats); logging each step at once (five lines a request at 100 a second cost more than the answers).

--- a/src/libnutmeghinge/requestreplies.cpp
+++ b/src/libnutmeghinge/requestreplies.cpp
@@ -8,6 +8,11 @@
 
 constexpr Duration minimumRetryAfter = std::chrono::milliseconds(100);
 
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
+}
+
 std::uint16_t statusOf(const Refusal &refusal, bool unknown)
 {
     if (!unknown || refusal.status != 503) {
@@ -32,9 +37,14 @@
     effects.add(std::move(effect));
 }
 
-void RequestReplies::answered(const Request &request, std::uint16_t status, EffectList &effects)
+void RequestReplies::answered(const Request &request, std::uint16_t status, MonotonicTime now, EffectList &effects)
 {
     ++m_counters.answered;
+    if (now > request.objectiveAt) {
+        ++m_counters.late;
+        record(TimelineRecord::Kind::RequestAnsweredLate, request, effects, std::to_string(status) + ", late by " + milliseconds(now - request.objectiveAt));
+        return;
+    }
     record(TimelineRecord::Kind::RequestAnswered, request, effects, std::to_string(status));
 }
 
--- a/src/libnutmeghinge/requestreplies.h
+++ b/src/libnutmeghinge/requestreplies.h
@@ -19,7 +19,7 @@
      */
     void refuse(const Request &request, Refusal refusal, EffectList &effects);
     /** The target's answer went to the caller. */
-    void answered(const Request &request, std::uint16_t status, EffectList &effects);
+    void answered(const Request &request, std::uint16_t status, MonotonicTime now, EffectList &effects);
     /** Gives the answer of an earlier request of the same idempotency key. */
     void answerFromStore(const Request &request, const StoredAnswer &answer, EffectList &effects);
     /** The caller's stream was reset after part of an answer. */
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -535,7 +535,7 @@
             refuse(joined, {409, NotRunReason::BadRequest, {}, "the key's request was answered; the answer was too large to keep"}, context);
         });
     }
-    replies.answered(request, result.status, context.effects);
+    replies.answered(request, result.status, context.now, context.effects);
     erase(request);
 }
 
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -14,6 +14,8 @@
 struct RequestCounters {
     std::uint64_t arrived = 0;
     std::uint64_t answered = 0;
+    /** Answered after the objective of their route. */
+    std::uint64_t late = 0;
     std::uint64_t notRun = 0;
     std::uint64_t unknown = 0;
     std::uint64_t retries = 0;
--- a/src/libnutmeghinge/timelinerecord.cpp
+++ b/src/libnutmeghinge/timelinerecord.cpp
@@ -1,43 +1,34 @@
 #include "timelinerecord.h"
 
+#include <algorithm>
 #include <array>
 
 namespace nutmeghinge {
 
+namespace {
+
+// One name for each kind, in the order of the enumeration.
+constexpr std::array kindNames{
+    "NodeStarted",         "StopRequested",     "NodeStopped",      "TargetAnnounced", "TargetSilent",        "TermStarted",    "TermEnded",
+    "LeaseGranted",        "LeaseHeld",         "LeaseLapsed",      "ShardGranted",    "ShardReleasing",      "ShardReleased",  "ShardLost",
+    "HandoverSent",        "HandoverReceived",  "MemberAdded",      "MemberRemoved",   "RowWritten",          "RowConflict",    "PlatformDown",
+    "PlatformUp",          "DocumentInForce",   "DocumentRejected", "HotKeySplit",     "HotKeyMerged",        "RequestArrived", "RequestForwarded",
+    "RequestSentToTarget", "RequestRetried",    "RequestQueued",    "RequestAnswered", "RequestAnsweredLate", "RequestRefused", "RequestUnknown",
+    "DuplicateJoined",     "DuplicateAnswered", "StaleFence",       "BadInput",
+};
+static_assert(kindNames.size() == static_cast<std::size_t>(TimelineRecord::Kind::BadInput) + 1);
+
+} // namespace
+
 std::string_view nameOf(TimelineRecord::Kind kind)
 {
-    // One name for each kind, in the order of the enumeration.
-    static constexpr std::array names{
-        "NodeStarted",         "StopRequested",    "NodeStopped",      "TargetAnnounced", "TargetSilent",   "TermStarted",    "TermEnded",
-        "LeaseGranted",        "LeaseHeld",        "LeaseLapsed",      "ShardGranted",    "ShardReleasing", "ShardReleased",  "ShardLost",
-        "HandoverSent",        "HandoverReceived", "MemberAdded",      "MemberRemoved",   "RowWritten",     "RowConflict",    "PlatformDown",
-        "PlatformUp",          "DocumentInForce",  "DocumentRejected", "HotKeySplit",     "HotKeyMerged",   "RequestArrived", "RequestForwarded",
-        "RequestSentToTarget", "RequestRetried",   "RequestQueued",    "RequestAnswered", "RequestRefused", "RequestUnknown", "DuplicateJoined",
-        "DuplicateAnswered",   "StaleFence",       "BadInput",
-    };
-    static_assert(names.size() == static_cast<std::size_t>(TimelineRecord::Kind::BadInput) + 1);
-    return names[static_cast<std::size_t>(kind)];
+    return kindNames[static_cast<std::size_t>(kind)];
 }
 
-std::string toText(const TimelineRecord &record)
+std::optional<TimelineRecord::Kind> kindOfName(std::string_view name)
 {
-    std::string text(nameOf(record.kind));
-    const auto append = [&](std::string_view name, const auto &field) {
-        if (field) {
-            text.append(" ").append(name).append("=").append(std::to_string(field->value()));
-        }
-    };
-    append("request", record.request);
-    if (!record.callerId.empty()) {
-        text += " id=" + record.callerId;
-    }
-    append("shard", record.shard);
-    append("member", record.member);
-    append("document", record.document);
-    if (record.fence) {
-        text += " fence=" + std::to_string(record.fence->term.value()) + '.' + std::to_string(record.fence->sequence);
-    }
-    return record.detail.empty() ? text : text + ' ' + record.detail;
+    const auto *const found = std::find(kindNames.begin(), kindNames.end(), name);
+    return found == kindNames.end() ? std::nullopt : std::optional(static_cast<TimelineRecord::Kind>(found - kindNames.begin()));
 }
 
 bool isAboutRequest(TimelineRecord::Kind kind)
@@ -45,4 +36,9 @@
     return kind >= TimelineRecord::Kind::RequestArrived && kind <= TimelineRecord::Kind::DuplicateAnswered;
 }
 
+bool endsBadly(TimelineRecord::Kind kind)
+{
+    return kind == TimelineRecord::Kind::RequestRefused || kind == TimelineRecord::Kind::RequestUnknown || kind == TimelineRecord::Kind::RequestAnsweredLate;
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -46,6 +46,8 @@
         RequestRetried,
         RequestQueued,
         RequestAnswered,
+        /** Answered after the objective of its route. */
+        RequestAnsweredLate,
         RequestRefused,
         RequestUnknown,
         DuplicateJoined,
@@ -69,9 +71,11 @@
 
 /** Name of the kind, as the time line shows it. */
 std::string_view nameOf(TimelineRecord::Kind kind);
-/** One line for logs: kind, ids and detail. */
-std::string toText(const TimelineRecord &record);
+/** Nothing where no kind has the name. */
+std::optional<TimelineRecord::Kind> kindOfName(std::string_view name);
 /** The kind tells of one request, and not of the node or its cell. */
 bool isAboutRequest(TimelineRecord::Kind kind);
+/** The kind ends a request otherwise than its caller hoped: refused, unknown or late. */
+bool endsBadly(TimelineRecord::Kind kind);
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/logsetup.cpp
+++ b/src/libnutmeghingeio/logsetup.cpp
@@ -1,16 +1,24 @@
 #include "logsetup.h"
 
 #include <chrono>
+#include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <thread>
 
 namespace nutmeghinge {
 
 namespace {
 
+/** Lines that wait for the writer; several seconds of a node that refuses much, in under half a megabyte. */
+constexpr std::size_t waitingLines = 1024;
+/** A process that ends does not wait longer for the reader of its output; well within the time that it has to stop. */
+constexpr auto longestEnd = std::chrono::milliseconds(300);
+
 /** Writes each message as one JSON object. */
 class JsonLogFormatter : public spdlog::formatter
 {
@@ -44,9 +52,10 @@
 
 void setUpLog(const std::string &level, LogFormat format, const std::string &node)
 {
-    auto logger = std::make_shared<spdlog::logger>(node, std::make_shared<spdlog::sinks::stderr_sink_st>());
+    spdlog::init_thread_pool(waitingLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto logger = std::make_shared<spdlog::async_logger>(node, std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     logger->set_level(spdlog::level::from_str(level));
-    logger->flush_on(spdlog::level::warn);
     if (format == LogFormat::Json) {
         logger->set_formatter(std::make_unique<JsonLogFormatter>(node));
     } else {
@@ -55,4 +64,21 @@
     spdlog::set_default_logger(std::move(logger));
 }
 
+std::uint64_t droppedLogLines()
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
+void endLog()
+{
+    std::promise<void> ended;
+    std::future<void> written = ended.get_future();
+    std::thread([ended = std::move(ended)]() mutable {
+        spdlog::shutdown();
+        ended.set_value();
+    }).detach();
+    written.wait_for(longestEnd);
+}
+
 } // namespace nutmeghinge
--- /dev/null
+++ b/src/libnutmeghingeio/recordline.cpp
@@ -0,0 +1,146 @@
+#include "recordline.h"
+
+#include "percentencoding.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <type_traits>
+#include <utility>
+
+namespace nutmeghinge {
+
+namespace {
+
+template <typename Number>
+bool readNumber(std::string_view text, Number &number)
+{
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return fault == std::errc() && end == text.data() + text.size();
+}
+
+template <typename Id>
+bool readId(std::string_view text, std::optional<Id> &id)
+{
+    std::remove_cvref_t<decltype(std::declval<Id>().value())> number{};
+    if (!readNumber(text, number)) {
+        return false;
+    }
+    id = Id(number);
+    return true;
+}
+
+/** Reads "FIRST.SECOND". */
+template <typename First, typename Second>
+bool readPair(std::string_view text, First &first, Second &second)
+{
+    const std::size_t dot = text.find('.');
+    return dot != std::string_view::npos && readNumber(text.substr(0, dot), first) && readNumber(text.substr(dot + 1), second);
+}
+
+bool readCallerId(std::string_view text, TimelineRecord &record)
+{
+    record.callerId = percentDecode(text);
+    return true;
+}
+
+bool readFence(std::string_view text, TimelineRecord &record)
+{
+    std::uint64_t term = 0;
+    Fence fence;
+    if (!readPair(text, term, fence.sequence)) {
+        return false;
+    }
+    fence.term = Term(term);
+    record.fence = fence;
+    return true;
+}
+
+bool readTime(std::string_view text, TimelineRecord &record)
+{
+    WallTime::rep wall = 0;
+    if (!readPair(text, wall, record.time.counter)) {
+        return false;
+    }
+    record.time.wall = WallTime(WallTime::duration(wall));
+    return true;
+}
+
+struct Field {
+    std::string_view name;
+    bool (*read)(std::string_view text, TimelineRecord &record);
+};
+
+constexpr std::array fields{
+    Field{"request", [](std::string_view text, TimelineRecord &record) { return readId(text, record.request); }},
+    Field{"id", readCallerId},
+    Field{"shard", [](std::string_view text, TimelineRecord &record) { return readId(text, record.shard); }},
+    Field{"member", [](std::string_view text, TimelineRecord &record) { return readId(text, record.member); }},
+    Field{"document", [](std::string_view text, TimelineRecord &record) { return readId(text, record.document); }},
+    Field{"fence", readFence},
+    Field{"at", readTime},
+};
+
+/** Ends the fields: what follows it is the detail. */
+constexpr std::string_view lastField = "at";
+
+void append(std::string &line, std::string_view name, const std::string &value)
+{
+    line.append(" ").append(name).append("=").append(value);
+}
+
+template <typename Id>
+void append(std::string &line, std::string_view name, const std::optional<Id> &id)
+{
+    if (id) {
+        append(line, name, std::to_string(id->value()));
+    }
+}
+
+} // namespace
+
+std::string recordToLine(const TimelineRecord &record)
+{
+    std::string line(nameOf(record.kind));
+    append(line, "request", record.request);
+    if (!record.callerId.empty()) {
+        append(line, "id", percentEncode(record.callerId));
+    }
+    append(line, "shard", record.shard);
+    append(line, "member", record.member);
+    append(line, "document", record.document);
+    if (record.fence) {
+        append(line, "fence", std::to_string(record.fence->term.value()) + '.' + std::to_string(record.fence->sequence));
+    }
+    append(line, lastField, std::to_string(record.time.wall.time_since_epoch().count()) + '.' + std::to_string(record.time.counter));
+    return record.detail.empty() ? line : line + ' ' + record.detail;
+}
+
+std::optional<TimelineRecord> recordFromLine(std::string_view line)
+{
+    const auto takeWord = [&line] {
+        const std::size_t end = std::min(line.find(' '), line.size());
+        const std::string_view word = line.substr(0, end);
+        line.remove_prefix(std::min(end + 1, line.size()));
+        return word;
+    };
+    const std::optional<TimelineRecord::Kind> kind = kindOfName(takeWord());
+    if (!kind) {
+        return std::nullopt;
+    }
+    TimelineRecord record;
+    record.kind = *kind;
+    std::string_view name;
+    while (name != lastField) {
+        const std::string_view word = takeWord();
+        name = word.substr(0, word.find('='));
+        const auto *const field = std::find_if(fields.begin(), fields.end(), [&](const Field &known) { return known.name == name; });
+        if (field == fields.end() || name.size() == word.size() || !field->read(word.substr(name.size() + 1), record)) {
+            return std::nullopt;
+        }
+    }
+    record.detail = line;
+    return record;
+}
+
+} // namespace nutmeghinge
--- a/src/libnutmeghingeio/timelinering.cpp
+++ b/src/libnutmeghingeio/timelinering.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <vector>
 
 namespace nutmeghinge {
 
@@ -53,6 +52,17 @@
     }
 }
 
+std::vector<TimelineRecord> TimelineRing::recordsOf(RequestId request) const
+{
+    std::vector<TimelineRecord> records;
+    for (const Entry &entry : m_requests) {
+        if (entry.record.request == request) {
+            records.push_back(entry.record);
+        }
+    }
+    return records;
+}
+
 std::string TimelineRing::toJson(std::uint64_t since, const std::string &node, std::uint64_t incarnation) const
 {
     std::vector<const Entry *> entries;
--- a/src/libnutmeghingeio/timelinering.h
+++ b/src/libnutmeghingeio/timelinering.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <vector>
 
 namespace nutmeghinge {
 
@@ -20,6 +21,8 @@
     explicit TimelineRing(std::size_t capacity);
 
     void add(TimelineRecord record);
+    /** What is still kept of one request, oldest first. */
+    std::vector<TimelineRecord> recordsOf(RequestId request) const;
     /**
      * JSON object with the records numbered above `since`, oldest first, and the
      * number to ask with next.
--- a/src/nutmeghinge/main.cpp
+++ b/src/nutmeghinge/main.cpp
@@ -85,11 +85,12 @@
     Node node(loop, settings, makeAdapters(settings));
     if (const std::optional<ListenFault> fault = node.start()) {
         spdlog::error("cannot listen on {}:{}: {}", fault->endpoint.address, fault->endpoint.port, fault->reason);
+        endLog();
         return 1;
     }
     const NodeSignals signals(loop, node, commandLine.settingsFile);
     loop.run();
-    spdlog::default_logger()->flush();
+    endLog();
     // Adapters may still have handles on the loop; the process ends with them.
     std::_Exit(node.exitCode());
 }
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -3,8 +3,10 @@
 #include "document.h"
 #include "endpointtext.h"
 #include "httpexchange.h"
+#include "logsetup.h"
 #include "overloaded.h"
 #include "pipelinedserver.h"
+#include "recordline.h"
 #include "shardof.h"
 
 #include <charconv>
@@ -16,8 +18,8 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
-/** Lines on failed requests in a second; a node at twice its load refuses more, and each line costs its processor time. */
-constexpr std::uint32_t failureLinesPerSecond = 20;
+/** Failed requests told in a second; a node at twice its load refuses more, and each line costs its processor time. */
+constexpr std::uint32_t failuresToldPerSecond = 10;
 constexpr Duration leftOutInterval = std::chrono::seconds(1);
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 /** Above any document's limit; the document's own is checked by the reducer. */
@@ -102,7 +104,7 @@
     , m_announcements(m_adapters.makeAnnouncements(loop, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_operationsServer(loop)
     , m_timeline(m_settings.timelineRecords)
-    , m_failureLog(failureLinesPerSecond)
+    , m_failureLog(failuresToldPerSecond)
 {
 }
 
@@ -237,19 +239,37 @@
 void Node::runRecord(const Record &effect)
 {
     const TimelineRecord &record = effect.record;
-    const bool failed = record.kind == TimelineRecord::Kind::RequestRefused || record.kind == TimelineRecord::Kind::RequestUnknown;
-    const bool tells = !isAboutRequest(record.kind) || (failed && m_failureLog.admit(m_loop.now()));
-    const auto level = tells ? spdlog::level::info : spdlog::level::debug;
-    if (spdlog::should_log(level)) {
-        spdlog::log(level, "{}", toText(record));
-    }
     m_timeline.add(record);
+    if (!isAboutRequest(record.kind)) {
+        spdlog::info("{}", recordToLine(record));
+    } else if (spdlog::should_log(spdlog::level::debug)) {
+        spdlog::debug("{}", recordToLine(record));
+    } else if (endsBadly(record.kind) && m_failureLog.admit(m_loop.now())) {
+        logStory(record);
+    }
+}
+
+/** Tells all steps of a request that failed; those of the others are not worth their lines. */
+void Node::logStory(const TimelineRecord &end)
+{
+    if (!end.request) {
+        spdlog::info("{}", recordToLine(end));
+        return;
+    }
+    for (const TimelineRecord &record : m_timeline.recordsOf(*end.request)) {
+        spdlog::info("{}", recordToLine(record));
+    }
 }
 
 void Node::logLeftOut()
 {
     if (const std::uint64_t leftOut = m_failureLog.takeLeftOut(m_loop.now())) {
-        spdlog::info("{} more requests were refused or ended unknown; the time line has them", leftOut);
+        spdlog::info("{} more requests were refused, late or ended unknown; /timeline has them", leftOut);
+    }
+    const std::uint64_t dropped = droppedLogLines();
+    if (dropped != m_droppedLogLines) {
+        spdlog::warn("{} lines were dropped since the reader of the log did not keep up", dropped - m_droppedLogLines);
+        m_droppedLogLines = dropped;
     }
 }
 
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -48,6 +48,7 @@
 
     // Effects with a handler of their own; the others go to an adapter as they are.
     void runRecord(const Record &effect);
+    void logStory(const TimelineRecord &end);
     void logLeftOut();
     void runCloseListeners();
     void listenerClosed();
@@ -78,6 +79,7 @@
     NodeMetrics m_metrics;
     TimelineRing m_timeline;
     LogLimiter m_failureLog;
+    std::uint64_t m_droppedLogLines = 0;
     /** Made when the listeners' endpoints are known. */
     std::unique_ptr<Reducer> m_reducer;
     std::deque<EventBody> m_pending;
--- a/src/nutmeghingectl/commandarguments.cpp
+++ b/src/nutmeghingectl/commandarguments.cpp
@@ -7,9 +7,11 @@
 ParsedArguments
 parseArguments(const std::vector<std::string> &arguments, const options::options_description &description, const std::vector<std::string> &positional)
 {
+    constexpr int unbounded = -1;
     options::positional_options_description positions;
     for (const std::string &name : positional) {
-        positions.add(name.c_str(), 1);
+        const bool takesMany = description.find(name, false).semantic()->max_tokens() > 1;
+        positions.add(name.c_str(), takesMany ? unbounded : 1);
     }
     try {
         options::variables_map values;
--- a/src/nutmeghingectl/commandtable.cpp
+++ b/src/nutmeghingectl/commandtable.cpp
@@ -5,6 +5,7 @@
 #include "documentgetcommand.h"
 #include "documenthistorycommand.h"
 #include "documentputcommand.h"
+#include "explaincommand.h"
 #include "loadcommand.h"
 #include "statuscommand.h"
 #include "timelinecommand.h"
@@ -19,6 +20,7 @@
     commands.push_back(std::make_unique<DocumentPutCommand>());
     commands.push_back(std::make_unique<DocumentGetCommand>());
     commands.push_back(std::make_unique<DocumentHistoryCommand>());
+    commands.push_back(std::make_unique<ExplainCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
     commands.push_back(std::make_unique<StatusCommand>());
     commands.push_back(std::make_unique<TimelineCommand>());
--- /dev/null
+++ b/src/nutmeghingectl/explaincommand.cpp
@@ -0,0 +1,88 @@
+#include "explaincommand.h"
+
+#include "commandarguments.h"
+#include "jsonreader.h"
+#include "logreader.h"
+#include "requeststory.h"
+#include "timelinepage.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace nutmeghinge {
+
+namespace {
+
+namespace po = boost::program_options;
+
+po::options_description describe()
+{
+    po::options_description description;
+    auto add = description.add_options();
+    add("request-id", po::value<std::string>()->required());
+    add("file", po::value<std::vector<std::string>>()->multitoken()->required());
+    add("json", "");
+    add("html", po::value<std::string>());
+    return description;
+}
+
+/** The file that cannot be read, if there is one. */
+std::optional<std::string> readFiles(LogReader &reader, const std::vector<std::string> &files)
+{
+    for (const std::string &name : files) {
+        std::ifstream file(name);
+        if (!file) {
+            return name;
+        }
+        reader.add(file);
+    }
+    return std::nullopt;
+}
+
+bool writePage(const std::string &path, const RequestStory &story)
+{
+    std::vector<TimelineEntry> entries;
+    for (const RequestStory::Step &step : story.steps()) {
+        entries.push_back(step.entry);
+    }
+    return TimelinePage::write(path, entries);
+}
+
+} // namespace
+
+ExitCode ExplainCommand::run(const std::vector<std::string> &arguments)
+{
+    const ParsedArguments parsed = parseArguments(arguments, describe(), {"request-id", "file"});
+    if (const auto *fault = std::get_if<UsageFault>(&parsed)) {
+        std::cerr << name() << ": " << fault->reason << '\n';
+        return ExitCode::InvalidInput;
+    }
+    const auto &values = std::get<po::variables_map>(parsed);
+    LogReader reader;
+    if (const auto unreadable = readFiles(reader, values["file"].as<std::vector<std::string>>())) {
+        std::cerr << *unreadable << ": cannot be read\n";
+        return ExitCode::InvalidInput;
+    }
+    if (reader.unreadableLines() > 0) {
+        std::cerr << reader.unreadableLines() << " lines are cut or no JSON; they were passed over\n";
+    }
+    const auto id = values["request-id"].as<std::string>();
+    const std::optional<RequestStory> story = RequestStory::of(id, reader.takeEntries());
+    if (!story) {
+        std::cerr << "none of the " << reader.nodeLines() << " lines of nodes names the request " << id
+                  << "; requests that went well and those beyond the log's limit are not in it\n";
+        return ExitCode::Failure;
+    }
+    if (values.count("html") != 0) {
+        const auto path = values["html"].as<std::string>();
+        if (!writePage(path, *story)) {
+            std::cerr << path << ": cannot be written\n";
+            return ExitCode::Failure;
+        }
+        return ExitCode::Success;
+    }
+    std::cout << (values.count("json") != 0 ? jsonToText(story->toJson()) + '\n' : story->toText());
+    return ExitCode::Success;
+}
+
+} // namespace nutmeghinge
--- a/src/nutmeghingectl/timelinecollector.cpp
+++ b/src/nutmeghingectl/timelinecollector.cpp
@@ -1,7 +1,6 @@
 #include "timelinecollector.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace nutmeghinge {
 
@@ -24,6 +23,9 @@
     entry.shard = optionalNumber(reader, json, "shard");
     entry.member = optionalNumber(reader, json, "member");
     entry.document = optionalNumber(reader, json, "document");
+    if (json.contains("callerId")) {
+        entry.callerId = reader.text(json, "callerId");
+    }
     if (json.contains("fence")) {
         const nlohmann::json &fence = reader.object(json, "fence");
         entry.fence = std::to_string(reader.number(fence, "term")) + '.' + std::to_string(reader.number(fence, "sequence"));
@@ -31,11 +33,6 @@
     return entry;
 }
 
-bool isEarlier(const TimelineEntry &left, const TimelineEntry &right)
-{
-    return std::tie(left.wall, left.counter, left.node) < std::tie(right.wall, right.counter, right.node);
-}
-
 } // namespace
 
 bool TimelineFilter::keeps(const TimelineEntry &entry) const
--- a/src/nutmeghingectl/timelinecommand.cpp
+++ b/src/nutmeghingectl/timelinecommand.cpp
@@ -11,7 +11,6 @@
 #include "timelinetext.h"
 
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -71,14 +70,6 @@
     std::cout.flush();
 }
 
-bool writePage(const std::string &path, const std::vector<TimelineEntry> &entries)
-{
-    std::ofstream file(path);
-    file << TimelinePage::toHtml(entries);
-    file.close();
-    return !file.fail();
-}
-
 po::options_description describe()
 {
     po::options_description description;
@@ -114,7 +105,7 @@
     bool complete = poll(client, nodes, collector);
     if (values.count("html") != 0) {
         const auto path = values["html"].as<std::string>();
-        if (!writePage(path, collector.takeEntries())) {
+        if (!TimelinePage::write(path, collector.takeEntries())) {
             std::cerr << path << ": cannot be written\n";
             return ExitCode::Failure;
         }
--- a/src/nutmeghingectl/timelineentry.h
+++ b/src/nutmeghingectl/timelineentry.h
@@ -15,6 +15,8 @@
     std::string kind;
     std::string detail;
     std::optional<std::uint64_t> request;
+    /** Id that the caller gave the request; empty where it gave none. */
+    std::string callerId;
     std::optional<std::uint64_t> shard;
     std::optional<std::uint64_t> member;
     std::optional<std::uint64_t> document;
@@ -22,4 +24,7 @@
     std::string fence;
 };
 
+/** By wall time, counter and node: what caused another comes first. */
+bool isEarlier(const TimelineEntry &left, const TimelineEntry &right);
+
 } // namespace nutmeghinge
--- a/src/nutmeghingectl/timelinepage.cpp
+++ b/src/nutmeghingectl/timelinepage.cpp
@@ -5,6 +5,7 @@
 #include "timelinetext.h"
 
 #include <algorithm>
+#include <fstream>
 #include <map>
 #include <tuple>
 
@@ -59,4 +60,12 @@
     return std::string(timelineHead) + scriptSafe(jsonToText(toMarks(entries))) + std::string(timelineTail);
 }
 
+bool TimelinePage::write(const std::string &path, const std::vector<TimelineEntry> &entries)
+{
+    std::ofstream file(path);
+    file << toHtml(entries);
+    file.close();
+    return !file.fail();
+}
+
 } // namespace nutmeghinge
--- a/src/nutmeghingectl/timelinetext.cpp
+++ b/src/nutmeghingectl/timelinetext.cpp
@@ -44,6 +44,9 @@
 {
     std::string line = timeText(entry.wall) + ' ' + std::to_string(entry.counter) + ' ' + entry.node + ' ' + entry.kind;
     addNumber(line, "request", entry.request);
+    if (!entry.callerId.empty()) {
+        line += " id " + entry.callerId;
+    }
     addNumber(line, "shard", entry.shard);
     addNumber(line, "member", entry.member);
     addNumber(line, "document", entry.document);
@@ -65,6 +68,9 @@
     add("shard", entry.shard);
     add("member", entry.member);
     add("document", entry.document);
+    if (!entry.callerId.empty()) {
+        json["callerId"] = entry.callerId;
+    }
     if (!entry.fence.empty()) {
         json["fence"] = entry.fence;
     }
--- a/tests/process/documentcommandtest.cpp
+++ b/tests/process/documentcommandtest.cpp
@@ -1,8 +1,11 @@
 #include "../core/examplefile.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <sys/wait.h>
+#include <unistd.h>
 
 using namespace nutmeghinge;
 
@@ -37,3 +40,18 @@
         CHECK(exitCodeOf(arguments) == 2);
     }
 }
+
+TEST_CASE("The tool explains a request from logs, and says so where it cannot")
+{
+    const std::string log = "/tmp/nutmeghinge-explain-" + std::to_string(getpid()) + ".log";
+    std::ofstream(log) << R"({"level":"info","message":"RequestRefused request=6 id=r-1 at=1470.0 this node stops","node":"a","timeMs":1470})"
+                       << "\n{\"cut";
+    CHECK(exitCodeOf("explain r-1 " + log) == 0);
+    CHECK(exitCodeOf("explain r-1 " + log + " " + log + " --json") == 0);
+    CHECK(exitCodeOf("explain r-1 " + log + " --html " + log + ".html") == 0);
+    CHECK(exitCodeOf("explain r-2 " + log) == 1);
+    CHECK(exitCodeOf("explain r-1 " + log + ".absent") == 2);
+    CHECK(exitCodeOf("explain r-1") == 2);
+    std::remove(log.c_str());
+    std::remove((log + ".html").c_str());
+}
