Claim a target's keys no longer than they were granted, so that no key gets two owners

Cause: a node took each report of its target as a hold for one whole hold time more, as if a predecessor might have granted it. Only a node that has just started has such a predecessor. A node cut off from the others let its lease lapse, its keys went to others, and when the coordinator began a new term ("a member can only follow a higher term") the returning node still claimed them and got them with a higher fence while the new owners held them. A second of this node's own hold was enough. Change: the report counts as a hold of unknown length at the node's first report only; later holds end when the node's own grants end. Conclusion: a real hole in rule "one owner a key".

--- a/src/libnutmeghinge/targetholds.cpp
+++ b/src/libnutmeghinge/targetholds.cpp
@@ -58,10 +58,15 @@
 {
     resize(section);
     if (announcement.targetIncarnation != m_targetIncarnation) {
+        const bool nodeHasStarted = m_targetIncarnation == 0;
         // What a node that has just started finds held stays as it is.
-        m_earlierFences = m_targetIncarnation == 0 ? Fence() : mapVersion;
+        m_earlierFences = nodeHasStarted ? Fence() : mapVersion;
         m_targetIncarnation = announcement.targetIncarnation;
         clear();
+        if (nodeHasStarted) {
+            // It does not know what its predecessor granted; all later grants are its own.
+            m_holdEnd = now + m_holdTime + m_holdTime * targetDriftPerMille / 1000;
+        }
     }
     if (!announcement.holds) {
         return;
@@ -74,8 +79,6 @@
             entry.reported = true;
             entry.reportedFence = range.fence;
         });
-        // A node that has just started does not know what its predecessor granted.
-        m_holdEnd = std::max(m_holdEnd, now + m_holdTime + m_holdTime * targetDriftPerMille / 1000);
     }
     for (const ReleasedRange &range : announcement.holds->released) {
         forEachShard(range, [&](Entry &entry) { entry.outgoing = range.handover; });
--- a/tests/core/heldcellharness.cpp
+++ b/tests/core/heldcellharness.cpp
@@ -197,8 +197,8 @@
     announced.targetIncarnation = target.incarnation;
     announced.draining = target.draining;
     announced.sequence = ++target.sequence;
-    // The number tells carryOut() when the heartbeat was sent.
-    announced.announcement = static_cast<std::uint64_t>(m_now.count());
+    m_askedHeartbeats.push_back({m_now, target.incarnation});
+    announced.announcement = m_askedHeartbeats.size();
     announced.holds.emplace();
     announced.holds->released = std::exchange(target.released, {});
     for (std::uint32_t shard = 0; shard < shards; ++shard) {
@@ -326,10 +326,9 @@
                 if (!answer.grant) {
                     return;
                 }
-                const Duration sentAt(static_cast<std::int64_t>(answer.announcement));
-                schedule(Duration(200), [this, node, sentAt, incarnation = m_nodes[node].target.incarnation, grant = *answer.grant] {
-                    takeGrant(node, incarnation, sentAt, grant);
-                });
+                // A node that was paused answers late, and to the process that asked: a later one does not get it.
+                const AskedHeartbeat asked = m_askedHeartbeats.at(answer.announcement - 1);
+                schedule(Duration(200), [this, node, asked, grant = *answer.grant] { takeGrant(node, asked.targetIncarnation, asked.sentAt, grant); });
             },
             [](const auto &) {},
         },
--- a/tests/core/heldcellharness.h
+++ b/tests/core/heldcellharness.h
@@ -79,6 +79,10 @@
         bool cutFromPlatform = false;
         Target target;
     };
+    struct AskedHeartbeat {
+        Duration sentAt;
+        std::uint64_t targetIncarnation = 0;
+    };
     struct Timer {
         Duration at;
         std::uint64_t order;
@@ -104,6 +108,8 @@
     std::mt19937_64 m_random;
     FakePlatform m_platform;
     std::map<std::string, Member> m_memberRows;
+    /** Heartbeats of all targets; an announcement's number is its place, from 1. */
+    std::vector<AskedHeartbeat> m_askedHeartbeats;
     std::vector<Fence> m_highestFences{shards};
     std::vector<std::pair<std::size_t, std::uint64_t>> m_lastHolders{shards};
     Duration m_now{std::chrono::seconds(10)};
--- a/tests/core/heldcelltest.cpp
+++ b/tests/core/heldcelltest.cpp
@@ -90,6 +90,28 @@
     CHECK(cell.breach().empty());
 }
 
+TEST_CASE("Nodes that left long ago do not delay the cell when all others are killed at once")
+{
+    HeldCellHarness cell(11, 12);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    for (std::size_t node = 7; node < cell.size(); ++node) {
+        cell.killNode(node);
+        cell.killTarget(node);
+    }
+    cell.run(20s);
+    REQUIRE(cell.heldShards() == HeldCellHarness::shards);
+    for (std::size_t node = 0; node < 7; ++node) {
+        cell.killNode(node);
+    }
+    // The targets live, and their holds end.
+    cell.run(5s);
+    for (std::size_t node = 0; node < 7; ++node) {
+        cell.startNode(node);
+    }
+    CHECK(cell.runUntilAllHeld(5s));
+    CHECK(cell.breach().empty());
+}
+
 TEST_CASE("A cell that lost its coordinator and most members for some time, and one for good, recovers")
 {
     HeldCellHarness cell(7, 9);
@@ -190,6 +212,11 @@
         // The coordinator's own target restarted between two terms, and its keys stayed with a fence that it refused.
         {2, 2638, 3},
         {2, 6, 4},
+        // A paused node answered the heartbeat of its target's earlier start, which the harness gave to the later one.
+        {2, 28, 4},
+        {6, 2701278, 8},
+        // A node cut off from the others claimed its target's keys for longer than it had granted them, after others had got them.
+        {4, 6240231, 5},
         // A term that ended in its recovery left shards unowned that a node outside the cell still held.
         {3, 2638, 3},
     }));
--- a/tests/core/targetholdstest.cpp
+++ b/tests/core/targetholdstest.cpp
@@ -150,6 +150,18 @@
     CHECK(setup.holds.held(setup.now + 5s).empty());
 }
 
+TEST_CASE("A hold lasts as long as this node granted it, whatever the target reports meanwhile")
+{
+    Setup setup;
+    setup.heartbeat({});
+    setup.now += 10s;
+    REQUIRE(setup.grant(2s));
+    setup.now += 1s;
+    setup.heartbeat({{0, 65535, {Term(5), 1}}});
+    CHECK(setup.holds.held(setup.now).size() == 4);
+    CHECK(setup.holds.held(setup.now + 1s).empty());
+}
+
 TEST_CASE("A range that covers a part of a shard counts as the whole of it")
 {
     Setup setup;
