Admit only nodes that ask for a place, so that rows of nodes long gone do not weigh on a new cell

Cause: the store keeps the announcement of each node that ever was. Change: a node that is no member sends the members of the known row a JoinRequest each half second; a coordinator admits only announced nodes that asked within 3 s. Ruled out: dropping rows from the store (a coordinator cut off or replaced leaves them behind); comparing row versions with the cell's (a node that lives on does not write its row again).

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -313,6 +313,10 @@
     if (arrived.service != m_d->context.service) {
         return;
     }
+    if (const auto *request = std::get_if<JoinRequest>(&arrived.message)) {
+        m_d->coordinator.joinRequested(*request, event.at);
+        return;
+    }
     if (m_d->context.self == noMember || !m_d->context.members.find(arrived.from)) {
         m_d->noteNewerRow(arrived);
         return;
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -830,7 +830,8 @@
     }
     std::optional<CellRow> change;
     if (isActive(now) && isMemberChangeComplete(now)) {
-        change = m_admission.nextChange(known->row, [&](MemberSlot slot) { return mayRemove(slot, now); });
+        change = m_admission.nextChange(
+            known->row, [&](MemberSlot slot) { return mayRemove(slot, now); }, now);
     }
     const bool holdIsShort = holdEnd() - now < document->holdLimit * (marksPerHoldLimit - 1) / marksPerHoldLimit;
     const bool changed =
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -35,6 +35,8 @@
     void heartbeatArrived(MemberSlot from, const Heartbeat &heartbeat, const Event &event, EffectList &effects);
     /** Nodes that announced themselves, as the table has them. */
     void noteAnnounced(std::vector<Member> announced) { m_admission.noteAnnounced(std::move(announced)); }
+    /** A node that is no member lives and asks for a place. */
+    void joinRequested(const JoinRequest &request, MonotonicTime now) { m_admission.noteJoinRequest(request, now); }
     /** The row that is about to be taken leaves some members out. */
     void noteRow(const CellRow &row);
     /** The row read was not written by this node's term and ends it. */
--- a/src/libnutmeghinge/memberadmission.cpp
+++ b/src/libnutmeghinge/memberadmission.cpp
@@ -1,6 +1,7 @@
 #include "memberadmission.h"
 
 #include "memberlist.h"
+#include "peermessages.h"
 
 #include <algorithm>
 
@@ -8,6 +9,9 @@
 
 namespace {
 
+/** A node that looks for its cell asks again and again within this time. */
+constexpr Duration joinRequestLifetime = std::chrono::seconds(3);
+
 Member withSlot(Member announced, MemberSlot slot)
 {
     announced.slot = slot;
@@ -16,6 +20,12 @@
 
 } // namespace
 
+void MemberAdmission::noteJoinRequest(const JoinRequest &request, MonotonicTime now)
+{
+    std::erase_if(m_asked, [&](const auto &entry) { return now >= entry.second + joinRequestLifetime; });
+    m_asked[{request.node, request.incarnation}] = now;
+}
+
 void MemberAdmission::noteRow(const MemberList &before, const CellRow &after)
 {
     for (const Member &member : before.members()) {
@@ -34,7 +44,7 @@
            });
 }
 
-std::optional<CellRow> MemberAdmission::nextChange(const CellRow &row, const Predicate &mayRemove) const
+std::optional<CellRow> MemberAdmission::nextChange(const CellRow &row, const Predicate &mayRemove, MonotonicTime now) const
 {
     CellRow next = row;
     next.revision = CellRevision(row.revision.value() + 1);
@@ -44,7 +54,7 @@
         next.members = interleaveZones(next.members);
         return next;
     }
-    const auto admitted = std::find_if(m_announced.begin(), m_announced.end(), [&](const Member &announced) { return mayAdmit(announced, row.members); });
+    const auto admitted = std::find_if(m_announced.begin(), m_announced.end(), [&](const Member &announced) { return mayAdmit(announced, row.members, now); });
     if (admitted != m_announced.end() && next.members.size() < cellMembers) {
         next.members.push_back(withSlot(*admitted, next.nextSlot));
         next.nextSlot = MemberSlot(next.nextSlot.value() + 1);
@@ -54,8 +64,12 @@
     return updateMember(next) ? std::optional<CellRow>(next) : std::nullopt;
 }
 
-bool MemberAdmission::mayAdmit(const Member &announced, const std::vector<Member> &members) const
+bool MemberAdmission::mayAdmit(const Member &announced, const std::vector<Member> &members, MonotonicTime now) const
 {
+    const auto asked = m_asked.find({announced.node, announced.incarnation});
+    if (asked == m_asked.end() || now >= asked->second + joinRequestLifetime) {
+        return false;
+    }
     const bool known = std::any_of(
         members.begin(), members.end(), [&](const Member &member) { return member.node == announced.node && member.incarnation >= announced.incarnation; });
     if (known || announced.leaving) {
--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -114,6 +114,17 @@
     friend bool operator==(const HandoverAccepted &, const HandoverAccepted &) = default;
 };
 
-using PeerMessage = std::variant<PromiseRequest, PromiseAnswer, Heartbeat, HeartbeatAnswer, HandoverOffer, HandoverAccepted>;
+/**
+ * Asks the members for a place among them: the sender has announced itself in the
+ * table and is no member. An announcement alone may be that of a node long gone.
+ */
+struct JoinRequest {
+    NodeName node;
+    Incarnation incarnation;
+
+    friend bool operator==(const JoinRequest &, const JoinRequest &) = default;
+};
+
+using PeerMessage = std::variant<PromiseRequest, PromiseAnswer, Heartbeat, HeartbeatAnswer, HandoverOffer, HandoverAccepted, JoinRequest>;
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/rangestrategy.cpp
+++ b/src/libnutmeghinge/rangestrategy.cpp
@@ -55,6 +55,7 @@
     double meanLoad() const;
     std::size_t runsOf(MemberSlot slot) const;
     Slice bestSlice(const Holder &from, double wanted) const;
+    Slice moveSlice(Holder &from, Holder &to, double mean, std::size_t budget);
 
     const BalanceInput &m_input;
     std::vector<Holder> m_holders;
@@ -220,28 +221,52 @@
     return best;
 }
 
+/** Moves a slice of one member to another; the slice that moved is empty where none fits. */
+RangePlan::Slice RangePlan::moveSlice(Holder &from, Holder &to, double mean, std::size_t budget)
+{
+    const double wanted = std::min(from.load - mean * from.capacity, mean * to.capacity - to.load);
+    const Slice slice = bestSlice(from, wanted);
+    if (slice.isEmpty() || slice.end - slice.first > budget) {
+        return Slice();
+    }
+    from.load -= slice.load;
+    for (std::size_t shard = slice.first; shard < slice.end; ++shard) {
+        give(shard, to);
+    }
+    return slice;
+}
+
 void RangePlan::level()
 {
     const double mean = meanLoad();
     std::size_t budget = m_input.moveBudget;
-    // Each round moves one slice; more would move on loads that are out of date.
-    for (std::size_t round = 0; round < m_holders.size() && mean > 0; ++round) {
-        const auto byRatio = [&](const Holder &left, const Holder &right) { return left.ratio(mean) < right.ratio(mean); };
-        Holder &from = *std::max_element(m_holders.begin(), m_holders.end(), byRatio);
-        Holder &to = *std::min_element(m_holders.begin(), m_holders.end(), byRatio);
-        if (from.ratio(mean) < m_input.document.targetRatio || runsOf(from.slot) + 1 >= maximumRuns || runsOf(to.slot) + 1 >= maximumRuns) {
+    const auto byRatio = [&](const Holder *left, const Holder *right) { return left->ratio(mean) < right->ratio(mean); };
+    // Members that can give or take no more are left out: one that has a single busy shard must not keep the others uneven.
+    std::vector<Holder *> givers;
+    std::vector<Holder *> takers;
+    for (Holder &holder : m_holders) {
+        givers.push_back(&holder);
+        takers.push_back(&holder);
+    }
+    // More rounds would move on loads that are out of date.
+    std::size_t rounds = m_holders.size();
+    while (rounds > 0 && mean > 0 && !givers.empty() && !takers.empty()) {
+        const auto from = std::max_element(givers.begin(), givers.end(), byRatio);
+        const auto to = std::min_element(takers.begin(), takers.end(), byRatio);
+        if ((*from)->ratio(mean) < m_input.document.targetRatio) {
             return;
         }
-        const double wanted = std::min(from.load - mean * from.capacity, mean * to.capacity - to.load);
-        const Slice slice = bestSlice(from, wanted);
-        if (slice.isEmpty() || slice.end - slice.first > budget) {
-            return;
+        if (runsOf((*to)->slot) + 1 >= maximumRuns) {
+            takers.erase(to);
+            continue;
         }
-        budget -= slice.end - slice.first;
-        from.load -= slice.load;
-        for (std::size_t shard = slice.first; shard < slice.end; ++shard) {
-            give(shard, to);
+        const Slice moved = runsOf((*from)->slot) + 1 >= maximumRuns ? Slice() : moveSlice(**from, **to, mean, budget);
+        if (moved.isEmpty()) {
+            givers.erase(from);
+            continue;
         }
+        budget -= moved.end - moved.first;
+        --rounds;
     }
 }
 
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -50,10 +50,27 @@
         m_allEndedSince = event.at;
     }
     if (need == Need::Searching) {
+        askForPlace(event.at, effects);
         claimCell(event.at, effects);
     }
 }
 
+/** Tells the members of the known cell that this node, which is none of them, lives. */
+void TablePolling::askForPlace(MonotonicTime now, EffectList &effects)
+{
+    const std::optional<VersionedCellRow> &known = m_context.row.known();
+    if (!known || !m_written || m_context.stopping || m_context.self != noMember || now < m_nextJoinRequest) {
+        return;
+    }
+    m_nextJoinRequest = now + jittered(m_context.timings.searchPoll);
+    const NodeIdentity &own = m_context.identity;
+    for (const Member &member : known->row.members) {
+        if (!m_context.members.isProvedEnded(member.slot)) {
+            effects.add(SendPeerMessage{member.controlEndpoint, noMember, m_context.service, JoinRequest{own.node, own.incarnation}});
+        }
+    }
+}
+
 void TablePolling::announce(MonotonicTime now, EffectList &effects)
 {
     Member own = m_context.announcement();
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -51,6 +51,7 @@
 
 private:
     void readWhatIsDue(Need need, MonotonicTime now, EffectList &effects);
+    void askForPlace(MonotonicTime now, EffectList &effects);
     void claimCell(MonotonicTime now, EffectList &effects);
     bool isCoordinatorLostWithMost(const VersionedCellRow &known) const;
     bool mayFound() const;
@@ -69,6 +70,7 @@
     MonotonicTime m_writeAt;
     Duration m_writeRetry;
     MonotonicTime m_nextPoll;
+    MonotonicTime m_nextJoinRequest;
     MonotonicTime m_nextDirectoryPoll;
     bool m_readingMembers = false;
     MonotonicTime m_membersAskedAt;
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -223,6 +223,13 @@
         writeFence(to.initFence(), message.fence);
     }
 
+    void operator()(const JoinRequest &message)
+    {
+        auto to = m_to.initJoinRequest();
+        to.setNode(pointerTo(message.node.value()));
+        to.setIncarnation(message.incarnation.value());
+    }
+
 private:
     wire::PeerMessage::Builder m_to;
 };
@@ -237,11 +244,11 @@
     {
         PeerMessageArrived arrived;
         arrived.from = slot(from.getFrom());
-        check(arrived.from != noMember, "sender");
         check(from.getService().size() <= Codec::maxServiceNameBytes, "service name");
         arrived.service = ServiceName(stringOf(from.getService()));
         check(!arrived.service.value().empty(), "service name");
         arrived.message = message(from.getMessage());
+        check(arrived.from != noMember || std::holds_alternative<JoinRequest>(arrived.message), "sender");
         check(from.getWallMs() >= 0 && static_cast<std::uint64_t>(from.getWallMs()) <= Codec::maxCounter, "wall time");
         arrived.time = HybridTime{WallTime(std::chrono::milliseconds(from.getWallMs())), from.getCounter()};
         return arrived;
@@ -493,6 +500,12 @@
 
     HandoverAccepted handoverAccepted(wire::HandoverAccepted::Reader from) { return {shard(from.getShard()), fence(from.getFence())}; }
 
+    JoinRequest joinRequest(wire::JoinRequest::Reader from)
+    {
+        check(from.getNode().size() > 0 && from.getNode().size() <= Codec::maxNodeNameBytes, "node name");
+        return {NodeName(stringOf(from.getNode())), Incarnation(from.getIncarnation())};
+    }
+
     PeerMessage message(wire::PeerMessage::Reader from)
     {
         switch (from.which()) {
@@ -508,6 +521,8 @@
             return handoverOffer(from.getHandoverOffer());
         case wire::PeerMessage::HANDOVER_ACCEPTED:
             return handoverAccepted(from.getHandoverAccepted());
+        case wire::PeerMessage::JOIN_REQUEST:
+            return joinRequest(from.getJoinRequest());
         }
         check(false, "kind of message");
         return {};
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -42,6 +42,7 @@
     static constexpr std::size_t maxEntries = 65536;
     static constexpr std::size_t maxHeaders = 256;
     static constexpr std::size_t maxServiceNameBytes = 255;
+    static constexpr std::size_t maxNodeNameBytes = 255;
 
     static void write(wire::PeerControl::DeliverParams::Builder to, const SendPeerMessage &effect);
     static std::variant<PeerMessageArrived, PeerMessageFault> read(wire::PeerControl::DeliverParams::Reader from);
--- a/tests/core/rangestrategytest.cpp
+++ b/tests/core/rangestrategytest.cpp
@@ -77,6 +77,27 @@
     CHECK(moved <= 256);
 }
 
+TEST_CASE("A member with one shard too busy to be evened out does not keep the others uneven")
+{
+    FakeShardCell cell = settled(7);
+    std::fill(cell.loads.begin(), cell.loads.end(), 100);
+    // One key has more than a seventh of all requests, and another member's keys have three times their part.
+    cell.loads[10] = 20000;
+    std::fill(cell.loads.begin() + 300, cell.loads.begin() + 340, 500);
+    for (int round = 0; round < 4; ++round) {
+        cell.apply(RangeStrategy().plan(cell.input()));
+        cell.cooling.assign(512, false);
+    }
+    const MemberSlot busiest = cell.map.shards[10].owner;
+    double others = 0;
+    double highest = 0;
+    for (const auto &[slot, load] : loadsOf(cell)) {
+        others += slot == busiest ? 0 : load;
+        highest = slot == busiest ? highest : std::max(highest, load);
+    }
+    CHECK(highest <= 1.4 * others / 6);
+}
+
 TEST_CASE("A slow target gets fewer keys")
 {
     FakeShardCell cell(512);
