Tell a coordinator what the target holds until it has answered, also from a new slot

Cause: three holes around a node that restarts or gets another slot within one term, by which its target's keys went to others while the target held them. (1) After a slot changed the node thought it had told what its target holds, as the same term's coordinator had answered it in its old slot; the coordinator took silence for nothing held and freed the old slot's keys at once. (2) The report was sent with one heartbeat; if that was lost, the later ones did not repeat it. (3) A member just admitted and not yet heard counted as silent since the coordinator took office, was removed with the next row and admitted again in another slot: this made (1) common after a restart. Change: the report goes with each heartbeat until an answer to one that had it; a new slot begins anew; a member's silence counts from when it was added.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -81,7 +81,7 @@
 void Cell::Private::adoptRow(const CellRow &row, const Event &event, EffectList &effects)
 {
     recordMemberChanges(row, effects);
-    coordinator.noteRow(row);
+    coordinator.noteRow(row, event.at);
     context.members.assign(row);
     context.members.noteAnnounced(polling.announced(), event.at + context.timings.withDrift(context.timings.promise));
     context.learnMap(row.map);
@@ -95,6 +95,7 @@
     }
     coordinator.end("slot lost", event, effects);
     context.lease.lapse(event.at);
+    follower.slotChanged();
     context.self = slot;
 }
 
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -807,9 +807,14 @@
 
 // Row.
 
-void Coordinator::noteRow(const CellRow &row)
+void Coordinator::noteRow(const CellRow &row, MonotonicTime now)
 {
     noteNodes(row);
+    for (const Member &member : row.members) {
+        if (!m_context.members.find(member.slot)) {
+            m_addedAt[member.slot] = now;
+        }
+    }
     m_admission.noteRow(m_context.members, row);
 }
 
@@ -874,7 +879,9 @@
         return false;
     }
     const auto status = m_status.find(slot);
-    const MonotonicTime heardAt = status == m_status.end() ? m_officeAt : status->second.heardAt;
+    const auto added = m_addedAt.find(slot);
+    const MonotonicTime knownSince = added == m_addedAt.end() ? m_officeAt : std::max(m_officeAt, added->second);
+    const MonotonicTime heardAt = status == m_status.end() ? knownSince : status->second.heardAt;
     const bool silent = now >= heardAt + m_context.timings.memberRemoval;
     return silent || m_admission.announcesLeaving(slot, m_context.members);
 }
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -38,7 +38,7 @@
     /** A node that is no member lives and asks for a place. */
     void joinRequested(const JoinRequest &request, MonotonicTime now) { m_admission.noteJoinRequest(request, now); }
     /** The row that is about to be taken leaves some members out. */
-    void noteRow(const CellRow &row);
+    void noteRow(const CellRow &row, MonotonicTime now);
     /** The row read was not written by this node's term and ends it. */
     bool isOverruledBy(const CellRow &row) const;
     /** Ends the term or the candidature. */
@@ -126,6 +126,8 @@
     MonotonicTime m_standAt;
     bool m_standAtSet = false;
     MonotonicTime m_officeAt;
+    /** When each member was found in the row for the first time. */
+    std::map<MemberSlot, MonotonicTime> m_addedAt;
     MonotonicTime m_termEnd;
     MonotonicTime m_plannedAt;
     MonotonicTime m_nextRowWrite;
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -53,8 +53,8 @@
     if (m_context.holdsByHeartbeat()) {
         if (!answered || m_reportHolds) {
             heartbeat.held = m_context.holds.held(event.at);
+            m_holdsToldAt = std::min(m_holdsToldAt, event.at);
         }
-        m_reportHolds = !answered && m_reportHolds;
     } else if (!answered && m_context.lease.isValid(event.at)) {
         heartbeat.held = m_handover.held();
     }
@@ -98,6 +98,7 @@
         return;
     }
     m_answeredTerm = answer.term;
+    m_reportHolds = m_reportHolds && answer.sentAt < m_holdsToldAt;
     m_coordinatorDocument = answer.document;
     if (answer.lease > Duration(0)) {
         m_context.lease.extend(answer.sentAt, std::min(answer.lease, m_context.timings.memberLease));
@@ -123,11 +124,24 @@
 {
     if (m_targetIncarnation != m_context.reportedTarget) {
         m_targetIncarnation = m_context.reportedTarget;
-        m_reportHolds = true;
-        m_hurry = true;
+        reportHolds();
     }
 }
 
+void Follower::slotChanged()
+{
+    m_answeredTerm = Term();
+    reportHolds();
+}
+
+/** Heartbeats tell what the target holds until the coordinator has answered one of them: any may be lost. */
+void Follower::reportHolds()
+{
+    m_reportHolds = true;
+    m_holdsToldAt = MonotonicTime::max();
+    m_hurry = true;
+}
+
 void Follower::recordLease(MonotonicTime now, EffectList &effects)
 {
     const bool held = m_context.lease.isValid(now);
