Number terms of a cell that was taken over above all that its row cannot show

Cause: a coordinator cut off from the store may begin terms, and grant with their fences, up to the hold limit without a write to the row. If then all nodes and the targets with those fences end, nobody knows them, and new grants had lower fences. Change: a row that takes over an ended cell states a floor for terms, 4,096 counters above the last written one; 64 members that each stand every 300 ms reach 2,560 in the 12 s of the hold limit.

--- a/src/libnutmeghinge/cellrow.h
+++ b/src/libnutmeghinge/cellrow.h
@@ -30,6 +30,8 @@
     std::vector<std::vector<MemberSlot>> successors;
     /** Rises with each sign of life of the coordinator. */
     std::uint64_t mark = 0;
+    /** Terms are above this: lower ones may have been used without a write to the row. */
+    Term termFloor;
     /** Highest document revision that the coordinator had put in force. */
     DocumentRevision document;
 
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -116,7 +116,8 @@
 
 void Coordinator::stand(const Event &event, EffectList &effects)
 {
-    const Term highest = std::max(m_context.promises.highestTerm(), m_context.map.version.term);
+    const std::optional<VersionedCellRow> &row = m_context.row.known();
+    const Term highest = std::max({m_context.promises.highestTerm(), m_context.map.version.term, row ? row->row.termFloor : Term()});
     m_term.stand(CoordinatorTerm::next(highest, m_context.self), event.at);
     requestPromises(event, effects);
 }
--- a/src/libnutmeghinge/coordinatorterm.cpp
+++ b/src/libnutmeghinge/coordinatorterm.cpp
@@ -12,6 +12,8 @@
 
 /** Terms of one counter value, one for each slot. */
 constexpr std::uint64_t slotsPerCounter = 65536;
+/** More than 64 members can stand for in the 12 s of the platform's hold limit, each not before 300 ms after its last time. */
+constexpr std::uint64_t countersPerHoldLimit = 4096;
 
 } // namespace
 
@@ -26,6 +28,11 @@
     return Term((highest.value() / slotsPerCounter + 1) * slotsPerCounter + slot.value() % slotsPerCounter);
 }
 
+Term CoordinatorTerm::beyondHoldLimit(Term written)
+{
+    return Term(written.value() + countersPerHoldLimit * slotsPerCounter);
+}
+
 MemberSlot CoordinatorTerm::slotOf(Term term)
 {
     return MemberSlot(static_cast<std::uint32_t>(term.value() % slotsPerCounter));
--- a/src/libnutmeghinge/coordinatorterm.h
+++ b/src/libnutmeghinge/coordinatorterm.h
@@ -34,6 +34,8 @@
     static Term next(Term highest, MemberSlot slot);
     /** Slot of the candidate that the term belongs to. */
     static MemberSlot slotOf(Term term);
+    /** Above every term that the cell can have reached by itself since a row with the given highest term was written. */
+    static Term beyondHoldLimit(Term written);
 
     /** Becomes a candidate for the term. */
     void stand(Term term, MonotonicTime now);
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -215,6 +215,7 @@
     }
     CellRow row = known->row;
     row.revision = CellRevision(row.revision.value() + 1);
+    row.termFloor = CoordinatorTerm::beyondHoldLimit(std::max(row.termFloor, row.map.version.term));
     const std::vector<Member> before = std::exchange(row.members, {});
     for (const Member &member : before) {
         row.former.emplace_back(member.slot, member.node);
--- a/src/libnutmeghingeio/cellrowcodec.cpp
+++ b/src/libnutmeghingeio/cellrowcodec.cpp
@@ -167,6 +167,7 @@
                    {"former", json::array()},
                    {"map", toJson(row.map)},
                    {"mark", row.mark},
+                   {"termFloor", row.termFloor.value()},
                    {"document", row.document.value()}};
     for (const auto &[slot, node] : row.former) {
         result["former"].push_back({{"slot", slot.value()}, {"node", node.value()}});
@@ -192,6 +193,7 @@
     row.map = mapOf(reader, reader.object(from, "map"));
     row.successors = readIndexed<std::vector<MemberSlot>>(reader, from, "successorLists", "successors", slotsOf);
     row.mark = reader.number(from, "mark");
+    row.termFloor = Term(reader.number(from, "termFloor"));
     row.document = DocumentRevision(reader.number(from, "document"));
     if (reader.fault()) {
         return JsonFault{*reader.fault()};
--- a/tests/io/cellrowgenerator.cpp
+++ b/tests/io/cellrowgenerator.cpp
@@ -61,6 +61,7 @@
     row.map.hotKeys = any<std::vector<std::uint64_t>>();
     row.successors = *rc::gen::container<std::vector<std::vector<MemberSlot>>>(rc::gen::container<std::vector<MemberSlot>>(rc::gen::exec(slot)));
     row.mark = any<std::uint64_t>();
+    row.termFloor = Term(any<std::uint64_t>());
     row.document = DocumentRevision(any<std::uint64_t>());
     return row;
 }
