Grant a coordinator's own keys again when its target restarts as its term begins

Cause: taking office, a coordinator claimed what its target held; the target restarted before the coordinator first noted which start it knew, so the change was not noticed. The claimed keys kept a fence from before the restart, which the new start is never granted, and nobody else got them either: not served until the next term. Change: the claim and the start that it is of are noted together. Ruled out: a lost message (the shards stood as owned in the map all the time), the hold's end.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -199,6 +199,10 @@
     m_term.takeOffice();
     m_status.clear();
     noteNodes(row->row);
+    if (m_context.holdsByHeartbeat()) {
+        // The claim above is of this start of the target; a later one holds nothing of it.
+        noteTargetIncarnation(m_context.self, m_status[m_context.self], m_context.reportedTarget, m_context.holds.held(now), now, effects);
+    }
     m_successors = row->row.successors;
     m_officeAt = now;
     m_plannedAt = MonotonicTime();
--- a/tests/core/heldcelltest.cpp
+++ b/tests/core/heldcelltest.cpp
@@ -231,6 +231,8 @@
         // A member got another slot in one term, and its first heartbeat from there did not tell what its target held.
         {6, 1036371667, 6},
         {2, 4140802, 9},
+        // The coordinator's target restarted in the very moment in which a term began.
+        {3, 343, 4},
         // A term that ended in its recovery left shards unowned that a node outside the cell still held.
         {3, 2638, 3},
     }));
