--- a/tests/process/blockinghttp.cpp
+++ b/tests/process/blockinghttp.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <sstream>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -9,27 +10,10 @@
 
 namespace {
 
-int connectTo(const std::string &endpoint, int timeoutSeconds)
-{
-    const std::size_t colon = endpoint.rfind(':');
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(endpoint.substr(colon + 1))));
-    inet_pton(AF_INET, endpoint.substr(0, colon).c_str(), &address.sin_addr);
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const timeval timeout{timeoutSeconds, 0};
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-    if (connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
-        close(descriptor);
-        return -1;
-    }
-    return descriptor;
-}
-
-std::string toText(const BlockingRequest &request)
+std::string toText(const BlockingRequest &request, bool keep = false)
 {
     std::ostringstream text;
-    text << request.method << ' ' << request.path << " HTTP/1.1\r\nconnection: close\r\n";
+    text << request.method << ' ' << request.path << " HTTP/1.1\r\n" << (keep ? "" : "connection: close\r\n");
     if (!request.headers.contains("host")) {
         text << "host: localhost\r\n";
     }
@@ -91,6 +75,72 @@
 
 } // namespace
 
+int connectTo(const std::string &endpoint, int timeoutSeconds)
+{
+    const std::size_t colon = endpoint.rfind(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(endpoint.substr(colon + 1))));
+    inet_pton(AF_INET, endpoint.substr(0, colon).c_str(), &address.sin_addr);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval timeout{timeoutSeconds, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    if (connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+        close(descriptor);
+        return -1;
+    }
+    return descriptor;
+}
+
+KeptConnection::KeptConnection(const std::string &endpoint, int timeoutSeconds)
+    : m_descriptor(connectTo(endpoint, timeoutSeconds))
+{
+}
+
+KeptConnection::~KeptConnection()
+{
+    end();
+}
+
+void KeptConnection::end()
+{
+    if (m_descriptor >= 0) {
+        close(m_descriptor);
+        m_descriptor = -1;
+    }
+}
+
+BlockingAnswer KeptConnection::send(const BlockingRequest &request)
+{
+    BlockingAnswer answer;
+    const std::string text = toText(request, true);
+    ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+    std::string all;
+    std::size_t length = std::string::npos;
+    while (all.size() < length) {
+        std::array<char, 65536> chunk{};
+        const ssize_t count = recv(m_descriptor, chunk.data(), chunk.size(), 0);
+        if (count <= 0) {
+            end();
+            return answer;
+        }
+        answer.begun = true;
+        all.append(chunk.data(), static_cast<std::size_t>(count));
+        const std::size_t headEnd = all.find("\r\n\r\n");
+        if (answer.status == 0 && headEnd != std::string::npos) {
+            readHead(all.substr(0, headEnd + 2), answer);
+            const auto stated = answer.headers.find("content-length");
+            length = headEnd + 4 + (stated == answer.headers.end() ? 0 : std::stoul(stated->second));
+        }
+    }
+    answer.body = all.substr(all.find("\r\n\r\n") + 4);
+    answer.whole = true;
+    if (const auto connection = answer.headers.find("connection"); connection != answer.headers.end() && connection->second == "close") {
+        end();
+    }
+    return answer;
+}
+
 BlockingAnswer sendBlocking(const std::string &endpoint, const BlockingRequest &request)
 {
     BlockingAnswer answer;
--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -61,6 +61,12 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+bool ChildProcess::hasEnded() const
+{
+    siginfo_t info{};
+    return m_id < 0 || (waitid(P_PID, static_cast<id_t>(m_id), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == m_id);
+}
+
 std::string ChildProcess::output() const
 {
     std::ifstream file(m_outputFile);
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -22,6 +22,8 @@
     /** Waits for a line that begins with, or contains, the text; returns what follows it up to the line's end. */
     std::string waitForOutput(const std::string &text) const;
     std::string output() const;
+    /** The program has ended; wait() then returns at once. */
+    bool hasEnded() const;
     pid_t id() const { return m_id; }
 
 private:
--- a/tests/process/testcluster.cpp
+++ b/tests/process/testcluster.cpp
@@ -35,7 +35,9 @@
 {
     m_seats.clear();
     m_platform.reset();
-    std::filesystem::remove_all(m_folder);
+    if (!m_keepFolder) {
+        std::filesystem::remove_all(m_folder);
+    }
 }
 
 int TestCluster::putDocument(const std::string &text)
@@ -47,13 +49,19 @@
 }
 
 TestSeat &TestCluster::addSeat(const std::string &name, const std::string &zone, const std::vector<std::string> &targetOptions)
+{
+    TestSeat &seat = addEmptySeat(name, zone);
+    startNode(seat);
+    startTarget(seat, targetOptions);
+    return seat;
+}
+
+TestSeat &TestCluster::addEmptySeat(const std::string &name, const std::string &zone)
 {
     m_seats.push_back(std::make_unique<TestSeat>());
     TestSeat &seat = *m_seats.back();
     seat.name = name;
     seat.zone = zone;
-    startNode(seat);
-    startTarget(seat, targetOptions);
     return seat;
 }
 
@@ -61,7 +69,8 @@
 {
     const std::string file = m_folder + '/' + seat.name + ".yaml";
     const bool restarted = !seat.announce.empty();
-    std::ofstream(file) << "node: node-" << seat.name << "\nzone: " << seat.zone << "\nregion: here\nplatform: " << m_platformEndpoint
+    std::ofstream(file) << "node: node-" << seat.name << "\nzone: " << seat.zone
+                        << "\nregion: here\nplatform: " << (seat.platformVia.empty() ? m_platformEndpoint : seat.platformVia)
                         << "\nlisten:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  control: 127.0.0.1:0\n  target: "
                         << (restarted ? seat.announce : "127.0.0.1:0") << "\n  operations: 127.0.0.1:0\n";
     seat.node.reset();
@@ -74,7 +83,15 @@
 
 void TestCluster::startTarget(TestSeat &seat, const std::vector<std::string> &options)
 {
-    std::vector<std::string> command{TARGET_BINARY, "--listen", "127.0.0.1:0", "--service", m_service, "--name", seat.name, "--node-announce", seat.announce};
+    std::vector<std::string> command{TARGET_BINARY,
+                                     "--listen",
+                                     "127.0.0.1:0",
+                                     "--service",
+                                     m_service,
+                                     "--name",
+                                     seat.name,
+                                     "--node-announce",
+                                     seat.announceVia.empty() ? seat.announce : seat.announceVia};
     command.insert(command.end(), options.begin(), options.end());
     seat.target.reset();
     seat.target = std::make_unique<ChildProcess>(command, m_folder + '/' + seat.name + "-target-" + std::to_string(++m_starts) + ".log");
--- a/tests/process/testcluster.h
+++ b/tests/process/testcluster.h
@@ -19,6 +19,9 @@
     std::string operations;
     std::string announce;
     std::string targetEndpoint;
+    /** Where the node finds the platform, and the target the node; empty: at their own addresses. */
+    std::string platformVia;
+    std::string announceVia;
 };
 
 /**
@@ -35,6 +38,10 @@
     int putDocument(const std::string &text);
     /** Starts a node and its target; they are not waited for. */
     TestSeat &addSeat(const std::string &name, const std::string &zone, const std::vector<std::string> &targetOptions = {});
+    /** A seat with nothing started. */
+    TestSeat &addEmptySeat(const std::string &name, const std::string &zone);
+    /** The logs of all processes stay when the object ends. */
+    void keepFolder() { m_keepFolder = true; }
     void startNode(TestSeat &seat);
     void startTarget(TestSeat &seat, const std::vector<std::string> &options = {});
 
@@ -58,6 +65,7 @@
 private:
     std::string m_service;
     std::string m_folder;
+    bool m_keepFolder = false;
     std::unique_ptr<ChildProcess> m_platform;
     std::string m_platformEndpoint;
     std::vector<std::unique_ptr<TestSeat>> m_seats;
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,110 @@
+#include "soakchecks.h"
+#include "soakrun.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace po = boost::program_options;
+
+namespace {
+
+struct Options {
+    std::uint64_t first = 1;
+    std::uint64_t last = 1;
+    std::size_t nodes = 5;
+    int seconds = 10;
+    int minutes = 0;
+};
+
+/** Plays one seed; whether all promises were kept. */
+bool playSeed(std::uint64_t seed, const Options &options)
+{
+    SoakRun run(seed, options.nodes, std::chrono::seconds(options.seconds));
+    const SoakObservations observations = run.play();
+    const std::vector<std::string> breaches = brokenPromises(observations);
+    std::cout << "seed " << seed << ": " << observations.requests.size() << " requests, " << observations.executions.size() << " executions, "
+              << run.plan().size() << " faults, " << breaches.size() << " breaches" << std::endl;
+    for (const std::string &breach : breaches) {
+        std::cout << "  " << breach << '\n';
+    }
+    if (!breaches.empty()) {
+        run.keepFolder();
+        std::cout << "plan and logs of seed " << seed << " are in " << run.folder() << std::endl;
+    }
+    return breaches.empty();
+}
+
+int play(const Options &options)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::minutes(options.minutes);
+    std::vector<std::uint64_t> failed;
+    std::uint64_t played = 0;
+    const auto playOne = [&](std::uint64_t seed) {
+        ++played;
+        if (!playSeed(seed, options)) {
+            failed.push_back(seed);
+        }
+    };
+    if (options.minutes > 0) {
+        std::random_device fresh;
+        while (std::chrono::steady_clock::now() < end) {
+            playOne(fresh());
+        }
+    } else {
+        for (std::uint64_t seed = options.first; seed <= options.last; ++seed) {
+            playOne(seed);
+        }
+    }
+    std::cout << played << " seeds played, " << failed.size() << " failed";
+    for (const std::uint64_t seed : failed) {
+        std::cout << ' ' << seed;
+    }
+    std::cout << std::endl;
+    return failed.empty() ? 0 : 1;
+}
+
+bool readSeeds(const std::string &text, Options &options)
+{
+    const std::size_t dash = text.find('-');
+    if (text.find_first_not_of("0123456789-") != std::string::npos || text.empty() || dash == 0) {
+        return false;
+    }
+    options.first = std::stoull(text);
+    options.last = dash == std::string::npos ? options.first : std::stoull(text.substr(dash + 1));
+    return options.first <= options.last;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    Options options;
+    std::string seeds = "1-50";
+    po::options_description description("Plays seeded faults against real nodes on loopback and checks the promises");
+    description.add_options()("help", "show this text");
+    description.add_options()("seeds", po::value(&seeds)->default_value(seeds), "FIRST-LAST");
+    description.add_options()("seed", po::value(&seeds), "one seed");
+    description.add_options()("minutes", po::value(&options.minutes), "fresh seeds for this time instead");
+    description.add_options()("nodes", po::value(&options.nodes)->default_value(options.nodes), "nodes, each with a target");
+    description.add_options()("seconds", po::value(&options.seconds)->default_value(options.seconds), "length of a seed's faults");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, description), values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return 0;
+        }
+        po::notify(values);
+    } catch (const po::error &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+    if (!readSeeds(seeds, options) || options.nodes < 1 || options.nodes > 60 || options.seconds < 1) {
+        std::cerr << "--seeds: FIRST-LAST; --nodes: 1 to 60; --seconds: 1 or more\n";
+        return 2;
+    }
+    return play(options);
+}
--- /dev/null
+++ b/tests/soak/soakplan.cpp
@@ -0,0 +1,79 @@
+#include "soakplan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct ActionTraits {
+    SoakAction action;
+    const char *name;
+    bool mayCut;
+    /** Milliseconds. */
+    int longest;
+};
+
+constexpr std::array actions{
+    ActionTraits{SoakAction::KillNode, "kill node", true, 2500},
+    ActionTraits{SoakAction::KillTarget, "kill target", false, 2500},
+    ActionTraits{SoakAction::KillBoth, "kill node and target", true, 4000},
+    ActionTraits{SoakAction::KillAllNodes, "kill all nodes", true, 1500},
+    ActionTraits{SoakAction::StopNode, "stop node", false, 4000},
+    ActionTraits{SoakAction::PauseNode, "pause node", true, 3000},
+    ActionTraits{SoakAction::ReloadNode, "reload node", false, 1},
+    ActionTraits{SoakAction::PutDocument, "put document", false, 1},
+    ActionTraits{SoakAction::PlatformDown, "platform down", false, 4000},
+    ActionTraits{SoakAction::PlatformSlow, "platform slow", false, 4000},
+    ActionTraits{SoakAction::PlatformLosesAnswers, "platform loses answers", false, 1},
+    ActionTraits{SoakAction::CutFromPlatform, "cut node from platform", false, 4000},
+    ActionTraits{SoakAction::DelayCallers, "delay callers", false, 2000},
+    ActionTraits{SoakAction::ResetCallers, "reset callers", true, 1},
+    ActionTraits{SoakAction::SilenceCallers, "silence callers", true, 2000},
+    ActionTraits{SoakAction::CutAnnouncements, "cut target's announcements", false, 4000},
+};
+
+const ActionTraits &traitsOf(SoakAction action)
+{
+    return actions[static_cast<std::size_t>(action)];
+}
+
+} // namespace
+
+std::string nameOf(SoakAction action)
+{
+    return traitsOf(action).name;
+}
+
+bool mayCut(SoakAction action)
+{
+    return traitsOf(action).mayCut;
+}
+
+std::vector<SoakStep> makeSoakPlan(std::uint64_t seed, std::size_t seats, milliseconds length)
+{
+    constexpr milliseconds calmStart(500);
+    // A fault each second on average.
+    const auto count = static_cast<std::size_t>(std::max<milliseconds::rep>(1, length.count() / 1000));
+    std::mt19937_64 random(seed);
+    const auto below = [&random](std::uint64_t limit) { return random() % limit; };
+    std::vector<SoakStep> plan;
+    for (std::size_t index = 0; index < count; ++index) {
+        SoakStep step;
+        step.action = actions[below(actions.size())].action;
+        step.seat = below(seats);
+        step.at = calmStart + milliseconds(below(static_cast<std::uint64_t>(length.count())));
+        step.length = milliseconds(1 + below(static_cast<std::uint64_t>(traitsOf(step.action).longest)));
+        plan.push_back(step);
+    }
+    std::stable_sort(plan.begin(), plan.end(), [](const SoakStep &left, const SoakStep &right) { return left.at < right.at; });
+    return plan;
+}
+
+std::string toText(const SoakStep &step)
+{
+    return std::to_string(step.at.count()) + " ms: " + nameOf(step.action) + ", seat " + std::to_string(step.seat) + ", for "
+           + std::to_string(step.length.count()) + " ms";
+}
--- a/tests/standins/targetmain.cpp
+++ b/tests/standins/targetmain.cpp
@@ -49,6 +49,7 @@
     options.add_options()("queue", po::value(&target.queue)->default_value(target.queue), "requests that wait for a slot");
     options.add_options()("service-time-ms", po::value(&target.serviceTimeMs)->default_value(target.serviceTimeMs), "time of one request");
     options.add_options()("check-fence", po::bool_switch(&target.checkFence), "refuse older fences");
+    options.add_options()("print-executions", po::bool_switch(&target.printExecutions), "tell each execution on standard output");
     options.add_options()("incarnation", po::value(&target.incarnation)->default_value(target.incarnation), "number of this run");
     options.add_options()("cold-start-ms", po::value(&target.coldStartMs)->default_value(target.coldStartMs), "slow for this time after the start");
     options.add_options()("key-header", po::value(&target.keyHeader)->default_value(target.keyHeader), "request header with the key, in lower case");
--- a/tests/standins/targetstandin.cpp
+++ b/tests/standins/targetstandin.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iostream>
 
 namespace nutmeghinge {
 
@@ -320,6 +321,10 @@
 {
     ++m_served;
     ++m_servedByKey[work.key];
+    if (m_options.printExecutions) {
+        const auto now = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch());
+        std::cout << "execution " << now.count() << ' ' << work.key << ' ' << headerOf(work.exchange->request(), wire::fence) << ' ' << work.order << std::endl;
+    }
     if (!isSafe(work.exchange->request().method) && !work.order.empty()) {
         ++m_executions[work.order];
     }
--- a/tests/standins/targetstandin.h
+++ b/tests/standins/targetstandin.h
@@ -36,6 +36,8 @@
         std::uint32_t queue = 5;
         std::uint64_t serviceTimeMs = 1;
         bool checkFence = false;
+        /** Tells each execution on standard output as it begins: monotonic microseconds, key, fence and order. */
+        bool printExecutions = false;
         std::uint64_t incarnation = 1;
         /** Requests take ten times as long for this time after the start. */
         std::uint64_t coldStartMs = 0;
