Keep the keys of a target that reports only after its node was heard in a recovery

The coordinator counted the member as heard with nothing held; when the report came, it gave the shards of the node's earlier slot to the new one only if the map had them as owned, and in a recovery it has none so. The recovery then ended at once, all seeming known, and the shards went to others while the target held them. Change: the first report of a member's target confirms what it holds, also where the member was heard before. Ruled out: the handover (no release was asked for), the hold's end (known rightly at the node), the term floor. Figures: test "Keys of a target that reports late after all nodes restarted go to nobody else while it holds them": two holders in one of five cells before ("shard 30 has two holders"), none after. The harness can now delay heartbeats.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -377,6 +377,8 @@
         m_ledger.lose(from, now, effects);
         return;
     }
+    // The member was heard before its target first reported: in a recovery what it holds is known only now.
+    m_ledger.confirmHeld(from, held);
     const auto node = m_nodes.find(from);
     for (const auto &[slot, name] : m_nodes) {
         if (slot != from && node != m_nodes.end() && name == node->second) {
--- a/tests/core/heldcellharness.cpp
+++ b/tests/core/heldcellharness.cpp
@@ -206,7 +206,8 @@
             announced.holds->held.push_back({shard * keysOfShard, (shard + 1) * keysOfShard - 1, target.holds[shard].fence});
         }
     }
-    schedule(Duration(200), [this, node, incarnation = m_nodes[node].incarnation, announced] { deliver(node, incarnation, announced); });
+    schedule(Duration(200) + target.heartbeatDelay,
+             [this, node, incarnation = m_nodes[node].incarnation, announced] { deliver(node, incarnation, announced); });
 }
 
 void HeldCellHarness::takeGrant(std::size_t node, std::uint64_t targetIncarnation, Duration sentAt, const HoldGrant &grant)
--- a/tests/core/heldcellharness.h
+++ b/tests/core/heldcellharness.h
@@ -39,6 +39,8 @@
     void killTarget(std::size_t node);
     void startTarget(std::size_t node);
     void drainTarget(std::size_t node);
+    /** The target's heartbeats arrive so much later. */
+    void setHeartbeatDelay(std::size_t node, Duration delay) { m_nodes[node].target.heartbeatDelay = delay; }
     void pauseNode(std::size_t node, Duration length);
     void setIsolated(std::size_t node, bool isolated);
     void setCutFromPlatform(std::size_t node, bool cut);
@@ -71,6 +73,7 @@
         std::vector<Hold> holds{shards};
         std::vector<ReleasedRange> released;
         Duration holdEnd{0};
+        Duration heartbeatDelay{0};
     };
     struct Node {
         std::unique_ptr<Reducer> reducer;
--- a/tests/core/heldcelltest.cpp
+++ b/tests/core/heldcelltest.cpp
@@ -123,6 +123,27 @@
     CHECK(cell.breach().empty());
 }
 
+TEST_CASE("Keys of a target that reports late after all nodes restarted go to nobody else while it holds them")
+{
+    for (std::size_t late = 0; late < 5; ++late) {
+        HeldCellHarness cell(5, 13 + late);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(2s);
+        for (std::size_t node = 0; node < cell.size(); ++node) {
+            cell.killNode(node);
+        }
+        cell.setHeartbeatDelay(late, 1200ms);
+        for (std::size_t node = 0; node < cell.size(); ++node) {
+            cell.startNode(node);
+        }
+        cell.run(4s);
+        cell.setHeartbeatDelay(late, 0ms);
+        INFO("late target " << late);
+        CHECK(cell.runUntilAllHeld(10s));
+        CHECK(cell.breach() == "");
+    }
+}
+
 TEST_CASE("A cell that lost its coordinator and most members for some time, and one for good, recovers")
 {
     HeldCellHarness cell(7, 9);
