Confirm held keys with a new fence where the coordinator's map is older than the holder's

Cause: a new coordinator whose majority had not seen the last grants confirmed a member's held keys with the fence of its older map. The target had restarted meanwhile and may be granted only higher fences than that, so its node answered it with nothing, and as the map showed an owner nobody else got the keys: not served until the next term. Change: a claim by a member that knows a newer map than the term's base gets a fence of the new term. Ruled out: raising every confirmed fence (all keys would change hands on each change of coordinator).

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -193,7 +193,7 @@
     start.freeAt = now + m_context.executionWait();
     m_ledger.start(start);
     if (m_context.holdsByHeartbeat()) {
-        m_ledger.confirmHeld(m_context.self, m_context.holds.held(now));
+        m_ledger.confirmHeld(m_context.self, m_context.holds.held(now), m_context.map.version);
     }
     m_renewFences = false;
     m_term.takeOffice();
@@ -201,7 +201,8 @@
     noteNodes(row->row);
     if (m_context.holdsByHeartbeat()) {
         // The claim above is of this start of the target; a later one holds nothing of it.
-        noteTargetIncarnation(m_context.self, m_status[m_context.self], m_context.reportedTarget, m_context.holds.held(now), now, effects);
+        noteTargetIncarnation(
+            m_context.self, m_status[m_context.self], m_context.reportedTarget, m_context.holds.held(now), m_context.map.version, now, effects);
     }
     m_successors = row->row.successors;
     m_officeAt = now;
@@ -323,7 +324,7 @@
         m_ledger.noteReleased(m_context.self, shard, fence);
     }
     if (m_context.holdsByHeartbeat()) {
-        noteTargetIncarnation(m_context.self, self, m_context.reportedTarget, m_context.holds.held(event.at), event.at, effects);
+        noteTargetIncarnation(m_context.self, self, m_context.reportedTarget, m_context.holds.held(event.at), m_context.map.version, event.at, effects);
     }
     if (m_context.holdsByHeartbeat() && isActive(event.at) && acknowledgedVersion(event.at).term == m_term.term()) {
         m_context.lease.extend(event.at, m_context.timings.memberLease);
@@ -347,10 +348,10 @@
         return;
     }
     if (!status.heard) {
-        m_ledger.confirmHeld(from, heartbeat.held);
+        m_ledger.confirmHeld(from, heartbeat.held, heartbeat.mapVersion);
         status.leaseEnd = event.at + m_context.timings.withDrift(m_context.timings.memberLease);
     }
-    noteTargetIncarnation(from, status, heartbeat.targetIncarnation, heartbeat.held, event.at, effects);
+    noteTargetIncarnation(from, status, heartbeat.targetIncarnation, heartbeat.held, heartbeat.mapVersion, event.at, effects);
     noteHeartbeat(status, heartbeat, event.at);
     m_smoothedLoads.note(from, heartbeat.load.shards, m_ledger.map());
     for (const auto &[shard, fence] : heartbeat.released) {
@@ -365,6 +366,7 @@
                                         MemberStatus &status,
                                         std::uint64_t targetIncarnation,
                                         const std::vector<ShardIndex> &held,
+                                        const Fence &mapVersion,
                                         MonotonicTime now,
                                         EffectList &effects)
 {
@@ -378,7 +380,7 @@
         return;
     }
     // The member was heard before its target first reported: in a recovery what it holds is known only now.
-    m_ledger.confirmHeld(from, held);
+    m_ledger.confirmHeld(from, held, mapVersion);
     const auto node = m_nodes.find(from);
     for (const auto &[slot, name] : m_nodes) {
         if (slot != from && node != m_nodes.end() && name == node->second) {
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -93,6 +93,7 @@
                                MemberStatus &status,
                                std::uint64_t targetIncarnation,
                                const std::vector<ShardIndex> &held,
+                               const Fence &mapVersion,
                                MonotonicTime now,
                                EffectList &effects);
     void noteNodes(const CellRow &row);
--- a/src/libnutmeghinge/ownershipledger.cpp
+++ b/src/libnutmeghinge/ownershipledger.cpp
@@ -45,6 +45,7 @@
 void OwnershipLedger::start(const Start &start)
 {
     m_map = *start.base;
+    m_baseVersion = m_map.version;
     m_map.version = Fence{start.term, 1};
     m_map.sections = start.sections;
     m_map.shards.resize(start.shards + m_map.hotKeys.size());
@@ -68,8 +69,10 @@
     }
 }
 
-void OwnershipLedger::confirmHeld(MemberSlot holder, const std::vector<ShardIndex> &held)
+void OwnershipLedger::confirmHeld(MemberSlot holder, const std::vector<ShardIndex> &held, const Fence &knownVersion)
 {
+    // The holder got grants that the base does not show: a fence of the base may be one that its target has left behind.
+    const bool baseIsOlder = knownVersion > m_baseVersion;
     bool changed = false;
     for (const ShardIndex shard : held) {
         if (shard.value() >= m_progress.size() || !m_progress[shard.value()].pending) {
@@ -80,6 +83,9 @@
             changed = true;
         }
         keepClaim(shard.value(), holder);
+        if (baseIsOlder) {
+            m_map.shards[shard.value()].fence = m_map.version;
+        }
     }
 }
 
--- a/src/libnutmeghinge/ownershipledger.h
+++ b/src/libnutmeghinge/ownershipledger.h
@@ -52,8 +52,8 @@
     bool isRecovering() const { return m_recovering; }
     /** Members that the base shows as owners of shards whose holder is not known yet. */
     std::set<MemberSlot> pendingOwners() const;
-    /** A member holds the shards under a lease of an earlier term. */
-    void confirmHeld(MemberSlot holder, const std::vector<ShardIndex> &held);
+    /** A member holds the shards under a lease of an earlier term; knownVersion: the newest map that it knows. */
+    void confirmHeld(MemberSlot holder, const std::vector<ShardIndex> &held, const Fence &knownVersion);
     /** No earlier lease can be valid any more: what nobody reported is free. */
     void finishRecovery();
 
@@ -104,6 +104,8 @@
     void startRelease(std::size_t shard, MemberSlot next, MonotonicTime now, EffectList &effects);
 
     OwnershipMap m_map;
+    /** Version of the map that the term began with. */
+    Fence m_baseVersion;
     std::vector<Progress> m_progress;
     bool m_recovering = false;
     bool m_renewFences = false;
--- a/tests/core/heldcelltest.cpp
+++ b/tests/core/heldcelltest.cpp
@@ -254,6 +254,8 @@
         {2, 4140802, 9},
         // The coordinator's target restarted in the very moment in which a term began.
         {3, 343, 4},
+        // A new coordinator did not know the fence that a target had its keys by, and confirmed them with one that it refused.
+        {3, 2853, 5},
         // A term that ended in its recovery left shards unowned that a node outside the cell still held.
         {3, 2638, 3},
     }));
