Name the true shard in each line on a request, and tell unknown ends also when many are refused

The entry node's lines all named shard 0, as it was set only at the owner, so the grant shown with them was of another range; and of two unknown ends no line of the owner was kept, since refusals had used up the ten failed requests a second. Change: the shard is set where the request is routed; refused, unknown and late requests each have ten a second. Ruled out: a higher common limit (refusals come by hundreds a second and would still push the others out).

--- a/src/libnutmeghinge/requestreplies.cpp
+++ b/src/libnutmeghinge/requestreplies.cpp
@@ -1,5 +1,7 @@
 #include "requestreplies.h"
 
+#include "shardof.h"
+
 #include <algorithm>
 
 namespace nutmeghinge {
@@ -68,7 +70,7 @@
     record.kind = kind;
     record.request = request.id;
     record.callerId = request.callerId;
-    if (request.divided) {
+    if (request.divided && request.shard != noShard) {
         record.shard = request.shard;
     }
     if (request.state == Request::State::Running) {
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -209,6 +209,7 @@
     }
     Request &request = m_d->table.insert(std::get<Request>(std::move(taken)));
     m_d->retries.requestArrived(m_d->document().retryPercent);
+    request.shard = RoutePlanner::shardOf(request, *m_d->ownership);
     m_d->replies.record(TimelineRecord::Kind::RequestArrived, request, effects);
     m_d->route(request, context);
 }
@@ -358,6 +359,7 @@
     if (!request.divided) {
         planner.replicasFor(request).setOwnTarget(admission.queue().size(), admission.health().isHealthy(context.now));
     }
+    request.shard = RoutePlanner::shardOf(request, *ownership);
     const Route route = planner.plan(request, *ownership, context.now, context.wallTime);
     if (mayHaveRunElsewhere(request, route, context)) {
         request.unknown = true;
--- a/src/libnutmeghinge/routeplanner.cpp
+++ b/src/libnutmeghinge/routeplanner.cpp
@@ -6,16 +6,9 @@
 #include "ownershipview.h"
 #include "shardof.h"
 
-#include <limits>
-
 namespace nutmeghinge {
 
-namespace {
-
-/** Beyond the shards of any map. */
-constexpr ShardIndex noShard{std::numeric_limits<std::uint32_t>::max()};
-
-ShardIndex shardOf(const Request &request, const OwnershipView &ownership)
+ShardIndex RoutePlanner::shardOf(const Request &request, const OwnershipView &ownership)
 {
     const Document *document = ownership.document();
     if (!request.divided || !document) {
@@ -28,8 +21,6 @@
     return shardOfHash(request.keyHash, ownership.map(), document->shards);
 }
 
-} // namespace
-
 RoutePlanner::RoutePlanner(std::uint64_t seed)
     : m_seed(seed)
     , m_random(~seed)
--- a/src/libnutmeghinge/routeplanner.h
+++ b/src/libnutmeghinge/routeplanner.h
@@ -42,6 +42,8 @@
     /** Members, loads or documents may have changed. */
     void invalidateReplicas();
     Route plan(const Request &request, const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
+    /** Shard of the request's key; number 0 where the service is not divided, noShard where the map does not have it yet. */
+    static ShardIndex shardOf(const Request &request, const OwnershipView &ownership);
     /** Route to the target beside this node, where it may run the request now. */
     static std::optional<RouteToTarget> planTarget(const Request &request, const OwnershipView &ownership, MonotonicTime now);
 
--- a/src/libnutmeghinge/shardof.h
+++ b/src/libnutmeghinge/shardof.h
@@ -4,10 +4,14 @@
 #include "ownershipmap.h"
 
 #include <cstdint>
+#include <limits>
 #include <string_view>
 
 namespace nutmeghinge {
 
+/** Beyond the shards of any map. */
+inline constexpr ShardIndex noShard{std::numeric_limits<std::uint32_t>::max()};
+
 /** xxh64 hash of a key; never 0, which marks an unused hot key entry. */
 std::uint64_t hashOfKey(std::string_view key);
 
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
-/** Failed requests told in a second; a node at twice its load refuses more, and each line costs its processor time. */
+/** Failed requests of one kind told in a second; a node at twice its load refuses more, and each line costs its processor time. */
 constexpr std::uint32_t failuresToldPerSecond = 10;
 constexpr Duration leftOutInterval = std::chrono::seconds(1);
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
@@ -104,7 +104,6 @@
     , m_announcements(m_adapters.makeAnnouncements(loop, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_operationsServer(loop)
     , m_timeline(m_settings.timelineRecords)
-    , m_failureLog(failuresToldPerSecond)
 {
 }
 
@@ -244,7 +243,7 @@
         spdlog::info("{}", recordToLine(record));
     } else if (spdlog::should_log(spdlog::level::debug)) {
         spdlog::debug("{}", recordToLine(record));
-    } else if (endsBadly(record.kind) && m_failureLog.admit(m_loop.now())) {
+    } else if (endsBadly(record.kind) && m_failureLogs.try_emplace(record.kind, failuresToldPerSecond).first->second.admit(m_loop.now())) {
         logStory(record);
     }
 }
@@ -263,8 +262,10 @@
 
 void Node::logLeftOut()
 {
-    if (const std::uint64_t leftOut = m_failureLog.takeLeftOut(m_loop.now())) {
-        spdlog::info("{} more requests were refused, late or ended unknown; /timeline has them", leftOut);
+    for (auto &[kind, limiter] : m_failureLogs) {
+        if (const std::uint64_t leftOut = limiter.takeLeftOut(m_loop.now())) {
+            spdlog::info("{} more of {} were left out; /timeline has the latest", leftOut, nameOf(kind));
+        }
     }
     const std::uint64_t dropped = droppedLogLines();
     if (dropped != m_droppedLogLines) {
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -17,6 +17,7 @@
 #include "timelinering.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -78,7 +79,8 @@
     OperationsServer m_operationsServer;
     NodeMetrics m_metrics;
     TimelineRing m_timeline;
-    LogLimiter m_failureLog;
+    /** By the kind of record that ends a request. */
+    std::map<TimelineRecord::Kind, LogLimiter> m_failureLogs;
     std::uint64_t m_droppedLogLines = 0;
     /** Made when the listeners' endpoints are known. */
     std::unique_ptr<Reducer> m_reducer;
