--- a/tests/core/requestqueuetest.cpp
+++ b/tests/core/requestqueuetest.cpp
@@ -66,6 +66,17 @@
     CHECK(queue.work() == 0ms);
 }
 
+TEST_CASE("Silence on a routed request's connection is no fault while its deadline runs: it may wait in a queue")
+{
+    RouterFixture fixture(false, 1);
+    fixture.m_ownership.m_routes.emplace(std::vector<RequestRoute>());
+    fixture.arrive(routed(1, 10s, 10s));
+    CHECK(fixture.only<SendToTarget>().mayBeSilent);
+    RouterFixture without(false, 1);
+    without.arrive(RouterFixture::request(2));
+    CHECK_FALSE(without.only<SendToTarget>().mayBeSilent);
+}
+
 TEST_CASE("The request whose objective ends first is sent first, the urgent before it")
 {
     RoutedFixture fixture;
