Let a stopping node wait for forwarded requests whose key moved

Cause: when a key's owner changes, a safe request forwarded to the earlier owner is cancelled and sent again. A node that stops begins no further attempt, so the caller got 502 while the earlier owner's target was at work. Change: a stopping node leaves such attempts running; `stopLimit` bounds them. Figures: test "A stopping node does not give up a forwarded request whose key moved": one cancel before, none after.

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -786,6 +786,10 @@
 
 void RequestRouter::Private::replaceForwards(const Context &context)
 {
+    if (stopping) {
+        // A stopping node begins no further attempt; the earlier owner may be at work on the present one.
+        return;
+    }
     table.forEachRunning([&](Request &request) {
         const bool mayBeSentAgain = request.idempotent && !request.answerBegun && !request.cancelled && !request.replaced;
         if (!mayBeSentAgain || !request.divided || request.destination != Request::Destination::Member || request.hops > 0) {
--- a/tests/core/requestendingtest.cpp
+++ b/tests/core/requestendingtest.cpp
@@ -53,6 +53,27 @@
     CHECK(fixture.all<SendToTarget>().empty());
 }
 
+TEST_CASE("A stopping node does not give up a forwarded request whose key moved: its owner may be at work")
+{
+    for (const bool stops : {false, true}) {
+        RouterFixture fixture;
+        fixture.m_ownership.addMember(MemberSlot(3), "south");
+        fixture.m_ownership.own(MemberSlot(2));
+        fixture.ownershipChanged();
+        fixture.arrive(RouterFixture::request(1));
+        const AttemptId attempt = fixture.only<ForwardRequest>().attempt;
+        if (stops) {
+            EffectList effects{HybridTime{}};
+            fixture.m_router.stop(Event{fixture.m_now, WallTime(), StopRequested{}}, effects);
+        }
+        fixture.m_ownership.own(MemberSlot(3));
+        fixture.ownershipChanged();
+        CHECK(fixture.all<CancelAttempt>().size() == (stops ? 0 : 1));
+        fixture.answered(attempt);
+        CHECK(fixture.m_router.runningRequests() == 0);
+    }
+}
+
 TEST_CASE("An answer that has begun is not broken off by a node about to be ended")
 {
     RouterFixture fixture;
