Use one text of fences and one set of server options, and drop what nothing reads

Cause: reading the change once more. recordline and logreader wrote the text of a fence again that fencetext has; the options of HttpServer and PipelinedServer stood twice; the soak noted times of requests that no check reads; the coordinator kept the time of each member that ever was. Change: fencetext is called; HttpListener has the options; the times are gone; times of members that left the row are dropped.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -820,6 +820,9 @@
 void Coordinator::noteRow(const CellRow &row, MonotonicTime now)
 {
     noteNodes(row);
+    std::erase_if(m_addedAt, [&](const auto &added) {
+        return std::none_of(row.members.begin(), row.members.end(), [&](const Member &member) { return member.slot == added.first; });
+    });
     for (const Member &member : row.members) {
         if (!m_context.members.find(member.slot)) {
             m_addedAt[member.slot] = now;
--- a/src/libnutmeghingeio/httplistener.h
+++ b/src/libnutmeghingeio/httplistener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endpoint.h"
+#include "units.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,16 @@
 class HttpListener
 {
 public:
+    /** What the user of a server chooses. */
+    struct Options {
+        /** Largest request body; bytes. */
+        std::uint64_t bodyLimit = 1048576;
+        /** Name of the listener in log lines. */
+        std::string name;
+        /** Time after which an idle connection is closed. */
+        Duration idleTimeout{std::chrono::seconds(10)};
+    };
+
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
     virtual ~HttpListener() = default;
--- a/src/libnutmeghingeio/httpserver.h
+++ b/src/libnutmeghingeio/httpserver.h
@@ -22,15 +22,6 @@
 class HttpServer : public HttpListener
 {
 public:
-    struct Options {
-        /** Largest request body; bytes. */
-        std::uint64_t bodyLimit = 1048576;
-        /** Name of the listener in log lines. */
-        std::string name;
-        /** Time after which an idle connection is closed. */
-        Duration idleTimeout{std::chrono::seconds(10)};
-    };
-
     HttpServer(EventLoop &loop, Options options, Handler handler);
     ~HttpServer() override;
     HttpServer(const HttpServer &) = delete;
--- a/src/libnutmeghingeio/pipelinedserver.h
+++ b/src/libnutmeghingeio/pipelinedserver.h
@@ -19,15 +19,6 @@
 class PipelinedServer : public HttpListener
 {
 public:
-    struct Options {
-        /** Largest request body; bytes. */
-        std::uint64_t bodyLimit = 1048576;
-        /** Name of the listener in log lines. */
-        std::string name;
-        /** Time after which an idle connection is closed. */
-        Duration idleTimeout{std::chrono::seconds(10)};
-    };
-
     PipelinedServer(EventLoop &loop, Options options, Handler handler);
     ~PipelinedServer() override;
     PipelinedServer(const PipelinedServer &) = delete;
--- a/src/libnutmeghingeio/recordline.cpp
+++ b/src/libnutmeghingeio/recordline.cpp
@@ -1,5 +1,6 @@
 #include "recordline.h"
 
+#include "fencetext.h"
 #include "percentencoding.h"
 
 #include <algorithm>
@@ -30,14 +31,6 @@
     return true;
 }
 
-/** Reads "FIRST.SECOND". */
-template <typename First, typename Second>
-bool readPair(std::string_view text, First &first, Second &second)
-{
-    const std::size_t dot = text.find('.');
-    return dot != std::string_view::npos && readNumber(text.substr(0, dot), first) && readNumber(text.substr(dot + 1), second);
-}
-
 bool readCallerId(std::string_view text, TimelineRecord &record)
 {
     record.callerId = percentDecode(text);
@@ -46,20 +39,15 @@
 
 bool readFence(std::string_view text, TimelineRecord &record)
 {
-    std::uint64_t term = 0;
-    Fence fence;
-    if (!readPair(text, term, fence.sequence)) {
-        return false;
-    }
-    fence.term = Term(term);
-    record.fence = fence;
-    return true;
+    record.fence = fenceFromText(text);
+    return record.fence.has_value();
 }
 
 bool readTime(std::string_view text, TimelineRecord &record)
 {
+    const std::size_t dot = text.find('.');
     WallTime::rep wall = 0;
-    if (!readPair(text, wall, record.time.counter)) {
+    if (dot == std::string_view::npos || !readNumber(text.substr(0, dot), wall) || !readNumber(text.substr(dot + 1), record.time.counter)) {
         return false;
     }
     record.time.wall = WallTime(WallTime::duration(wall));
@@ -110,7 +98,7 @@
     append(line, "member", record.member);
     append(line, "document", record.document);
     if (record.fence) {
-        append(line, "fence", std::to_string(record.fence->term.value()) + '.' + std::to_string(record.fence->sequence));
+        append(line, "fence", fenceToText(*record.fence));
     }
     append(line, lastField, std::to_string(record.time.wall.time_since_epoch().count()) + '.' + std::to_string(record.time.counter));
     return record.detail.empty() ? line : line + ' ' + record.detail;
--- a/src/nutmeghingectl/logreader.cpp
+++ b/src/nutmeghingectl/logreader.cpp
@@ -1,5 +1,6 @@
 #include "logreader.h"
 
+#include "fencetext.h"
 #include "jsonreader.h"
 #include "recordline.h"
 
@@ -29,7 +30,7 @@
     entry.member = numberOf(record.member);
     entry.document = numberOf(record.document);
     if (record.fence) {
-        entry.fence = std::to_string(record.fence->term.value()) + '.' + std::to_string(record.fence->sequence);
+        entry.fence = fenceToText(*record.fence);
     }
     return entry;
 }
--- a/tests/soak/soakobservation.h
+++ b/tests/soak/soakobservation.h
@@ -15,8 +15,6 @@
     std::string key;
     /** Place of the node that it was sent to. */
     std::size_t seat = 0;
-    SoakTime sentAt;
-    SoakTime endedAt;
     /** 0 where no answer came. */
     int status = 0;
     /** The answer said that the request has not run. */
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -289,7 +289,6 @@
     seen.order = order;
     seen.key = key;
     seen.seat = seat;
-    seen.sentAt = now();
     BlockingRequest request;
     request.method = order.empty() ? "GET" : "POST";
     request.headers = {{"host", service}, {"customer-key", key}};
@@ -298,7 +297,6 @@
         request.body = "glue";
     }
     const BlockingAnswer answer = connection.send(request);
-    seen.endedAt = now();
     seen.status = answer.whole ? answer.status : 0;
     seen.cut = !answer.whole;
     seen.begun = answer.begun;
