--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -587,7 +587,7 @@
 {
     std::vector<MemberLoad> loads;
     for (const auto &[slot, status] : m_status) {
-        if (!status.leaseExpired) {
+        if (!status.leaseExpired && m_context.members.find(slot)) {
             loads.push_back(status.load);
             // Members only compare total loads.
             loads.back().shards.clear();
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -1,7 +1,10 @@
 #include "peermessagecodec.h"
 
+#include <algorithm>
 #include <kj/exception.h>
 #include <optional>
+#include <spdlog/spdlog.h>
+#include <utility>
 
 namespace nutmeghinge {
 
@@ -472,14 +475,32 @@
         if (from.hasNewerDocument()) {
             message.newerDocument = document(from.getNewerDocument());
         }
-        const auto loads = from.getLoads();
-        const std::uint32_t loadCount = listSize(loads.size(), Codec::maxMembers, "number of loads");
-        for (std::uint32_t i = 0; i < loadCount; ++i) {
-            message.loads.push_back(load(loads[i]));
-        }
+        readLoads(from.getLoads(), message.loads);
         return message;
     }
 
+    /** Reads the loads that are valid. Loads are hints, so an invalid one must not discard the lease and the map beside it. */
+    void readLoads(capnp::List<wire::MemberLoad>::Reader from, std::vector<MemberLoad> &loads)
+    {
+        const std::uint32_t count = std::min<std::uint32_t>(from.size(), Codec::maxMembers);
+        std::uint32_t ignored = from.size() - count;
+        std::string reason = "more loads than a cell has members";
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const std::optional<std::string> errorBefore = std::exchange(m_error, std::nullopt);
+            MemberLoad read = load(from[i]);
+            const std::optional<std::string> error = std::exchange(m_error, errorBefore);
+            if (error) {
+                reason = *error;
+                ++ignored;
+                continue;
+            }
+            loads.push_back(std::move(read));
+        }
+        if (ignored > 0) {
+            spdlog::warn("ignored {} of {} member loads in a heartbeat answer: {}", ignored, from.size(), reason);
+        }
+    }
+
     HandoverOffer handoverOffer(wire::HandoverOffer::Reader from)
     {
         HandoverOffer message;
