Keep using the slots of a target that refuses requests although it has room

Cause: a target that sheds a part of its requests at any load was taken for full: each refusal lowered the learned limit, down to one request at a time. Change: the load that a target reports with its refusal is read; if it had a free slot, the limit stays.

--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -228,6 +228,8 @@
     std::optional<Fence> newerFence;
     /** HTTP status with which the other node refused the request; 0 if it did not. */
     std::uint16_t status = 0;
+    /** The target reported with its refusal that it had a free slot, so it did not refuse because it was full. */
+    bool targetHadFreeSlot = false;
 };
 
 /** The request may have run: bytes may have reached the target, and no complete and valid answer arrived. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -132,10 +132,10 @@
         }
         return;
     }
-    const NotRunReason reason = std::get<AttemptNotRun>(finished.result).reason;
-    if (reason == NotRunReason::Overloaded) {
+    const auto &notRun = std::get<AttemptNotRun>(finished.result);
+    if (notRun.reason == NotRunReason::Overloaded && !notRun.targetHadFreeSlot) {
         m_admission.health().refusedAsFull(m_admission.inFlight());
-    } else if (reason == NotRunReason::NotConnected) {
+    } else if (notRun.reason == NotRunReason::NotConnected) {
         m_admission.health().failed(now);
     }
 }
--- a/tests/platform/hostedprotocoltest.cpp
+++ b/tests/platform/hostedprotocoltest.cpp
@@ -85,6 +85,20 @@
     CHECK_FALSE(protocol.refusalOf({504, {}, {}}));
 }
 
+TEST_CASE("A target's refusal says whether a slot was free, if it carries a valid load report")
+{
+    const auto hadFreeSlot = [](const std::string &load) {
+        const auto refusal = protocol.refusalOf({503, {{"nutmeghinge-not-executed", "1"}, {"nutmeghinge-backend-load", load}}, {}});
+        return std::get<AttemptNotRun>(refusal.value()).targetHadFreeSlot;
+    };
+    CHECK(hadFreeSlot("3,0,6"));
+    CHECK_FALSE(hadFreeSlot("6,0,6"));
+    CHECK_FALSE(hadFreeSlot("5,1,6"));
+    for (const char *invalid : {"", "3", "3,0", "3,,6", "-1,0,6", "a,b,c", "3,0,6,9", "99999999999999999999999,0,6"}) {
+        CHECK_FALSE(hadFreeSlot(invalid));
+    }
+}
+
 TEST_CASE("A 503, 429 or 408 that the target does not mark as not run becomes an unknown outcome with status 502")
 {
     for (const std::uint16_t status : {503, 429, 408}) {
