Limit retries at each service to the stated share of its requests, within a sliding window

Change: RetryBudget counts a service's requests and retries over the stated window; each node has its share of the reserve. Ratio, window and reserve come from the platform's settings, in the document they are retryRatio (or retryPercent), retryWindow, retryReserve. A full owner's "deadline expired" is final at the entry node: it was taken for a lost owner and waited on, with a wrong reason. A retry delay of an overloaded target is passed on as it is, with a floor of 0.1 s in place of 1 s, so that callers come back in time.

--- a/src/libnutmeghinge/decisions/retrybudget.h
+++ b/src/libnutmeghinge/decisions/retrybudget.h
@@ -1,28 +1,51 @@
 #pragma once
 
+#include "ids.h"
+#include "units.h"
+
 #include <cstdint>
+#include <deque>
+#include <map>
 
 namespace nutmeghinge {
 
 /**
- * Token bucket that limits retries to a percentage of the requests, so that
- * retries cannot prolong an overload.
+ * Limits the retries at each service to a share of its requests within a sliding
+ * window, so that retries cannot prolong an overload. Each service has a budget
+ * of its own, because retries caused by one overloaded service could otherwise
+ * use up what the requests for all others allow. Each node spends only its share,
+ * so that all nodes together keep the limit without exchanging messages.
  */
 class RetryBudget
 {
 public:
-    /** Adds the credit of a new request: the given percentage of a retry. */
-    void addCredit(std::uint32_t retryPercent);
-    /** Takes the credit of one retry. Returns false if there is not enough left. */
-    bool spend();
+    struct Limits {
+        /** Retries per request. */
+        double ratio = 0.1;
+        /** Retries allowed in each window regardless of the number of requests. */
+        double reserve = 0;
+        Duration window{std::chrono::seconds(10)};
+    };
+
+    void setLimits(const Limits &limits) { m_limits = limits; }
+    /** Counts a request for the service. */
+    void recordRequest(const ServiceName &service, MonotonicTime now);
+    /** Counts one retry at the service. Returns false, without counting it, if the budget does not allow it. */
+    bool spend(const ServiceName &service, MonotonicTime now);
 
 private:
-    /** Credit in hundredths of a retry. */
-    std::uint32_t m_credit = initialCredit;
+    /** Counts of one part of the window. */
+    struct Part {
+        MonotonicTime startedAt;
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+    };
+
+    Part &currentPart(const ServiceName &service, MonotonicTime now);
 
-    static constexpr std::uint32_t creditPerRetry = 100;
-    static constexpr std::uint32_t initialCredit = 10 * creditPerRetry;
-    static constexpr std::uint32_t maximumCredit = 50 * creditPerRetry;
+    Limits m_limits;
+    /** Parts that overlap the last window of each service, oldest first. */
+    std::map<ServiceName, std::deque<Part>> m_parts;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/decisions/retrypolicy.cpp
+++ b/src/libnutmeghinge/decisions/retrypolicy.cpp
@@ -1,5 +1,7 @@
 #include "retrypolicy.h"
 
+#include "document.h"
+
 #include <algorithm>
 
 namespace nutmeghinge {
@@ -8,8 +10,12 @@
 
 constexpr Duration firstBackoff = std::chrono::milliseconds(20);
 constexpr std::uint32_t maximumBackoffDoublings = 4;
-constexpr Duration minimumRetryAfter = std::chrono::seconds(1);
+constexpr Duration minimumRetryAfter = std::chrono::milliseconds(100);
 constexpr std::uint32_t maximumReplicasTried = 3;
+/** Shares of the document's retries for requests from callers and for forwarded ones. The rest covers calls that repeated requests make again. */
+constexpr double entryShare = 0.7;
+constexpr double forwardedShare = 0.2;
+constexpr double percent = 0.01;
 
 GiveUp giveUp(NotRunReason reason, Duration retryAfter, std::string detail)
 {
@@ -29,6 +35,19 @@
 {
 }
 
+void RetryPolicy::setLimits(const Document &document, std::size_t members)
+{
+    const double ratio = document.retryPercent * percent;
+    const double reserve = static_cast<double>(document.retryReserve) / static_cast<double>(std::max<std::size_t>(members, 1));
+    m_entryBudget.setLimits({ratio * entryShare, reserve * entryShare, document.retryWindow});
+    m_forwardedBudget.setLimits({ratio * forwardedShare, reserve * forwardedShare, document.retryWindow});
+}
+
+void RetryPolicy::recordArrival(const Request &request, MonotonicTime now)
+{
+    budgetOf(request).recordRequest(request.service, now);
+}
+
 RetryDecision RetryPolicy::decideAfterNotRun(const Request &request, const AttemptNotRun &result, MonotonicTime now)
 {
     const Duration retryAfter = result.retryAfter.value_or(Duration::zero());
@@ -50,6 +69,9 @@
         return decideAfterNotConnected(request, now);
     case NotRunReason::Overloaded:
         return decideAfterOverload(request, retryAfter, now);
+    case NotRunReason::DeadlineExpired:
+        // The owner kept the request until it could no longer be answered in time; another owner could not answer it either.
+        return giveUp(NotRunReason::DeadlineExpired, retryAfter, "no slot of the target became free in time");
     default:
         return decideAfterOwnerRefusal(request, now);
     }
@@ -64,7 +86,7 @@
     const std::uint16_t status = late ? 504 : 502;
     const GiveUp refuse{
         {result.status == 0 ? status : result.status, NotRunReason::Overloaded, {}, "the answer did not arrive completely; the request may have run"}};
-    if (now >= request.deadline || !spend()) {
+    if (now >= request.deadline || !spend(request, now)) {
         return refuse;
     }
     if (request.attempts == 1) {
@@ -91,14 +113,14 @@
 
 RetryDecision RetryPolicy::decideAfterNotConnected(const Request &request, MonotonicTime now)
 {
-    if (request.attempts == 1 && spend()) {
+    if (request.attempts == 1 && spend(request, now)) {
         return RetryNow{};
     }
     const MonotonicTime at = backoff(request.attempts, now);
     if (request.sharded && request.destination == Request::Destination::Member) {
         return AwaitOwner{at};
     }
-    if (request.attempts > 1 && at < request.deadline && spend()) {
+    if (request.attempts > 1 && at < request.deadline && spend(request, now)) {
         return RetryAt{at};
     }
     return giveUp(NotRunReason::NotConnected, {}, "no connection to the target or to its node");
@@ -108,19 +130,24 @@
 {
     const bool refusedByTarget = request.destination == Request::Destination::Target;
     const MonotonicTime at = std::max(backoff(request.attempts, now), now + retryAfter);
-    if (refusedByTarget && request.sharded && at < request.deadline && spend()) {
+    if (refusedByTarget && request.sharded && at < request.deadline && spend(request, now)) {
         return RetryAt{at};
     }
     const bool hasReplicas = !request.sharded && request.deduplicationKey.empty() && request.otherHost.empty() && !isFromPeer(request);
-    if (hasReplicas && request.attempts < maximumReplicasTried && spend()) {
+    if (hasReplicas && request.attempts < maximumReplicasTried && spend(request, now)) {
         return RetryNow{};
     }
     return giveUp(NotRunReason::Overloaded, retryAfter, "the target is overloaded");
 }
 
-bool RetryPolicy::spend()
+RetryBudget &RetryPolicy::budgetOf(const Request &request)
+{
+    return isFromPeer(request) ? m_forwardedBudget : m_entryBudget;
+}
+
+bool RetryPolicy::spend(const Request &request, MonotonicTime now)
 {
-    const bool allowed = m_budget.spend();
+    const bool allowed = budgetOf(request).spend(request.service, now);
     m_denied += allowed ? 0 : 1;
     return allowed;
 }
--- a/src/libnutmeghinge/decisions/retrypolicy.h
+++ b/src/libnutmeghinge/decisions/retrypolicy.h
@@ -10,6 +10,8 @@
 
 namespace nutmeghinge {
 
+struct Document;
+
 /** Send the request again now. */
 struct RetryNow {
 };
@@ -42,8 +44,10 @@
 public:
     explicit RetryPolicy(std::uint64_t seed);
 
-    /** Adds the credit of a request that arrived at the node to the retry budget. */
-    void recordArrival(std::uint32_t retryPercent) { m_budget.addCredit(retryPercent); }
+    /** Sets the retries that the document allows in a cell with this number of members. */
+    void setLimits(const Document &document, std::size_t members);
+    /** Counts a request that arrived at the node for the retry budget of its service. */
+    void recordArrival(const Request &request, MonotonicTime now);
     /** Decides after an attempt that certainly was not run. */
     RetryDecision decideAfterNotRun(const Request &request, const AttemptNotRun &result, MonotonicTime now);
     /** Decides after an attempt with an unknown outcome. Only for requests that may be sent again. */
@@ -56,10 +60,14 @@
     RetryDecision decideAfterOwnerRefusal(const Request &request, MonotonicTime now);
     RetryDecision decideAfterNotConnected(const Request &request, MonotonicTime now);
     RetryDecision decideAfterOverload(const Request &request, Duration retryAfter, MonotonicTime now);
-    bool spend();
+    RetryBudget &budgetOf(const Request &request);
+    bool spend(const Request &request, MonotonicTime now);
     MonotonicTime backoff(std::uint32_t failures, MonotonicTime now);
 
-    RetryBudget m_budget;
+    /** For requests that arrived from callers. */
+    RetryBudget m_entryBudget;
+    /** For requests that another node forwarded, which that node has counted too. */
+    RetryBudget m_forwardedBudget;
     PseudoRandom m_random;
     std::uint64_t m_denied = 0;
 };
--- a/src/libnutmeghinge/document.h
+++ b/src/libnutmeghinge/document.h
@@ -78,8 +78,11 @@
     std::uint32_t queue = 128;
     /** Time limit of a request that states none. */
     Duration deadline{std::chrono::seconds(10)};
-    /** Maximum number of retries per 100 requests. */
+    /** Maximum number of retries per 100 requests in each retry window. */
     std::uint32_t retryPercent = 10;
+    /** Number of retries allowed in each retry window regardless of the number of requests; shared by all nodes of the cell. */
+    std::uint32_t retryReserve = 10;
+    Duration retryWindow{std::chrono::seconds(10)};
     /** Maximum size of a request body; bytes. */
     std::uint64_t requestBodyLimit = 1048576;
     /** Time for which an answer is stored by its Idempotency-Key. */
--- a/src/libnutmeghinge/documentparser.cpp
+++ b/src/libnutmeghinge/documentparser.cpp
@@ -4,6 +4,8 @@
 #include "timetext.h"
 #include "yamlreader.h"
 
+#include <cmath>
+
 namespace nutmeghinge {
 
 namespace {
@@ -17,6 +19,8 @@
 constexpr std::uint32_t maximumHotKeys = 1024;
 constexpr std::uint32_t maximumQueue = 100000;
 constexpr std::uint32_t maximumMovesPerMinute = 100000;
+constexpr double maximumRetryRatio = 10;
+constexpr std::uint32_t maximumRetryReserve = 1000000;
 constexpr std::uint32_t maximumDeduplicationEntries = 1000000;
 constexpr std::uint64_t maximumRequestBodyBytes = std::uint64_t(1) << 30U;
 constexpr hours maximumHoldLimit{24 * 30};
@@ -81,11 +85,29 @@
     fields.reportUnknown();
 }
 
+/** Reads the retries per request, which a settings template can state instead of a percentage. */
+void readRetryRatio(YamlMapping &fields, Document &document)
+{
+    if (!fields.has("retryRatio")) {
+        return;
+    }
+    if (fields.has("retryPercent")) {
+        fields.addError("retryRatio", "must not be given beside retryPercent");
+    }
+    double ratio = 0;
+    fields.ratio("retryRatio", ratio, 0, maximumRetryRatio);
+    constexpr double percentPerUnit = 100;
+    document.retryPercent = static_cast<std::uint32_t>(std::lround(ratio * percentPerUnit));
+}
+
 void readLimits(YamlMapping fields, Document &document)
 {
     fields.number("queue", document.queue, 0, maximumQueue);
     fields.duration("deadline", document.deadline, milliseconds(1), hours(1));
     fields.number("retryPercent", document.retryPercent, 0, 100);
+    readRetryRatio(fields, document);
+    fields.number("retryReserve", document.retryReserve, 0, maximumRetryReserve);
+    fields.duration("retryWindow", document.retryWindow, milliseconds(100), hours(1));
     fields.number("requestBody", document.requestBodyLimit, 0, maximumRequestBodyBytes);
     fields.duration("deduplicationWindow", document.deduplicationWindow, seconds(1), hours(24));
     fields.number("deduplicationEntries", document.deduplicationEntries, 1, maximumDeduplicationEntries);
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -223,7 +223,7 @@
     if (firstObjective) {
         request.objectiveAt = std::min(request.objectiveAt, *firstObjective);
     }
-    m_d->retryPolicy.recordArrival(m_d->document().retryPercent);
+    m_d->retryPolicy.recordArrival(request, event.at);
     request.shard = RoutePlanner::shardOf(request, *m_d->ownership);
     m_d->replies.record(TimelineRecord::Kind::RequestArrived, request, effects, firstObjective ? "the caller has returned after a refusal" : "");
     m_d->route(request, context);
@@ -277,6 +277,7 @@
 {
     const Context context = contextOf(event, effects);
     m_d->setDeduplicationBounds();
+    m_d->retryPolicy.setLimits(m_d->document(), m_d->ownership->members().size());
     m_d->planner.invalidateReplicas();
     m_d->rerouteQueued(context);
     if (m_d->mapVersion != m_d->ownership->map().version) {
--- a/tests/core/documentparsertest.cpp
+++ b/tests/core/documentparsertest.cpp
@@ -87,6 +87,9 @@
     {"service: a\nbalance:\n  targetRatio: nan\n", {3, "balance.targetRatio", "must be from 1.01 to 10"}},
     {"service: a\nbalance:\n  targetRatio: wide\n", {3, "balance.targetRatio", "must be a number"}},
     {"service: a\nlimits:\n  retryPercent: 101\n", {3, "limits.retryPercent", "must be from 0 to 100"}},
+    {"service: a\nlimits:\n  retryRatio: -0.1\n", {3, "limits.retryRatio", "must be from 0 to 10"}},
+    {"service: a\nlimits:\n  retryRatio: many\n", {3, "limits.retryRatio", "must be a number"}},
+    {"service: a\nlimits:\n  retryWindow: 0s\n", {3, "limits.retryWindow", "must be from 100ms to 1h"}},
     {"service: a\nleases:\n  holdLimit: 721h\n", {3, "leases.holdLimit", "must be from 1s to 720h"}},
 };
 
