Send requests to the replica where the answer is expected first, not to the one with the fewest requests

Cause: replicas were compared by requests over slots, though targets of one service differ in speed by more than two; range moves took the speed from a mean of 16 answers of all kinds, so the spread of the work looked like a difference in speed. Change: TargetPace smooths the time of a request over 64 answers, measured against the objective of its kind; nodes report it in place of the mean time, RangeStrategy and ReplicaChoice use it, clamped. WorkClass gets a file of its own. Ruled out: each node learning the speeds from its own requests (too few a replica at 89 VMs). Test: three replicas of speeds 0.6, 1.0, 1.4, by number against by expected time; an absurd speed neither excludes nor favours a replica.

--- a/src/libnutmeghinge/balancestrategy.h
+++ b/src/libnutmeghinge/balancestrategy.h
@@ -24,7 +24,7 @@
     bool eligible = false;
     /** Time at which the document's schedule takes the member out of service. */
     std::optional<WallTime> leavesAt;
-    /** Time that the member's target takes to process a request; zero if unknown. */
+    /** Time of a request at the member's target per second of its objective; zero if unknown. */
     Duration serviceTime{0};
     /** Time for which the member has been eligible. */
     Duration eligibleFor{0};
--- a/src/libnutmeghinge/decisions/replicachoice.cpp
+++ b/src/libnutmeghinge/decisions/replicachoice.cpp
@@ -14,6 +14,9 @@
 
 /** Percentage of its slots that a replica in this node's zone may have in use before other zones are considered; the rest is for large answers. */
 constexpr std::uint64_t ownZoneUsePercent = 60;
+/** Limits of a member's slowness, so that a few odd answers do not exclude it or bring it all requests. */
+constexpr double leastSlowness = 0.4;
+constexpr double mostSlowness = 4;
 /** The same for requests with large answers, for which waiting in this node's zone costs less than a transfer between zones. */
 constexpr std::uint64_t ownZoneUsePercentForLargeAnswers = 150;
 
@@ -77,7 +80,7 @@
 bool ReplicaChoice::hasCapacity(const Candidate &candidate, const Request &request) const
 {
     const std::uint64_t percent = request.largeAnswer ? ownZoneUsePercentForLargeAnswers : ownZoneUsePercent;
-    return std::uint64_t(inFlight(candidate)) * 100 < std::uint64_t(candidate.slots) * percent;
+    return inFlight(candidate) * candidate.slowness * 100 < static_cast<double>(candidate.slots * percent);
 }
 
 std::optional<MemberSlot> ReplicaChoice::chooseForKey(const OwnershipView &ownership, std::uint64_t keyHash, MonotonicTime now, WallTime wallTime)
@@ -123,6 +126,26 @@
         }
         m_candidates.push_back(candidate);
     }
+    setSlowness(ownership.loads());
+}
+
+void ReplicaChoice::setSlowness(const std::vector<MemberLoad> &loads)
+{
+    std::unordered_map<MemberSlot, double> times;
+    double total = 0;
+    for (const Candidate &candidate : m_candidates) {
+        const auto load = std::find_if(loads.begin(), loads.end(), [&](const MemberLoad &other) { return other.slot == candidate.slot; });
+        if (load != loads.end() && load->serviceTime > Duration::zero()) {
+            times[candidate.slot] = static_cast<double>(load->serviceTime.count());
+            total += times[candidate.slot];
+        }
+    }
+    for (Candidate &candidate : m_candidates) {
+        const auto time = times.find(candidate.slot);
+        if (time != times.end()) {
+            candidate.slowness = std::clamp(time->second * static_cast<double>(times.size()) / total, leastSlowness, mostSlowness);
+        }
+    }
 }
 
 std::uint32_t ReplicaChoice::inFlight(const Candidate &candidate) const
@@ -134,20 +157,25 @@
 
 bool ReplicaChoice::isOwnZoneMoreLoaded() const
 {
-    std::uint64_t ownInFlight = 0;
-    std::uint64_t ownSlots = 0;
-    std::uint64_t otherInFlight = 0;
-    std::uint64_t otherSlots = 0;
+    double ownInFlight = 0;
+    double ownCapacity = 0;
+    double otherInFlight = 0;
+    double otherCapacity = 0;
     for (const Candidate &candidate : m_candidates) {
         (candidate.ownZone ? ownInFlight : otherInFlight) += inFlight(candidate);
-        (candidate.ownZone ? ownSlots : otherSlots) += candidate.slots;
+        (candidate.ownZone ? ownCapacity : otherCapacity) += candidate.slots / candidate.slowness;
     }
-    return ownInFlight * otherSlots > otherInFlight * ownSlots;
+    return ownInFlight * otherCapacity > otherInFlight * ownCapacity;
+}
+
+double ReplicaChoice::load(const Candidate &candidate) const
+{
+    return (inFlight(candidate) + 1) * candidate.slowness / candidate.slots;
 }
 
 bool ReplicaChoice::isMoreLoaded(const Candidate &a, const Candidate &b) const
 {
-    return std::uint64_t(inFlight(a)) * b.slots > std::uint64_t(inFlight(b)) * a.slots;
+    return load(a) > load(b);
 }
 
 std::optional<MemberSlot> ReplicaChoice::chooseBetterOfTwo(const std::vector<const Candidate *> &candidates)
--- a/src/libnutmeghinge/decisions/replicachoice.h
+++ b/src/libnutmeghinge/decisions/replicachoice.h
@@ -12,13 +12,17 @@
 namespace nutmeghinge {
 
 class OwnershipView;
+struct MemberLoad;
 struct Request;
 
 /**
- * Chooses a member for a request of a service that is not sharded. It is the
- * least loaded member of this node's zone, by requests in flight per slot, if
- * that member has capacity left or the zone is no more loaded than the other
- * zones. Otherwise it is the less loaded of two random members.
+ * Chooses a member for a request of a service that is not sharded. Load is the
+ * time that a further request is expected to take: requests in flight per slot,
+ * weighted by how long the member's target takes for a request, since targets of
+ * one service differ in speed and are slow after their start. The choice is the
+ * least loaded member of this node's zone, if that member has capacity left or
+ * the zone is no more loaded than the other zones. Otherwise it is the less
+ * loaded of two random members.
  */
 class ReplicaChoice
 {
@@ -52,10 +56,14 @@
         std::uint32_t slots = 1;
         /** Requests in flight and queued, from the member's last load report. */
         std::uint32_t reportedRequests = 0;
+        /** Time that the member's target takes for a request, as a ratio to the mean of the known members. */
+        double slowness = 1;
     };
 
     void refresh(const OwnershipView &ownership, MonotonicTime now, WallTime wallTime);
+    void setSlowness(const std::vector<MemberLoad> &loads);
     std::uint32_t inFlight(const Candidate &candidate) const;
+    double load(const Candidate &candidate) const;
     bool hasCapacity(const Candidate &candidate, const Request &request) const;
     bool isOwnZoneMoreLoaded() const;
     bool isMoreLoaded(const Candidate &a, const Candidate &b) const;
--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -85,6 +85,7 @@
 {
     m_health.answered(now);
     const Duration sample = now - request.sentAt;
+    m_pace.addSample(request, sample);
     updateAverage(m_serviceTime, sample);
     updateAverage(m_classTimes[request.workClass], sample);
 }
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -3,6 +3,7 @@
 #include "ids.h"
 #include "rankedqueue.h"
 #include "targethealth.h"
+#include "targetpace.h"
 #include "units.h"
 
 #include <cstdint>
@@ -34,8 +35,7 @@
     Duration retryAfter(const Document &document, MonotonicTime now) const;
     /** Returns the moving average of the target's time per request of this work class; that of all requests if the class is new. */
     Duration serviceTime(std::uint32_t workClass) const;
-    /** Returns the moving average of the target's time per request of any class. */
-    Duration serviceTime() const { return m_serviceTime; }
+    const TargetPace &pace() const { return m_pace; }
 
     /** Takes a slot for a request that is sent to the target. */
     void started(const Request &request);
@@ -57,6 +57,8 @@
     std::uint32_t m_inFlight = 0;
     /** Number of attempts that block a handover, by shard. */
     std::vector<std::uint32_t> m_blocking;
+    TargetPace m_pace;
+    /** Moving average of the target's time per request of any class. */
     Duration m_serviceTime{0};
     std::map<std::uint32_t, Duration> m_classTimes;
 };
--- a/src/libnutmeghinge/memberload.h
+++ b/src/libnutmeghinge/memberload.h
@@ -38,7 +38,7 @@
     bool healthy = true;
     std::vector<ShardLoad> shards;
     std::vector<KeyLoad> heavyKeys;
-    /** Recent service time of a request at the target; zero before the first answer. */
+    /** Recent time of a request at the target per second of its objective; zero before the first answer. */
     Duration serviceTime{0};
 
     friend bool operator==(const MemberLoad &, const MemberLoad &) = default;
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -6,6 +6,7 @@
 #include "requestmethod.h"
 #include "routetable.h"
 #include "shardof.h"
+#include "workclass.h"
 
 #include <algorithm>
 #include <charconv>
@@ -72,17 +73,6 @@
     return route.services.front().service;
 }
 
-/**
- * Returns the work class of the route's requests. Routes with the same objective and idempotency share a class, because routes
- * for similar requests differ in name and prefix only.
- */
-std::uint32_t workClassOf(const RequestRoute &route)
-{
-    const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(route.objective).count();
-    constexpr std::int64_t longest = 1 << 24;
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(objective, longest)) * 2 + (route.repeatable ? 1 : 0);
-}
-
 /** Sets what identifies a caller that repeats the request after a refusal. */
 void readCallerIdentity(Request &request, const RequestArrived &arrived, const Document &document, MonotonicTime now)
 {
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -312,7 +312,7 @@
     load.inFlight = m_d->admission.inFlight();
     load.queued = m_d->admission.queue().size();
     load.slots = m_d->admission.health().slots();
-    load.serviceTime = m_d->admission.serviceTime();
+    load.serviceTime = m_d->admission.pace().timePerSecond();
     load.healthy = m_d->admission.health().isHealthy(now);
     load.shards = m_d->loadMeter.take(elapsed);
     load.heavyKeys = m_d->heavyHitterSketch.take(elapsed);
@@ -447,10 +447,12 @@
     return std::min(giveUpAt, request.objectiveAt - admission.serviceTime(request.workClass));
 }
 
-/** Returns whether the request is expected to be answered after its objective if it is sent at the given time. */
+/** Returns whether the request is expected to be answered after its objective if it is sent at the given time. Short ones are served before their objective
+ * counts. */
 bool RequestRouter::Private::missesObjective(const Request &request, MonotonicTime sentAt) const
 {
-    return request.objectiveAt != MonotonicTime::max() && sentAt + admission.serviceTime(request.workClass) > request.objectiveAt;
+    return request.objectiveAt != MonotonicTime::max()
+           && sentAt + admission.serviceTime(request.workClass) > request.objectiveAt;
 }
 
 /**
--- /dev/null
+++ b/tests/core/replicaloadtest.cpp
@@ -0,0 +1,129 @@
+#include "memberload.h"
+#include "pseudorandom.h"
+#include "replicachoice.h"
+#include "request.h"
+#include "requestfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+
+using namespace nutmeghinge;
+using namespace nutmeghinge::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t slots = 6;
+constexpr Duration meanWork = 200ms;
+constexpr Duration objective = 500ms;
+constexpr Duration playLength = 60s;
+constexpr Duration reportInterval = 1s;
+
+/** A replica whose target has a speed; requests wait in its queue in the order of arrival. */
+struct Replica {
+    MemberSlot slot;
+    double speed = 1;
+    std::vector<MonotonicTime> freeAt = std::vector<MonotonicTime>(slots);
+    /** Ends of the requests that have not ended. */
+    std::vector<MonotonicTime> ends;
+    Duration meanTime{0};
+};
+
+double drawUniform(PseudoRandom &random)
+{
+    constexpr std::uint64_t steps = std::uint64_t(1) << 30U;
+    return (static_cast<double>(random.below(steps)) + 0.5) / static_cast<double>(steps);
+}
+
+/** Plays requests on three replicas of unequal speed and returns the share that is answered within the objective. */
+double shareInObjective(double perSecond, bool reportsSpeed)
+{
+    FakeOwnership ownership;
+    ownership.m_document.emplace();
+    ownership.m_self = MemberSlot(9);
+    std::vector<Replica> replicas;
+    for (const auto &[number, speed] : {std::pair(1U, 0.6), std::pair(2U, 1.0), std::pair(3U, 1.4)}) {
+        ownership.addMember(MemberSlot(number), "north", slots);
+        replicas.push_back({MemberSlot(number), speed});
+    }
+    ReplicaChoice choice(5);
+    PseudoRandom random(3);
+    using Ended = std::pair<MonotonicTime, MemberSlot>;
+    std::priority_queue<Ended, std::vector<Ended>, std::greater<>> running;
+    MonotonicTime now{100s};
+    const MonotonicTime end = now + playLength;
+    MonotonicTime reportAt = now;
+    int requests = 0;
+    int inObjective = 0;
+    while (now < end) {
+        now += Duration(static_cast<Duration::rep>(-std::log(drawUniform(random)) * 1e6 / perSecond));
+        for (; !running.empty() && running.top().first <= now; running.pop()) {
+            choice.attemptEnded(running.top().second);
+        }
+        if (now >= reportAt) {
+            reportAt = now + reportInterval;
+            ownership.m_loads.clear();
+            for (Replica &replica : replicas) {
+                std::erase_if(replica.ends, [&](MonotonicTime time) { return time <= now; });
+                MemberLoad load;
+                load.slot = replica.slot;
+                load.slots = slots;
+                load.serviceTime = reportsSpeed ? Duration(static_cast<Duration::rep>(400000 / replica.speed)) : Duration(0);
+                ownership.m_loads.push_back(load);
+            }
+            choice.invalidate();
+        }
+        const MemberSlot chosen = choice.choose(ownership, Request(), now, WallTime()).value();
+        choice.attemptStarted(chosen);
+        Replica &replica = *std::ranges::find(replicas, chosen, &Replica::slot);
+        const auto slot = std::ranges::min_element(replica.freeAt);
+        const double work = -std::log(drawUniform(random)) * static_cast<double>(meanWork.count()) / replica.speed;
+        *slot = std::max(*slot, now) + Duration(static_cast<Duration::rep>(work));
+        running.emplace(*slot, chosen);
+        ++requests;
+        inObjective += *slot - now <= objective ? 1 : 0;
+    }
+    return static_cast<double>(inObjective) / requests;
+}
+
+} // namespace
+
+TEST_CASE("Replicas of unequal speed: requests go where the answer is expected first", "[load]")
+{
+    for (const double perSecond : {30.0, 70.0, 80.0}) {
+        const double byNumber = shareInObjective(perSecond, false);
+        const double byTime = shareInObjective(perSecond, true);
+        WARN(perSecond << " requests a second: " << byNumber << " in objective by number of requests, " << byTime << " by expected time");
+        CHECK(byTime > byNumber);
+    }
+}
+
+TEST_CASE("A replica whose speed is unknown, absurdly fast or absurdly slow still gets a part of the requests", "[load]")
+{
+    FakeOwnership ownership;
+    ownership.m_document.emplace();
+    ownership.m_self = MemberSlot(9);
+    for (const std::uint32_t number : {1U, 2U, 3U}) {
+        ownership.addMember(MemberSlot(number), "north", slots);
+        MemberLoad load;
+        load.slot = MemberSlot(number);
+        load.slots = slots;
+        ownership.m_loads.push_back(load);
+    }
+    ownership.m_loads[0].serviceTime = Duration(1);
+    ownership.m_loads[1].serviceTime = std::chrono::hours(1);
+    ReplicaChoice choice(5);
+    std::map<MemberSlot, int> chosen;
+    for (int i = 0; i < 60; ++i) {
+        const MemberSlot member = choice.choose(ownership, Request(), MonotonicTime(100s), WallTime()).value();
+        choice.attemptStarted(member);
+        ++chosen[member];
+    }
+    CHECK(chosen[MemberSlot(1)] <= 50);
+    CHECK(chosen[MemberSlot(2)] >= 3);
+    CHECK(chosen[MemberSlot(3)] >= 6);
+}
