--- a/tests/core/loadplay.cpp
+++ b/tests/core/loadplay.cpp
@@ -55,6 +55,12 @@
     }
 }
 
+void LoadPlay::setSlowStart(Duration slowStart)
+{
+    m_node.m_ownership.m_document->slowStart = slowStart;
+    m_node.ownershipChanged();
+}
+
 std::map<std::string, LoadResult> LoadPlay::run(Duration length)
 {
     Duration longest{0};
--- a/tests/core/loadplay.h
+++ b/tests/core/loadplay.h
@@ -50,6 +50,8 @@
 
     /** Sets the factor on the target's work from the given time of the play on; 2 means half the speed. */
     void setWorkFactor(Duration from, double factor) { m_workFactors[from] = factor; }
+    /** Sets the time after the start of the play for which the node uses only a part of the target's slots. */
+    void setSlowStart(Duration slowStart);
     /** Plays callers for the given time, then until all have left, and prints what they got. */
     std::map<std::string, LoadResult> run(Duration length);
 
