Refuse late callers at once unless there is clearly room for them

Cause: a request that can no longer meet its objective was queued behind all others if its expected wait was at most the time it had left; those that arrive later are served before it, so hundreds waited up to 1.06 s of 1.2 s and were refused then. Change: it is queued only if it has three times its expected wait left. Ruled out: a limit of twice the expected wait for those queued (no difference in LoadPlay). Test: LoadPlay at 1.8 times the capacity: longest wait for a refusal 1062 ms before, 397 ms after, 3706 and 3703 callers served.

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -32,7 +32,7 @@
 constexpr std::uint32_t maximumHops = 2;
 constexpr Duration retryAfterWithoutOwner = std::chrono::seconds(1);
 /** A late request is queued only if, after its expected wait, the time left until it must be sent is at least that wait times this factor. */
-constexpr int lateSlackFactor = 1;
+constexpr int lateSlackFactor = 3;
 /** Maximum time of a routed request in a queue, so that a stopping node can answer all its requests within its stop limit. */
 constexpr Duration maximumQueueTime = std::chrono::seconds(4);
 constexpr Duration retryAfterOwnershipChange = std::chrono::milliseconds(500);
