After a loss of all nodes, wait only for the members whose targets may hold keys

Change: recovery ends when each member of a sharded service has reported; targets of other services hold no keys. Ruled out: a shorter wait before a restarted node votes, which keeps two coordinators apart; not waiting for a listed member that is stopped, since its target may hold keys until its lease ends.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -605,17 +605,19 @@
         return;
     }
     const MonotonicTime leasesEnd = m_electedAt + m_context.timings.withDrift(m_context.timings.memberLease);
-    const bool known = hasHeartbeatFromAll(now) && (!m_context.spansServices() || areHeldShardsReported());
+    const bool known = hasHeartbeatFromAllHolders(now) && (!m_context.spansServices() || areHeldShardsReported());
     if (now >= (known ? m_electedAt : leasesEnd) + m_context.executionWait()) {
         m_ledger.finishRecovery();
     }
 }
 
-bool Coordinator::hasHeartbeatFromAll(MonotonicTime now) const
+bool Coordinator::hasHeartbeatFromAllHolders(MonotonicTime now) const
 {
     const std::vector<Member> &members = m_context.members.members();
+    const std::vector<ShardSection> sharded = sections();
     return std::all_of(members.begin(), members.end(), [&](const Member &member) {
-        return hasHeartbeatFrom(member.slot) || m_context.members.isExcludedFromMajority(member.slot, now);
+        const bool mayHold = std::any_of(sharded.begin(), sharded.end(), [&](const ShardSection &section) { return serves(member, section); });
+        return !mayHold || hasHeartbeatFrom(member.slot) || m_context.members.isExcludedFromMajority(member.slot, now);
     });
 }
 
@@ -630,7 +632,7 @@
         return;
     }
     moveShardsOffLeavingMembers(now, effects);
-    const bool settled = now >= m_electedAt + 2 * m_context.timings.heartbeat || hasHeartbeatFromAll(now);
+    const bool settled = now >= m_electedAt + 2 * m_context.timings.heartbeat || hasHeartbeatFromAllHolders(now);
     const Duration interval = m_ledger.freeShards(now).empty() ? planInterval : m_context.timings.heartbeat;
     if (settled && now >= m_plannedAt + interval) {
         m_plannedAt = now;
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -96,7 +96,8 @@
 
     // Shards.
     void endRecoveryIfDue(MonotonicTime now);
-    bool hasHeartbeatFromAll(MonotonicTime now) const;
+    /** Returns whether each member that may hold shards has sent a heartbeat in this term; targets of other services hold none. */
+    bool hasHeartbeatFromAllHolders(MonotonicTime now) const;
     /** Returns the sections of the map; in a cell of one service, a single section with all shards. */
     std::vector<ShardSection> sections() const;
     std::vector<ShardSection> sectionsWith(const std::vector<ShardSection> &known) const;
