Elect coordinators on VMs with a large link, and send each map once

Change: settings and member rows state the VM's link, members with a large one are the first candidates; a map that is under way is sent again only after two heartbeats. Unknown links keep the order of before. Ruled out: admitting several members in one change of the row (majorities of before and after need not overlap).

--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -37,6 +37,7 @@
     member.peerEndpoint = identity.peerEndpoint;
     member.controlEndpoint = identity.controlEndpoint;
     member.operationsEndpoint = identity.operationsEndpoint;
+    member.linkMegabits = identity.linkMegabits;
     member.leaving = stopping;
     if (spansServices()) {
         // The target's state changes often, so it is sent with heartbeats and not kept in the member list.
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -15,6 +15,8 @@
 
 using State = CoordinatorTerm::State;
 
+/** Number of heartbeats after which a map that the member has not acknowledged is sent again. */
+constexpr int mapDeliveryHeartbeats = 2;
 constexpr Duration planInterval = std::chrono::seconds(1);
 /** A member's load by shard is dropped if no new report arrives for this long. */
 constexpr Duration loadLifetime = std::chrono::seconds(3);
@@ -477,8 +479,12 @@
         answer.lease = m_context.timings.memberLease;
         status.leaseEnd = std::max(status.leaseEnd, now + m_context.timings.withDrift(answer.lease));
     }
-    if (heartbeat.mapVersion < m_ledger.map().version) {
+    // A heartbeat that was sent before the member received the newest map must not cause a second copy of it.
+    const bool mapUnderWay = status.sentVersion >= m_ledger.map().version && now < status.mapSentAt + mapDeliveryHeartbeats * m_context.timings.heartbeat;
+    if (heartbeat.mapVersion < m_ledger.map().version && !mapUnderWay) {
         answer.map = m_ledger.map();
+        status.sentVersion = m_ledger.map().version;
+        status.mapSentAt = now;
     }
     if (heartbeat.document < answer.document) {
         answer.newerDocument = m_context.documents.copy();
@@ -494,10 +500,11 @@
 {
     const OwnershipMap &map = m_ledger.map();
     for (auto &[slot, status] : m_status) {
-        if (slot == m_context.self || status.mapVersion >= map.version || status.pushedVersion >= map.version || now >= status.leaseEnd) {
+        if (slot == m_context.self || status.mapVersion >= map.version || status.sentVersion >= map.version || now >= status.leaseEnd) {
             continue;
         }
-        status.pushedVersion = map.version;
+        status.sentVersion = map.version;
+        status.mapSentAt = now;
         HeartbeatAnswer answer;
         answer.term = m_term.term();
         answer.revision = m_context.members.revision();
--- a/src/libnutmeghinge/member.h
+++ b/src/libnutmeghinge/member.h
@@ -29,6 +29,8 @@
     Endpoint operationsEndpoint;
     /** Number of requests that the target runs concurrently. */
     std::uint32_t slots = 0;
+    /** Bandwidth of the VM's network link, in Mbit/s; 0 if unknown. */
+    std::uint32_t linkMegabits = 0;
     /** True if the target wants no new requests because it is about to stop, or if its node is stopping. */
     bool leaving = false;
 
--- a/src/libnutmeghinge/memberadmission.cpp
+++ b/src/libnutmeghinge/memberadmission.cpp
@@ -4,6 +4,7 @@
 #include "peermessages.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace nutmeghinge {
 
@@ -51,14 +52,14 @@
     const auto removed = std::find_if(next.members.begin(), next.members.end(), [&](const Member &member) { return mayRemove(member.slot); });
     if (removed != next.members.end()) {
         next.members.erase(removed);
-        next.members = interleaveZones(next.members);
+        next.members = orderCandidates(next.members);
         return next;
     }
     const auto admitted = std::find_if(m_announced.begin(), m_announced.end(), [&](const Member &announced) { return mayAdmit(announced, row.members, now); });
     if (admitted != m_announced.end() && next.members.size() < maxCellMembers) {
         next.members.push_back(withSlot(*admitted, next.nextSlot));
         next.nextSlot = MemberSlot(next.nextSlot.value() + 1);
-        next.members = interleaveZones(next.members);
+        next.members = orderCandidates(next.members);
         return next;
     }
     return updateMember(next) ? std::optional<CellRow>(next) : std::nullopt;
@@ -94,18 +95,34 @@
     return false;
 }
 
-std::vector<Member> interleaveZones(const std::vector<Member> &members)
+namespace {
+
+/** A link with less than the largest one's bandwidth divided by this is small. */
+constexpr std::uint64_t smallLinkDivisor = 4;
+
+} // namespace
+
+std::vector<Member> orderCandidates(const std::vector<Member> &members)
 {
-    std::map<ZoneName, std::uint32_t> seen;
-    std::vector<std::pair<std::uint32_t, Member>> ranked;
+    std::uint64_t largestLink = 0;
+    for (const Member &member : members) {
+        largestLink = std::max<std::uint64_t>(largestLink, member.linkMegabits);
+    }
+    const auto hasSmallLink = [&](const Member &member) { return member.linkMegabits * smallLinkDivisor < largestLink; };
+    // Number of earlier members of the zone with a link of the same kind.
+    std::map<std::pair<bool, ZoneName>, std::uint32_t> seen;
+    std::vector<std::tuple<bool, std::uint32_t, Member>> ranked;
     ranked.reserve(members.size());
     for (const Member &member : members) {
-        ranked.emplace_back(seen[member.zone]++, member);
+        const bool isSmall = hasSmallLink(member);
+        ranked.emplace_back(isSmall, seen[{isSmall, member.zone}]++, member);
     }
-    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return std::tie(std::get<0>(left), std::get<1>(left)) < std::tie(std::get<0>(right), std::get<1>(right));
+    });
     std::vector<Member> result;
     result.reserve(ranked.size());
-    for (auto &[rank, member] : ranked) {
+    for (auto &[isSmall, rank, member] : ranked) {
         result.push_back(std::move(member));
     }
     return result;
--- a/src/libnutmeghinge/memberadmission.h
+++ b/src/libnutmeghinge/memberadmission.h
@@ -53,7 +53,10 @@
     std::map<std::pair<NodeName, Incarnation>, MonotonicTime> m_joinRequests;
 };
 
-/** Orders the members, as candidates for coordinator, so that zones alternate. */
-std::vector<Member> interleaveZones(const std::vector<Member> &members);
+/**
+ * Orders the members as candidates for coordinator: first those with a large network link, since a coordinator sends its map and
+ * the loads to all members; among each kind, zones alternate.
+ */
+std::vector<Member> orderCandidates(const std::vector<Member> &members);
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/memberstatus.h
+++ b/src/libnutmeghinge/memberstatus.h
@@ -24,8 +24,9 @@
     CellRevision revision;
     Fence mapVersion;
     DocumentRevision document;
-    /** Version of the newest map that was sent without a heartbeat to answer. */
-    Fence pushedVersion;
+    /** Version of the newest map that was sent to the member, and when. */
+    Fence sentVersion;
+    MonotonicTime mapSentAt;
     bool leaseExpired = false;
     /** Latest incarnation of the target that the member reported; 0 if none. */
     std::uint64_t targetIncarnation = 0;
--- a/src/libnutmeghinge/nodeidentity.h
+++ b/src/libnutmeghinge/nodeidentity.h
@@ -21,6 +21,8 @@
     Endpoint peerEndpoint;
     Endpoint controlEndpoint;
     Endpoint operationsEndpoint;
+    /** Bandwidth of the VM's network link, in Mbit/s; 0 if unknown. */
+    std::uint32_t linkMegabits = 0;
     /** Seed for jitter; differs between nodes. */
     std::uint64_t seed = 0;
     /** Monotonic time at which the process started. */
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -194,7 +194,7 @@
             admit(announced);
         }
     }
-    row.members = interleaveZones(row.members);
+    row.members = orderCandidates(row.members);
 }
 
 /** Returns the row with which this node takes over the known cell; empty if that cell may still have a coordinator. */
--- a/src/libnutmeghingeio/membercodec.cpp
+++ b/src/libnutmeghingeio/membercodec.cpp
@@ -28,6 +28,7 @@
             {"control", endpointToText(member.controlEndpoint)},
             {"operations", endpointToText(member.operationsEndpoint)},
             {"slots", member.slots},
+            {"link", member.linkMegabits},
             {"leaving", member.leaving}};
 }
 
@@ -45,6 +46,7 @@
     member.controlEndpoint = endpointOf(reader, json, "control");
     member.operationsEndpoint = endpointOf(reader, json, "operations");
     member.slots = reader.number32(json, "slots");
+    member.linkMegabits = json.is_object() && json.contains("link") ? reader.number32(json, "link") : 0;
     member.leaving = reader.flag(json, "leaving");
     return member;
 }
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -30,6 +30,9 @@
     /** Time after SIGTERM at which the process is killed from outside; zero if it is not. */
     Duration stopLimit{0};
 
+    /** Bandwidth of the VM's network link, in Mbit/s; 0 if unknown. VMs with a large one become coordinators first. */
+    double linkMegabits = 0;
+
     // Listeners. Port 0 selects a free port.
     Endpoint listenCallers;
     /** Whether callers use only HTTP/1.1, with pipelined requests of a connection handled concurrently. */
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr double maximumLinkMegabits = 1e6;
 constexpr std::uint64_t maximumTimelineRecords = 100000;
 
 bool isIpAddress(const std::string &address)
@@ -103,6 +104,7 @@
     root.text("protocol", settings.protocol, nameError);
     root.duration("targetHeartbeat", settings.targetHeartbeat, std::chrono::milliseconds(10), std::chrono::minutes(1));
     root.duration("stopLimit", settings.stopLimit, std::chrono::seconds(1), std::chrono::hours(1));
+    root.ratio("linkMegabits", settings.linkMegabits, 0, maximumLinkMegabits);
     if (root.has("services")) {
         settings.serviceDefaults = readServiceDefaults(root.mapping("services"));
     }
--- /dev/null
+++ b/tests/core/memberadmissiontest.cpp
@@ -0,0 +1,41 @@
+#include "memberadmission.h"
+#include "cellrow.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+
+namespace {
+
+Member makeMember(std::uint32_t slot, const std::string &zone, std::uint32_t linkMegabits)
+{
+    Member member;
+    member.slot = MemberSlot(slot);
+    member.zone = ZoneName(zone);
+    member.linkMegabits = linkMegabits;
+    return member;
+}
+
+std::vector<std::uint32_t> slotsOf(const std::vector<Member> &members)
+{
+    std::vector<std::uint32_t> slots;
+    for (const Member &member : members) {
+        slots.push_back(member.slot.value());
+    }
+    return slots;
+}
+
+} // namespace
+
+TEST_CASE("VMs with a large network link are the first candidates for coordinator, and zones alternate")
+{
+    const std::vector<Member> members{
+        makeMember(1, "a", 10), makeMember(2, "a", 200), makeMember(3, "a", 200), makeMember(4, "b", 10), makeMember(5, "b", 100), makeMember(6, "c", 10)};
+    CHECK(slotsOf(orderCandidates(members)) == std::vector<std::uint32_t>{2, 5, 3, 1, 4, 6});
+}
+
+TEST_CASE("If no VM states its network link, candidates alternate between zones in the order given")
+{
+    const std::vector<Member> members{makeMember(1, "a", 0), makeMember(2, "a", 0), makeMember(3, "b", 0), makeMember(4, "c", 0)};
+    CHECK(slotsOf(orderCandidates(members)) == std::vector<std::uint32_t>{1, 3, 4, 2});
+}
