Keep short calls in their place in the queue, and say in a refusal which numbers decided

Cause: a call with an objective of 150 ms became late after 110 ms of waiting and went behind all orders in time; the target that waits for it holds a slot for the whole time and fails with it. Change: requests that take less than half of the time of the target's longest kind keep their place after their objective. Admission (in time, late, refused, how long to wait) moves from RequestRouter to AdmissionPolicy; the text of a refusal states the requests running and waiting, the limit and the expected wait. Ruled out: recognising calls by their connection (callers and the target share the VM's address) or by the form of their ids (not stated).

--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -13,6 +13,8 @@
 constexpr Duration minimumRetryAfter = std::chrono::milliseconds(100);
 /** A longer sample counts as this multiple of the average, so that one long download does not look like a slow target. */
 constexpr int maximumSampleInAverages = 4;
+/** Ratio of the times of two classes above which requests of the one are short beside those of the other. */
+constexpr int shortWorkFactor = 2;
 /** Number of samples over which the averages are smoothed. */
 constexpr int serviceTimeWindow = 16;
 
@@ -55,6 +57,20 @@
     return known == m_classTimes.end() ? m_serviceTime : known->second;
 }
 
+bool TargetAdmission::isShort(std::uint32_t workClass) const
+{
+    const auto known = m_classTimes.find(workClass);
+    return known != m_classTimes.end()
+           && std::any_of(m_classTimes.begin(), m_classTimes.end(), [&](const auto &other) { return other.second > shortWorkFactor * known->second; });
+}
+
+std::string TargetAdmission::describe(const Document &document, MonotonicTime now) const
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter(document, now));
+    return std::to_string(m_inFlight) + " running, " + std::to_string(m_queue.size()) + " waiting, limit "
+           + std::to_string(m_health.limit(now, document.slowStart)) + ", expected wait " + std::to_string(wait.count()) + " ms";
+}
+
 void TargetAdmission::started(const Request &request)
 {
     const std::size_t shard = request.shard.value();
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace nutmeghinge {
@@ -36,6 +37,14 @@
     /** Returns the moving average of the target's time per request of this work class; that of all requests if the class is new. */
     Duration serviceTime(std::uint32_t workClass) const;
     const TargetPace &pace() const { return m_pace; }
+    /**
+     * Returns whether requests of this class take less than half of the time of the target's longest class. Serving them first delays
+     * the others little; a target that waits for a short call of its own holds a slot for the whole time.
+     */
+    bool isShort(std::uint32_t workClass) const;
+
+    /** Returns the numbers that decide about a request that arrives now, for logs: requests running and waiting, limit and expected wait. */
+    std::string describe(const Document &document, MonotonicTime now) const;
 
     /** Takes a slot for a request that is sent to the target. */
     void started(const Request &request);
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -1,5 +1,6 @@
 #include "requestrouter.h"
 
+#include "admissionpolicy.h"
 #include "deduplicationmemory.h"
 #include "document.h"
 #include "effectlist.h"
@@ -31,10 +32,6 @@
 
 constexpr std::uint32_t maximumHops = 2;
 constexpr Duration retryAfterWithoutOwner = std::chrono::seconds(1);
-/** A late request is queued only if, after its expected wait, the time left until it must be sent is at least that wait times this factor. */
-constexpr int lateSlackFactor = 3;
-/** Maximum time of a routed request in a queue, so that a stopping node can answer all its requests within its stop limit. */
-constexpr Duration maximumQueueTime = std::chrono::seconds(4);
 constexpr Duration retryAfterOwnershipChange = std::chrono::milliseconds(500);
 
 /** Time of the event being handled, and the list that takes its effects. */
@@ -72,10 +69,7 @@
     void refuseAsStopping(Request &request, const Context &context);
     /** Lets the request wait until the given time, or until its shard has an owner that may admit it. */
     void awaitOwner(Request &request, MonotonicTime at, const Context &context);
-    MonotonicTime latestSendTime(const Request &request) const;
-    MonotonicTime ownerWaitLimit(const Request &request) const;
-    bool missesObjective(const Request &request, MonotonicTime sentAt) const;
-    bool tryEnqueue(Request &request, bool late, const Context &context);
+    void enqueueAt(Request &request, const AdmissionPolicy::Place &place);
     void requeueAsLate(Request &request, const Context &context);
 
     // Attempts.
@@ -119,6 +113,7 @@
     const OwnershipView *ownership = nullptr;
     RequestTable table;
     TargetAdmission admission;
+    AdmissionPolicy admissionPolicy{admission};
     RequestQueue awaitingOwner;
     WakeQueue wakeQueue;
     RoutePlanner planner;
@@ -395,7 +390,7 @@
         refuse(request, {503, NotRunReason::NotOwner, retryAfterWithoutOwner, "this node does not own the key"}, context);
         return;
     }
-    awaitOwner(request, latestSendTime(request), context);
+    awaitOwner(request, admissionPolicy.latestSendTime(request), context);
 }
 
 void RequestRouter::Private::admit(Request &request, const RouteToTarget &target, const Context &context)
@@ -420,81 +415,39 @@
 
 void RequestRouter::Private::enqueue(Request &request, const Context &context)
 {
-    if (admission.queue().size() >= document().queue || !(tryEnqueue(request, false, context) || tryEnqueue(request, true, context))) {
+    const auto place = admissionPolicy.place(request, document(), context.now);
+    if (admission.queue().size() >= document().queue || !place) {
         handleFullQueue(request, context);
         return;
     }
+    enqueueAt(request, *place);
     replies.record(TimelineRecord::Kind::RequestQueued, request, context.effects);
 }
 
-/** Returns the latest time at which the request may be sent from a queue to the target. */
-MonotonicTime RequestRouter::Private::latestSendTime(const Request &request) const
+void RequestRouter::Private::enqueueAt(Request &request, const AdmissionPolicy::Place &place)
 {
-    const MonotonicTime latestBeforeDeadline = request.deadline - admission.serviceTime(request.workClass);
-    return request.routed ? std::min(latestBeforeDeadline, request.arrivedAt + maximumQueueTime) : latestBeforeDeadline;
-}
-
-/**
- * Returns the time until which the request may wait for an owner of its shard. A routed request waits only while its
- * objective can be met; after that it is refused with a time to retry.
- */
-MonotonicTime RequestRouter::Private::ownerWaitLimit(const Request &request) const
-{
-    const MonotonicTime giveUpAt = latestSendTime(request);
-    if (!request.routed || request.objectiveAt == MonotonicTime::max()) {
-        return giveUpAt;
-    }
-    return std::min(giveUpAt, request.objectiveAt - admission.serviceTime(request.workClass));
-}
-
-/** Returns whether the request is expected to be answered after its objective if it is sent at the given time. Short ones are served before their objective
- * counts. */
-bool RequestRouter::Private::missesObjective(const Request &request, MonotonicTime sentAt) const
-{
-    return request.objectiveAt != MonotonicTime::max()
-           && sentAt + admission.serviceTime(request.workClass) > request.objectiveAt;
-}
-
-/**
- * Queues the request if it is expected to be answered in time: within its objective or, if it is late, with enough time
- * left for requests that arrive later and are served before it. Returns whether the request was queued.
- */
-bool RequestRouter::Private::tryEnqueue(Request &request, bool late, const Context &context)
-{
-    const Duration work = admission.serviceTime(request.workClass);
-    const bool hasObjective = request.objectiveAt != MonotonicTime::max();
-    const QueueRank rank{late, request.priority, late ? request.deadline : request.objectiveAt, request.id.value()};
-    const MonotonicTime sentAt = context.now + admission.expectedWait(rank, document(), context.now);
-    const Duration slack = latestSendTime(request) - sentAt;
-    if (slack < Duration(0) || (!late && missesObjective(request, sentAt)) || (late && (!hasObjective || slack < lateSlackFactor * (sentAt - context.now)))) {
-        return false;
-    }
     request.state = Request::State::Queued;
-    request.rank = rank;
-    admission.queue().push(request.id, rank, work);
-    const MonotonicTime giveUpAt = latestSendTime(request);
-    if (late) {
-        // Requests that arrive later are served before it. A wait of twice the estimate shows that they leave it no slot.
-        wakeQueue.schedule(request, std::min(giveUpAt, sentAt + (sentAt - context.now)));
-    } else {
-        wakeQueue.schedule(request, hasObjective ? std::min(giveUpAt, request.objectiveAt - work) : giveUpAt);
-    }
-    return true;
+    request.rank = place.rank;
+    admission.queue().push(request.id, place.rank, admission.serviceTime(request.workClass));
+    wakeQueue.schedule(request, place.waitsUntil);
 }
 
-/** Returns a request that can no longer meet its objective to the queue as late, or refuses it if too little time is left until its deadline. */
+/** Returns a request that can no longer meet its objective to the queue as late, or refuses it. */
 void RequestRouter::Private::requeueAsLate(Request &request, const Context &context)
 {
-    if (!tryEnqueue(request, true, context)) {
-        refuseAsExpired(request, context);
+    if (const auto place = admissionPolicy.placeAsLate(request, document(), context.now)) {
+        enqueueAt(request, *place);
+        return;
     }
+    refuseAsExpired(request, context);
 }
 
 void RequestRouter::Private::handleFullQueue(Request &request, const Context &context)
 {
     const Duration retryAfter = admission.retryAfter(document(), context.now);
     if (request.sharded || request.hops > 0) {
-        refuse(request, {503, NotRunReason::Overloaded, retryAfter, "the queue for the target is full"}, context);
+        refuse(
+            request, {503, NotRunReason::Overloaded, retryAfter, "the queue for the target is full: " + admission.describe(document(), context.now)}, context);
         return;
     }
     // Handled like a refusal by a replica, because another replica may have room in its queue.
@@ -510,7 +463,9 @@
 void RequestRouter::Private::refuseAsExpired(Request &request, const Context &context)
 {
     const Duration retryAfter = admission.retryAfter(document(), context.now);
-    refuse(request, {503, NotRunReason::DeadlineExpired, retryAfter, "no slot of the target became free in time"}, context);
+    refuse(request,
+           {503, NotRunReason::DeadlineExpired, retryAfter, "no slot of the target became free in time: " + admission.describe(document(), context.now)},
+           context);
 }
 
 void RequestRouter::Private::refuseAsStopping(Request &request, const Context &context)
@@ -521,7 +476,7 @@
 
 void RequestRouter::Private::awaitOwner(Request &request, MonotonicTime at, const Context &context)
 {
-    const MonotonicTime giveUpAt = ownerWaitLimit(request);
+    const MonotonicTime giveUpAt = admissionPolicy.ownerWaitLimit(request);
     if (context.now >= giveUpAt || awaitingOwner.size() >= document().queue) {
         const Duration retryAfter = request.routed ? retryAfterOwnershipChange : retryAfterWithoutOwner;
         refuse(request, {503, NotRunReason::NotOwner, retryAfter, "no node may serve the key now"}, context);
@@ -738,7 +693,7 @@
         return;
     }
     if (state == Request::State::Queued) {
-        if (request.rank.late || context.now >= latestSendTime(request)) {
+        if (request.rank.late || context.now >= admissionPolicy.latestSendTime(request)) {
             refuseAsExpired(request, context);
         } else {
             requeueAsLate(request, context);
@@ -754,7 +709,7 @@
         Request &request = *table.find(*admission.queue().pop());
         wakeQueue.cancel(request);
         const auto target = RoutePlanner::planTarget(request, *ownership, context.now);
-        if (context.now > latestSendTime(request)) {
+        if (context.now > admissionPolicy.latestSendTime(request)) {
             refuseAsExpired(request, context);
         } else if (!target) {
             route(request, context);
