--- a/src/libnutmeghinge/decisions/returningcallers.cpp
+++ b/src/libnutmeghinge/decisions/returningcallers.cpp
@@ -45,11 +45,11 @@
 void ReturningCallers::expire(MonotonicTime now)
 {
     while (!m_order.empty() && (m_order.size() > maximumRefused || now > m_order.front().first + matchTolerance)) {
-        const auto [waitsUntil, fingerprint] = m_order.front();
+        const std::pair<MonotonicTime, std::uint64_t> oldest = m_order.front();
         m_order.pop_front();
-        const auto [begin, end] = m_refused.equal_range(fingerprint);
-        const auto refused = std::find_if(begin, end, [&](const auto &entry) { return entry.second.waitsUntil == waitsUntil; });
-        if (refused != end) {
+        const auto sameRequest = m_refused.equal_range(oldest.second);
+        const auto refused = std::find_if(sameRequest.first, sameRequest.second, [&](const auto &entry) { return entry.second.waitsUntil == oldest.first; });
+        if (refused != sameRequest.second) {
             m_refused.erase(refused);
         }
     }
--- a/src/libnutmeghinge/decisions/returningcallers.h
+++ b/src/libnutmeghinge/decisions/returningcallers.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace nutmeghinge {
 
--- a/tests/core/memberadmissiontest.cpp
+++ b/tests/core/memberadmissiontest.cpp
@@ -19,6 +19,7 @@
 std::vector<std::uint32_t> slotsOf(const std::vector<Member> &members)
 {
     std::vector<std::uint32_t> slots;
+    slots.reserve(members.size());
     for (const Member &member : members) {
         slots.push_back(member.slot.value());
     }
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -101,6 +101,28 @@
     CHECK(cell.violation().empty());
 }
 
+TEST_CASE("After all nodes are killed and restarted, keys do not wait for slow nodes whose targets hold none")
+{
+    constexpr std::size_t nodesWithoutKeys = 3;
+    TargetLeaseHarness cell(8, 21, nodesWithoutKeys);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        cell.killNode(node);
+    }
+    cell.run(3s);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        cell.startNode(node);
+    }
+    // They have announced themselves, and answer again only after two seconds.
+    cell.run(300ms);
+    for (std::size_t node = cell.size() - nodesWithoutKeys; node < cell.size(); ++node) {
+        cell.pauseNode(node, 4s);
+    }
+    CHECK(cell.runUntilAllHeld(3500ms));
+    CHECK(cell.violation().empty());
+}
+
 TEST_CASE("Nodes that left earlier do not delay recovery after all other nodes are killed")
 {
     TargetLeaseHarness cell(11, 12);
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -12,18 +12,45 @@
 constexpr Duration releaseInterval = std::chrono::milliseconds(100);
 constexpr std::uint32_t keysOfShard = numericKeys / TargetLeaseHarness::shards;
 const ServiceName service{"roster"};
+const ServiceName serviceWithoutKeys{"documents"};
 const ServiceName cellName{"all"};
 const std::string documentText = "service: roster\n"
                                  "targets: {grants: heartbeat, holdTime: 10s}\n"
                                  "keys: {header: x-key, placement: range, shards: 32}\n"
                                  "leases: {holdLimit: 12s}\n";
 
+/** Adds a service without keys to the one in the text. */
+class TwoServicesFormat : public DocumentFormat
+{
+public:
+    std::variant<DocumentSet, std::vector<DocumentError>> parse(std::string_view text) const override
+    {
+        auto parsed = YamlDocumentFormat().parse(text);
+        if (auto *set = std::get_if<DocumentSet>(&parsed)) {
+            Document other;
+            other.service = serviceWithoutKeys;
+            set->services.insert(set->services.begin(), std::move(other));
+        }
+        return parsed;
+    }
+};
+
 } // namespace
 
-TargetLeaseHarness::TargetLeaseHarness(std::size_t nodes, std::uint64_t seed)
-    : m_nodes(nodes)
+const ServiceName &TargetLeaseHarness::serviceOf(std::size_t node) const
+{
+    return node + m_nodesWithoutKeys < m_nodes.size() ? service : serviceWithoutKeys;
+}
+
+TargetLeaseHarness::TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys)
+    : m_format(std::make_unique<YamlDocumentFormat>())
+    , m_nodesWithoutKeys(nodesWithoutKeys)
+    , m_nodes(nodes)
     , m_random(seed)
 {
+    if (nodesWithoutKeys > 0) {
+        m_format = std::make_unique<TwoServicesFormat>();
+    }
     for (std::size_t node = 0; node < nodes; ++node) {
         m_nodes[node].clockRate = 0.99 + 0.02 * static_cast<double>(random(1000)) / 1000;
         startTarget(node);
@@ -82,12 +109,12 @@
     identity.node = NodeName("node" + std::to_string(node));
     identity.incarnation = Incarnation(entry.incarnation);
     identity.zone = ZoneName("zone" + std::to_string(node % 3));
-    identity.service = service;
+    identity.service = serviceOf(node);
     identity.cell = cellName;
     identity.controlEndpoint = Endpoint{"10.0.0.1", static_cast<std::uint16_t>(node)};
     identity.seed = random(1000000);
     identity.startedAt = clock(node);
-    entry.reducer = std::make_unique<Reducer>(identity, Timings::forHeartbeatsOf(heartbeat), &m_format);
+    entry.reducer = std::make_unique<Reducer>(identity, Timings::forHeartbeatsOf(heartbeat), m_format.get());
     schedule(Duration(static_cast<std::int64_t>(random(10000))), [this, node, incarnation = entry.incarnation] { tickLoop(node, incarnation); });
 }
 
@@ -190,7 +217,7 @@
 {
     Target &target = m_nodes[node].target;
     TargetAnnounced announced;
-    announced.service = service;
+    announced.service = serviceOf(node);
     announced.target = TargetName("t" + std::to_string(node) + '-' + std::to_string(target.incarnation));
     announced.endpoint = Endpoint{"10.0.0.2", static_cast<std::uint16_t>(node)};
     announced.slots = 9;
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -26,7 +26,8 @@
     static constexpr std::uint32_t shards = 32;
     static constexpr Duration heartbeat = std::chrono::milliseconds(1000);
 
-    TargetLeaseHarness(std::size_t nodes, std::uint64_t seed);
+    /** The last nodes, as many as given, have targets of a service without keys. */
+    TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys = 0);
     ~TargetLeaseHarness();
 
     /** Advances the virtual time; stops early at a violation. */
@@ -114,7 +115,10 @@
     bool holdsShard(const Target &target, std::uint32_t shard) const;
     void check();
 
-    YamlDocumentFormat m_format;
+    const ServiceName &serviceOf(std::size_t node) const;
+
+    std::unique_ptr<DocumentFormat> m_format;
+    std::size_t m_nodesWithoutKeys = 0;
     std::vector<Node> m_nodes;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     std::mt19937_64 m_random;
