Recover at once although the coordinator had stopped for good before all other nodes were lost

Cause: a takeover of the row waits until the coordinator named in it has started anew or the row has not moved for the hold limit. Change: the member row of a stopping node states that it starts no further term; the node waits at most 0.3 s for the row to be written before it ends, and the takeover counts that coordinator as ended. A class of requests counts as long beside others only after 16 answers. Ruled out: dropping the condition, since a coordinator that is alive may act for a reduced majority. Test: the harness of target leases plays it; all keys held again within 6 s, not without the change.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -32,6 +32,7 @@
     bool isInDrainGrace(MonotonicTime now) const;
     bool mayRunUnderTargetLease(ShardIndex shard, const ShardOwnership &entry, MonotonicTime now) const;
     void updateStopped(MonotonicTime now);
+    void updateResigned();
     void requestNewerRow(const PeerMessageArrived &arrived);
     TablePolling::Role pollingRole(MonotonicTime now) const;
     WallTime wallTime(MonotonicTime now) const;
@@ -202,6 +203,12 @@
     return entry.state != ShardOwnership::State::Unowned && entry.owner == context.self && context.targetLeases.mayRun(shard, entry.fence, now);
 }
 
+/** A stopping node of a cell with other members starts no election, so once it is not coordinator, it never will be. */
+void Cell::Private::updateResigned()
+{
+    context.resigned = context.resigned || (context.stopping && coordinator.isIdle() && context.members.members().size() > 1);
+}
+
 void Cell::Private::updateStopped(MonotonicTime now)
 {
     if (!context.stopping || stopped) {
@@ -243,6 +250,7 @@
     m_d->context.target.tick(event.at, effects);
     m_d->handover.tick(event.at, effects);
     m_d->coordinator.tick(event, effects);
+    m_d->updateResigned();
     m_d->follower.tick(event, effects);
     m_d->polling.tick(m_d->pollingRole(event.at), event, effects);
     const Document *inForce = document();
@@ -505,6 +513,11 @@
     return byTerm ? m_d->coordinator.activeUntil() : m_d->context.lease.end();
 }
 
+bool Cell::hasAnnouncedResignation() const
+{
+    return !m_d->context.resigned || m_d->polling.hasAnnounced();
+}
+
 bool Cell::isStopped() const
 {
     return m_d->stopped;
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -68,6 +68,8 @@
     MonotonicTime leaseEnd() const;
     /** Returns whether this node, after a stop request, owns no shards and need not wait for its removal from the member list. */
     bool isStopped() const;
+    /** Returns false while the platform has not yet acknowledged that this stopping node will not be coordinator any more. */
+    bool hasAnnouncedResignation() const;
 
 private:
     struct Private;
--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -39,6 +39,7 @@
     member.operationsEndpoint = identity.operationsEndpoint;
     member.linkMegabits = identity.linkMegabits;
     member.leaving = stopping;
+    member.resigned = resigned;
     if (spansServices()) {
         // The target's state changes often, so it is sent with heartbeats and not kept in the member list.
         return member;
--- a/src/libnutmeghinge/cellcontext.h
+++ b/src/libnutmeghinge/cellcontext.h
@@ -61,6 +61,8 @@
     MemberSlot self;
     /** Whether this node was asked to stop. */
     bool stopping = false;
+    /** This node is stopping and starts no further term as coordinator. */
+    bool resigned = false;
     MemberList members;
     VoteRecord voteRecord;
     MemberLease lease;
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -54,6 +54,8 @@
 
     /** Returns whether this node was elected and its term has not ended. */
     bool isElected() const { return m_term.state() == CoordinatorTerm::State::Coordinator; }
+    /** Returns whether this node is neither coordinator nor a candidate. */
+    bool isIdle() const { return m_term.state() == CoordinatorTerm::State::Follower; }
     /**
      * Returns whether this node may act as coordinator: it is elected, its majority and the hold limit have not expired, and it need
      * not write the cell row first.
--- a/src/libnutmeghinge/decisions/replicachoice.cpp
+++ b/src/libnutmeghinge/decisions/replicachoice.cpp
@@ -14,11 +14,11 @@
 
 /** Percentage of its slots that a replica in this node's zone may have in use before other zones are considered; the rest is for large answers. */
 constexpr std::uint64_t ownZoneUsePercent = 60;
+/** The same for requests with large answers, for which waiting in this node's zone costs less than a transfer between zones. */
+constexpr std::uint64_t ownZoneUsePercentForLargeAnswers = 150;
 /** Limits of a member's slowness, so that a few odd answers do not exclude it or bring it all requests. */
 constexpr double leastSlowness = 0.4;
 constexpr double mostSlowness = 4;
-/** The same for requests with large answers, for which waiting in this node's zone costs less than a transfer between zones. */
-constexpr std::uint64_t ownZoneUsePercentForLargeAnswers = 150;
 
 } // namespace
 
--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -54,14 +54,20 @@
 Duration TargetAdmission::serviceTime(std::uint32_t workClass) const
 {
     const auto known = m_classTimes.find(workClass);
-    return known == m_classTimes.end() ? m_serviceTime : known->second;
+    return known == m_classTimes.end() ? m_serviceTime : known->second.average;
 }
 
 bool TargetAdmission::isShort(std::uint32_t workClass) const
 {
     const auto known = m_classTimes.find(workClass);
-    return known != m_classTimes.end()
-           && std::any_of(m_classTimes.begin(), m_classTimes.end(), [&](const auto &other) { return other.second > shortWorkFactor * known->second; });
+    if (known == m_classTimes.end()) {
+        return false;
+    }
+    // One long request of a rare class says little about the others.
+    const auto isLongClass = [&](const auto &other) {
+        return other.second.samples >= serviceTimeWindow && other.second.average > shortWorkFactor * known->second.average;
+    };
+    return std::any_of(m_classTimes.begin(), m_classTimes.end(), isLongClass);
 }
 
 std::string TargetAdmission::describe(const Document &document, MonotonicTime now) const
@@ -103,7 +109,9 @@
     const Duration sample = now - request.sentAt;
     m_pace.addSample(request, sample);
     updateAverage(m_serviceTime, sample);
-    updateAverage(m_classTimes[request.workClass], sample);
+    ClassTime &classTime = m_classTimes[request.workClass];
+    updateAverage(classTime.average, sample);
+    ++classTime.samples;
 }
 
 std::uint32_t TargetAdmission::blocking(ShardIndex shard) const
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -69,7 +69,13 @@
     TargetPace m_pace;
     /** Moving average of the target's time per request of any class. */
     Duration m_serviceTime{0};
-    std::map<std::uint32_t, Duration> m_classTimes;
+    struct ClassTime {
+        Duration average{0};
+        std::uint32_t samples = 0;
+    };
+
+    /** Times by work class. */
+    std::map<std::uint32_t, ClassTime> m_classTimes;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/member.h
+++ b/src/libnutmeghinge/member.h
@@ -33,6 +33,8 @@
     std::uint32_t linkMegabits = 0;
     /** True if the target wants no new requests because it is about to stop, or if its node is stopping. */
     bool leaving = false;
+    /** True if the node is stopping and its last term as coordinator has ended: it starts no other. */
+    bool resigned = false;
 
     friend bool operator==(const Member &, const Member &) = default;
 };
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -13,6 +13,8 @@
 constexpr Duration clockSkewLimit = std::chrono::minutes(1);
 /** The last seventh of the stop limit is reserved for the node's own answers; running targets may use all but the last sixth. */
 constexpr int answerTimeDivisor = 7;
+/** Maximum time for which a stopping node waits for the platform to acknowledge its resignation. */
+constexpr Duration resignationLimit = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -106,7 +108,8 @@
         m_listenersClosed = true;
         effects.add(CloseListeners{});
     }
-    if (m_connectionsClosed && m_router.runningRequests() == 0) {
+    const bool announced = m_cell.hasAnnouncedResignation() || event.at >= m_connectionsClosedAt + resignationLimit;
+    if (m_connectionsClosed && m_router.runningRequests() == 0 && announced) {
         m_exited = true;
         TimelineRecord record;
         record.kind = TimelineRecord::Kind::NodeStopped;
@@ -129,9 +132,10 @@
     m_router.stop(event, effects);
 }
 
-void Reducer::handleConnectionsClosed(const Event &, EffectList &)
+void Reducer::handleConnectionsClosed(const Event &event, EffectList &)
 {
     m_connectionsClosed = true;
+    m_connectionsClosedAt = event.at;
 }
 
 void Reducer::handleTargetAnnounced(const Event &event, EffectList &effects)
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -58,6 +58,7 @@
     bool m_listenersClosed = false;
     bool m_requestsEnded = false;
     bool m_connectionsClosed = false;
+    MonotonicTime m_connectionsClosedAt;
     bool m_exited = false;
 };
 
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -71,10 +71,21 @@
     }
 }
 
-void TablePolling::announce(MonotonicTime now, EffectList &effects)
+Member TablePolling::ownRow() const
 {
     Member own = m_context.announcement();
     own.slot = m_lostSlot;
+    return own;
+}
+
+bool TablePolling::hasAnnounced() const
+{
+    return m_written == ownRow();
+}
+
+void TablePolling::announce(MonotonicTime now, EffectList &effects)
+{
+    Member own = ownRow();
     if (m_context.service.value().empty() || m_writing || m_written == own || now < m_writeAt) {
         return;
     }
@@ -149,10 +160,19 @@
 {
     const MemberSlot coordinator = CoordinatorTerm::slotOf(known.row.map.version.term);
     const MemberList &members = m_context.members;
-    const bool coordinatorEnded = members.hasEnded(coordinator) || !members.find(coordinator);
+    const bool coordinatorEnded = members.hasEnded(coordinator) || !members.find(coordinator) || hasResigned(coordinator);
     return m_context.spansServices() && mayCreateCell() && coordinatorEnded && members.haveMostEnded();
 }
 
+/** Returns whether the member has announced that it is stopping and will not be coordinator any more; it may never start again. */
+bool TablePolling::hasResigned(MemberSlot slot) const
+{
+    const Member *member = m_context.members.find(slot);
+    return member && std::any_of(m_announced.begin(), m_announced.end(), [&](const Member &announced) {
+               return announced.node == member->node && announced.incarnation == member->incarnation && announced.resigned;
+           });
+}
+
 /** Returns whether the member rows were read late enough that all nodes started together have announced themselves. */
 bool TablePolling::mayCreateCell() const
 {
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -47,6 +47,8 @@
     void documentFollowed(const Event &event, EffectList &effects);
     void cellsRead(const Event &event);
 
+    /** Returns whether the platform has acknowledged this node's row as it is now. */
+    bool hasAnnounced() const;
     /** Returns the member rows as last read: the nodes that have announced themselves. */
     const std::vector<Member> &announced() const { return m_announced; }
     /** Returns the rows of all cells as last read; empty in a cell of several services. */
@@ -55,10 +57,12 @@
     void setLostSlot(MemberSlot slot) { m_lostSlot = slot; }
 
 private:
+    Member ownRow() const;
     void readDueRows(Role role, MonotonicTime now, EffectList &effects);
     void requestToJoin(MonotonicTime now, EffectList &effects);
     void createOrTakeOverCell(MonotonicTime now, EffectList &effects);
     bool haveCoordinatorAndMajorityEnded(const VersionedCellRow &known) const;
+    bool hasResigned(MemberSlot slot) const;
     bool mayCreateCell() const;
     CellRow newCellRow() const;
     void admitAnnounced(CellRow &row, const std::vector<Member> &before = {}) const;
--- a/src/libnutmeghingeio/membercodec.cpp
+++ b/src/libnutmeghingeio/membercodec.cpp
@@ -29,7 +29,8 @@
             {"operations", endpointToText(member.operationsEndpoint)},
             {"slots", member.slots},
             {"link", member.linkMegabits},
-            {"leaving", member.leaving}};
+            {"leaving", member.leaving},
+            {"resigned", member.resigned}};
 }
 
 Member MemberCodec::fromJson(JsonReader &reader, const nlohmann::json &json)
@@ -48,6 +49,7 @@
     member.slots = reader.number32(json, "slots");
     member.linkMegabits = json.is_object() && json.contains("link") ? reader.number32(json, "link") : 0;
     member.leaving = reader.flag(json, "leaving");
+    member.resigned = json.is_object() && json.contains("resigned") && reader.flag(json, "resigned");
     return member;
 }
 
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -123,6 +123,33 @@
     CHECK(cell.violation().empty());
 }
 
+TEST_CASE("A coordinator that has stopped for good does not delay recovery after all other nodes are killed")
+{
+    TargetLeaseHarness cell(8, 31);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    const std::optional<std::size_t> coordinator = cell.coordinator();
+    REQUIRE(coordinator);
+    cell.killTarget(*coordinator);
+    cell.stopNode(*coordinator);
+    for (int step = 0; step < 1000 && cell.coordinator() == coordinator; ++step) {
+        cell.run(10ms);
+    }
+    // Its term has ended, and the others have not elected another coordinator.
+    cell.run(30ms);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        cell.killNode(node);
+    }
+    cell.run(700ms);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        if (node != *coordinator) {
+            cell.startNode(node);
+        }
+    }
+    CHECK(cell.runUntilAllHeld(6s));
+    CHECK(cell.violation().empty());
+}
+
 TEST_CASE("Nodes that left earlier do not delay recovery after all other nodes are killed")
 {
     TargetLeaseHarness cell(11, 12);
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -118,6 +118,21 @@
     schedule(Duration(static_cast<std::int64_t>(random(10000))), [this, node, incarnation = entry.incarnation] { tickLoop(node, incarnation); });
 }
 
+void TargetLeaseHarness::stopNode(std::size_t node)
+{
+    deliver(node, m_nodes[node].incarnation, StopRequested{});
+}
+
+std::optional<std::size_t> TargetLeaseHarness::coordinator() const
+{
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        if (isUp(node) && m_nodes[node].reducer->cell().isCoordinator(clock(node))) {
+            return node;
+        }
+    }
+    return std::nullopt;
+}
+
 void TargetLeaseHarness::killTarget(std::size_t node)
 {
     m_nodes[node].target.up = false;
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -37,6 +37,10 @@
 
     void killNode(std::size_t node);
     void startNode(std::size_t node);
+    /** Requests a planned stop of the node; the test kills it when it would have ended. */
+    void stopNode(std::size_t node);
+    /** Returns the coordinator; nothing if there is none. */
+    std::optional<std::size_t> coordinator() const;
     /** Ends the target's process, which loses its leases. */
     void killTarget(std::size_t node);
     /** Starts a new incarnation of the target, without leases. */
