Say in words why a call to the platform failed

They now say it: status, no connection, connection lost, cut off, not in time, invalid. No behaviour changes.

--- a/src/libnutmeghingeio/httpanswercollector.cpp
+++ b/src/libnutmeghingeio/httpanswercollector.cpp
@@ -2,6 +2,28 @@
 
 namespace nutmeghinge {
 
+std::string CollectedAnswer::summary() const
+{
+    switch (result) {
+    case HttpCallResult::Complete:
+        return "HTTP status " + std::to_string(status);
+    case HttpCallResult::NotConnected:
+        return "no connection was established";
+    case HttpCallResult::ConnectionLost:
+        return "the connection was lost before the answer";
+    case HttpCallResult::Truncated:
+        return "the answer was cut off";
+    case HttpCallResult::NoProgress:
+    case HttpCallResult::DeadlineExpired:
+        return "the answer did not arrive in time";
+    case HttpCallResult::Malformed:
+        return "the answer was not valid HTTP or too large";
+    case HttpCallResult::Cancelled:
+        return "the call was cancelled";
+    }
+    return "unknown result";
+}
+
 HttpAnswerCollector::HttpAnswerCollector(std::size_t bodyLimit, Function function)
     : m_bodyLimit(bodyLimit)
     , m_function(std::move(function))
--- a/src/libnutmeghingeio/httpanswercollector.h
+++ b/src/libnutmeghingeio/httpanswercollector.h
@@ -19,6 +19,8 @@
 
     /** Returns whether the answer is complete and has the status. */
     bool isComplete(std::uint16_t expectedStatus) const { return result == HttpCallResult::Complete && status == expectedStatus; }
+    /** Returns the status of a complete answer or why there is none, for log lines. */
+    std::string summary() const;
 };
 
 /** Collects a small answer in memory and passes it to a function when the call has ended. */
--- a/src/libnutmeghingeio/platformtable.cpp
+++ b/src/libnutmeghingeio/platformtable.cpp
@@ -20,7 +20,7 @@
 
 PlatformUnavailable failedCall(const std::string &operation, const CollectedAnswer &answer)
 {
-    spdlog::warn("platform: {} failed: call result {}, HTTP status {}", operation, static_cast<int>(answer.result), answer.status);
+    spdlog::warn("platform: {} failed: {}", operation, answer.summary());
     return {};
 }
 
