--- a/tests/core/documentfollowertest.cpp
+++ b/tests/core/documentfollowertest.cpp
@@ -63,6 +63,54 @@
     MonotonicTime now{100s};
 };
 
+/** A platform that does not answer for some time; calls sent meanwhile are lost, calls that wait already are answered once it is back. */
+struct Outage {
+    Duration start;
+    Duration end;
+
+    bool covers(Duration at) const { return start <= at && at < end; }
+};
+
+/**
+ * Follows documents through the outage on virtual time, until a document that is put at the given time, when the platform
+ * answers, is in force. Returns how long that takes after the end of the outage. Calls begin at time 0.
+ */
+Duration lateness(const Outage &outage, Duration putAt)
+{
+    constexpr Duration step = 10ms;
+    constexpr Duration callTimeout = 1500ms;
+    Setup setup;
+    setup.reads();
+    setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
+    std::optional<Duration> sentAt;
+    Duration wait{0};
+    for (Duration at{0}; at < outage.end + 30s; at += step) {
+        for (const Effect &effect : setup.tickAfter(step)) {
+            sentAt = at;
+            wait = std::get<FollowDocument>(effect).wait;
+        }
+        const bool put = at >= putAt;
+        if (!sentAt || outage.covers(at)) {
+            if (sentAt && at >= *sentAt + wait + callTimeout) {
+                sentAt.reset();
+                setup.followed({PlatformUnavailable(), RowVersion()});
+            }
+            continue;
+        }
+        if (outage.covers(*sentAt) && at >= *sentAt + wait + callTimeout) {
+            sentAt.reset();
+            setup.followed({PlatformUnavailable(), RowVersion()});
+        } else if (!outage.covers(*sentAt) && (put || at >= *sentAt + wait)) {
+            sentAt.reset();
+            put ? setup.followed({Setup::document(5), RowVersion(47)}) : setup.followed({RowAbsent(), RowVersion(40)});
+        }
+        if (setup.context.documents.revision() == DocumentRevision(5)) {
+            return at - outage.end;
+        }
+    }
+    return Duration::max();
+}
+
 } // namespace
 
 TEST_CASE("The document is read once, then followed from the table version of that read")
@@ -121,6 +169,18 @@
     CHECK(waitOf(0s) >= 1s);
 }
 
+TEST_CASE("A silent outage of the platform does not keep documents out of force for longer than three seconds after it")
+{
+    for (Duration start = 50ms; start < 9s; start += 470ms) {
+        for (Duration length = 300ms; length < 20s; length += 370ms) {
+            const Outage outage{start, start + length};
+            INFO("outage from " << outage.start.count() << " to " << outage.end.count() << " us");
+            CHECK(lateness(outage, outage.end) <= 3s);
+            CHECK(lateness(outage, outage.end + 1s) <= 3s);
+        }
+    }
+}
+
 TEST_CASE("An older document that arrives late does not replace a newer one")
 {
     Setup setup;
