--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -269,6 +269,22 @@
     m_d->updateStopped(event.at);
 }
 
+void Cell::tableEpochChanged(const Event &event, EffectList &effects)
+{
+    m_d->beginEvent(event, effects);
+    const TableEpoch epoch = std::get<TableEpochChanged>(event.body).epoch;
+    const TableEpoch before = m_d->context.row.epoch();
+    m_d->context.row.enterEpoch(epoch, event.at);
+    if (before == TableEpoch()) {
+        return;
+    }
+    m_d->polling.tableRestored(event.at);
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::TableRestored;
+    record.detail = "epoch " + std::to_string(before.value()) + " to " + std::to_string(epoch.value()) + ", own rows are written again";
+    effects.record(std::move(record));
+}
+
 void Cell::cellRowRead(const Event &event, EffectList &effects)
 {
     m_d->beginEvent(event, effects);
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -27,6 +27,7 @@
     // Event handlers, called by the Reducer only.
     void tick(const Event &event, EffectList &effects);
     void stop(const Event &event, EffectList &effects);
+    void tableEpochChanged(const Event &event, EffectList &effects);
     void cellRowRead(const Event &event, EffectList &effects);
     void cellRowWriteFinished(const Event &event, EffectList &effects);
     void memberRowsRead(const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/cellrowstore.cpp
+++ b/src/libnutmeghinge/cellrowstore.cpp
@@ -1,11 +1,29 @@
 #include "cellrowstore.h"
 
 #include "effectlist.h"
+#include "timetext.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace nutmeghinge {
 
+namespace {
+
+/** More than the changes of the members that a restoration of the table can lose. */
+constexpr std::uint64_t lostRevisionsLimit = 1000;
+/** More than the members that such changes admit. */
+constexpr std::uint32_t lostSlotsLimit = 256;
+
+/** Returns whether one row of a cell was written after the other, as far as their content tells. */
+bool isNewer(const CellRow &row, const CellRow &other)
+{
+    return std::tie(row.revision, row.map.version, row.mark) > std::tie(other.revision, other.map.version, other.mark);
+}
+
+} // namespace
+
 CellRowStore::CellRowStore(const Timings &timings)
     : m_retryFirst(timings.tablePoll / 10)
     , m_retryLongest(2 * timings.tablePoll)
@@ -13,6 +31,19 @@
 {
 }
 
+void CellRowStore::enterEpoch(TableEpoch epoch, MonotonicTime now)
+{
+    m_epoch = epoch;
+    m_pendingWrite.reset();
+    m_writeOutdated = m_writing;
+    m_wasRead = false;
+    m_absent = false;
+    if (m_known) {
+        m_known->version = RowVersion(0);
+        m_unchangedSince = now;
+    }
+}
+
 void CellRowStore::read(const ServiceName &service, MonotonicTime now, EffectList &effects)
 {
     if (isBusy() || now < m_retryAt) {
@@ -28,10 +59,14 @@
     if (isBusy()) {
         return;
     }
+    if (m_known && !isOfThisEpoch()) {
+        row.revision = CellRevision(row.revision.value() + lostRevisionsLimit);
+        row.nextSlot = MemberSlot(row.nextSlot.value() + lostSlotsLimit);
+    }
     m_writing = true;
     m_pendingWrite = row;
     m_pendingWriteSentAt = now;
-    effects.add(WriteCellRow{m_known ? m_known->version : RowVersion(0), std::move(row)});
+    effects.add(WriteCellRow{m_known ? m_known->version : RowVersion(0), std::move(row), m_epoch});
 }
 
 CellRowStore::ReadOutcome CellRowStore::readFinished(const CellRowRead &result, MonotonicTime now, EffectList &effects)
@@ -43,8 +78,13 @@
         return ReadOutcome::Unavailable;
     }
     recordReachability(true, now, effects);
+    m_wasRead = true;
     const auto *row = std::get_if<VersionedCellRow>(&result.result);
+    if (row ? row->epoch != m_epoch : m_known && m_epoch != TableEpoch()) {
+        return keepNewest(row, now);
+    }
     if (!row) {
+        m_unchangedSince = m_absent ? m_unchangedSince : now;
         m_absent = true;
         m_pendingWrite.reset();
         return ReadOutcome::Absent;
@@ -61,25 +101,44 @@
     return unchanged ? ReadOutcome::Unchanged : ReadOutcome::Changed;
 }
 
+/** Keeps the newest known row for the first write in this epoch. read: row of an earlier epoch, or null if the table has none. */
+CellRowStore::ReadOutcome CellRowStore::keepNewest(const VersionedCellRow *read, MonotonicTime now)
+{
+    m_pendingWrite.reset();
+    const bool changed = read && (!m_known || isNewer(read->row, m_known->row));
+    if (changed) {
+        m_known = *read;
+        m_unchangedSince = now;
+    }
+    m_known->version = RowVersion(0);
+    return changed ? ReadOutcome::Changed : ReadOutcome::Unchanged;
+}
+
 CellRowStore::WriteOutcome CellRowStore::writeFinished(const CellRowWriteFinished &result, MonotonicTime now, EffectList &effects)
 {
     m_writing = false;
     const bool reachable = !std::holds_alternative<PlatformUnavailable>(result.result);
     recordReachability(reachable, now, effects);
+    const bool outdated = std::exchange(m_writeOutdated, false);
     const auto *written = std::get_if<RowWritten>(&result.result);
-    if (written && m_pendingWrite) {
-        setKnown(VersionedCellRow{*m_pendingWrite, written->version}, now);
+    if (written && m_pendingWrite && !outdated) {
+        const bool isFirstOfEpoch = m_known && !isOfThisEpoch();
+        const Duration gap = now - m_unchangedSince;
+        setKnown(VersionedCellRow{*m_pendingWrite, written->version, m_epoch}, now);
         m_pendingWrite.reset();
         m_writtenAt = m_pendingWriteSentAt;
         m_hasWritten = true;
         TimelineRecord record;
         record.kind = TimelineRecord::Kind::RowWritten;
         record.fence = m_known->row.map.version;
+        if (isFirstOfEpoch) {
+            record.detail = "first write in epoch " + std::to_string(m_epoch.value()) + " of the table, " + durationText(gap) + " after it began here";
+        }
         effects.record(std::move(record));
         return WriteOutcome::Written;
     }
     m_readWanted = true;
-    if (!reachable) {
+    if (!reachable || outdated) {
         return WriteOutcome::Unknown;
     }
     TimelineRecord record;
--- a/src/libnutmeghinge/cellrowstore.h
+++ b/src/libnutmeghinge/cellrowstore.h
@@ -38,6 +38,9 @@
 
     explicit CellRowStore(const Timings &timings);
 
+    /** Keeps the known row as the one to write in the new epoch of the table. The outcome of a write in progress counts as unknown. */
+    void enterEpoch(TableEpoch epoch, MonotonicTime now);
+
     /** Returns whether a read or write is in progress. */
     bool isBusy() const { return m_reading || m_writing; }
     /** Starts a read unless an operation is in progress or the retry delay has not passed. */
@@ -49,6 +52,11 @@
 
     /** Returns the row as last read or written; empty if none is known. */
     const std::optional<VersionedCellRow> &known() const { return m_known; }
+    /** Returns whether the known row was read or written in the table's current epoch. */
+    bool isOfThisEpoch() const { return m_known && m_known->epoch == m_epoch; }
+    /** Returns whether the row was read in the table's current epoch, whichever epoch it was written in. */
+    bool wasReadInThisEpoch() const { return m_wasRead; }
+    TableEpoch epoch() const { return m_epoch; }
     /** Returns whether the last read found no row. */
     bool isAbsent() const { return m_absent; }
     /** Returns whether a read is due: because it was requested, or because a write ended with a conflict or its answer was lost. */
@@ -61,19 +69,25 @@
     bool hasWritten() const { return m_hasWritten; }
     /** Returns the time at which the latest successful write was sent. */
     MonotonicTime writtenAt() const { return m_writtenAt; }
-    /** Returns the time at which this node first saw the known version of the row. */
+    /** Returns the time at which this node first saw the known version of the row, or that there is none. */
     MonotonicTime unchangedSince() const { return m_unchangedSince; }
 
 private:
     void setKnown(VersionedCellRow row, MonotonicTime now);
+    ReadOutcome keepNewest(const VersionedCellRow *read, MonotonicTime now);
     void recordReachability(bool reachable, MonotonicTime now, EffectList &effects);
 
     Duration m_retryFirst;
     Duration m_retryLongest;
     Duration m_retry;
     MonotonicTime m_retryAt;
+    TableEpoch m_epoch;
+    /** Whether a read has succeeded in this epoch. */
+    bool m_wasRead = false;
     bool m_reading = false;
     bool m_writing = false;
+    /** The write in progress was sent in an earlier epoch of the table. */
+    bool m_writeOutdated = false;
     bool m_readWanted = false;
     bool m_absent = false;
     bool m_reachable = true;
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -281,8 +281,12 @@
  */
 bool Coordinator::needsRowWrite() const
 {
+    if (!m_context.spansServices() || !m_majorityReducedSince) {
+        return false;
+    }
     const CellRowStore &row = m_context.row;
-    return m_context.spansServices() && m_majorityReducedSince && !(row.hasWritten() && row.writtenAt() >= *m_majorityReducedSince);
+    const bool hasWrittenSince = row.hasWritten() && row.isOfThisEpoch() && row.writtenAt() >= *m_majorityReducedSince;
+    return !hasWrittenSince;
 }
 
 MonotonicTime Coordinator::holdLimitEnd() const
@@ -866,6 +870,12 @@
     if (!known || !document || m_context.row.isBusy() || m_context.row.isReadDue(now) || now < m_context.row.retryAt()) {
         return;
     }
+    const bool isLost = !m_context.row.isOfThisEpoch();
+    if (isLost && !m_context.row.wasReadInThisEpoch()) {
+        // The copy may have a newer row than this node knows.
+        m_context.row.read(m_context.service, now, effects);
+        return;
+    }
     std::optional<CellRow> change;
     if (isActive(now) && isMemberChangeComplete(now)) {
         change = m_admission.nextChange(
@@ -874,7 +884,7 @@
     const bool renewalDue = holdLimitEnd() - now < document->holdLimit * (rowWritesPerHoldLimit - 1) / rowWritesPerHoldLimit;
     const bool changed =
         known->row.map.version != m_ledger.map().version || known->row.successors != m_successors || known->row.document != m_context.documents.revision();
-    if (!change && !needsRowWrite() && !renewalDue && (!changed || now < m_nextRowWrite)) {
+    if (!change && !needsRowWrite() && !renewalDue && !isLost && (!changed || now < m_nextRowWrite)) {
         return;
     }
     CellRow row = change ? *change : known->row;
--- a/src/libnutmeghinge/coordinatorterm.cpp
+++ b/src/libnutmeghinge/coordinatorterm.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t slotsPerCounter = 65536;
 /** More than the elections that 64 members can start within the platform's hold limit of 12 s, if each starts one at most every 300 ms. */
 constexpr std::uint64_t countersPerHoldLimit = 4096;
+/** More than the takeovers of a cell, one after the other, within the few seconds by which a copy of the table is older. */
+constexpr std::uint64_t takeoversPerEpoch = 8;
 
 } // namespace
 
@@ -33,6 +35,11 @@
     return Term(written.value() + countersPerHoldLimit * slotsPerCounter);
 }
 
+Term CoordinatorTerm::termBeyondRestorations(Term written, std::uint64_t epochs)
+{
+    return Term(written.value() + epochs * takeoversPerEpoch * countersPerHoldLimit * slotsPerCounter);
+}
+
 MemberSlot CoordinatorTerm::slotOf(Term term)
 {
     return MemberSlot(static_cast<std::uint32_t>(term.value() % slotsPerCounter));
--- a/src/libnutmeghinge/coordinatorterm.h
+++ b/src/libnutmeghinge/coordinatorterm.h
@@ -38,6 +38,12 @@
     /** Returns a term above all that the cell can have reached within the hold limit after its row was written. written: highest term in that row. */
     static Term termBeyondHoldLimit(Term written);
 
+    /**
+     * Returns a term above all that the cell can have reached in lost writes of its row, after restorations of the table.
+     * written: highest term in the row that is left; epochs: number of epochs that began after that row was written.
+     */
+    static Term termBeyondRestorations(Term written, std::uint64_t epochs);
+
     /** Becomes a candidate for the term and drops the votes of earlier terms. */
     void startElection(Term term, MonotonicTime now);
     void becomeCoordinator() { m_state = State::Coordinator; }
--- a/src/libnutmeghinge/documentfollower.cpp
+++ b/src/libnutmeghinge/documentfollower.cpp
@@ -37,6 +37,13 @@
     }
 }
 
+void DocumentFollower::tableRestored(MonotonicTime now)
+{
+    m_calling = false;
+    m_after.reset();
+    callAgain(now);
+}
+
 void DocumentFollower::documentRead(const DocumentRead &answer, MonotonicTime now, EffectList &effects)
 {
     m_calling = false;
--- a/src/libnutmeghinge/documentfollower.h
+++ b/src/libnutmeghinge/documentfollower.h
@@ -25,6 +25,8 @@
     explicit DocumentFollower(CellContext &context);
 
     void tick(MonotonicTime now, EffectList &effects);
+    /** Reads the row again: after the restoration of the table, a version of it no longer stands for the same changes. */
+    void tableRestored(MonotonicTime now);
     void documentRead(const DocumentRead &answer, MonotonicTime now, EffectList &effects);
     void documentFollowed(const DocumentFollowed &answer, MonotonicTime now, EffectList &effects);
 
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -37,6 +37,8 @@
     /** Version that the row must have for the write to succeed; 0: the row must not exist. */
     RowVersion expected;
     CellRow row;
+    /** Epoch of the table that the version belongs to. In another epoch the write fails or has no effect. */
+    TableEpoch epoch{};
 };
 
 /** Reads the member rows of a service. */
@@ -50,7 +52,10 @@
     Member member;
 };
 
-/** Reads the accepted revision of a service's document and its text. */
+/**
+ * Reads the accepted revision of a service's document and its text. Replaces an outstanding ReadDocument or FollowDocument, which
+ * has no result then.
+ */
 struct ReadDocument {
     ServiceName service;
     /** Revision already known to the node. If the accepted revision is not higher, DocumentRead has an empty text. */
@@ -59,7 +64,7 @@
 
 /**
  * Waits for a change of the accepted document after a version of the table.
- * The result is DocumentFollowed.
+ * The result is DocumentFollowed. Replaces an outstanding call like ReadDocument.
  */
 struct FollowDocument {
     ServiceName service;
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -43,6 +43,14 @@
 struct PlatformUnavailable {
 };
 
+/**
+ * The platform's table has a higher epoch than known before. Sent before the result of the call whose answer showed it; results of
+ * earlier epochs are not sent any more.
+ */
+struct TableEpochChanged {
+    TableEpoch epoch;
+};
+
 /** The requested row does not exist. */
 struct RowAbsent {
 };
@@ -51,6 +59,8 @@
 struct VersionedCellRow {
     CellRow row;
     RowVersion version;
+    /** Epoch of the table in which the row was written. If it is an earlier one, the version is 0, as the row of this epoch is yet to be written. */
+    TableEpoch epoch{};
 };
 
 /** Result of ReadCellRow. */
@@ -259,6 +269,7 @@
 using EventBody = std::variant<Tick,
                                StopRequested,
                                ConnectionsClosed,
+                               TableEpochChanged,
                                CellRowRead,
                                CellRowWriteFinished,
                                MemberRowsRead,
--- a/src/libnutmeghinge/ids.h
+++ b/src/libnutmeghinge/ids.h
@@ -34,6 +34,11 @@
 using CellRevision = StrongType<struct CellRevisionTag, std::uint64_t>;
 /** Version of a row of the table service, set by the platform; 0 means that the row does not exist. */
 using RowVersion = StrongType<struct RowVersionTag, std::uint64_t>;
+/**
+ * Number of the platform's table: 1 plus the number of times it was restored from a copy; 0 if the platform does not say. Row
+ * versions are given out again after a restoration, so they are compared only within one epoch.
+ */
+using TableEpoch = StrongType<struct TableEpochTag, std::uint64_t>;
 /** Number of a request, unique within one incarnation of a node. */
 using RequestId = StrongType<struct RequestIdTag, std::uint64_t>;
 /** Number of one attempt to run a request, unique within one incarnation of a node. */
--- a/src/libnutmeghinge/nodeidentity.h
+++ b/src/libnutmeghinge/nodeidentity.h
@@ -21,6 +21,8 @@
     Endpoint peerEndpoint;
     Endpoint controlEndpoint;
     Endpoint operationsEndpoint;
+    /** Whether the whole system starts for the first time, so that a table without the cell's row has not lost it. */
+    bool firstStart = false;
     /** Bandwidth of the VM's network link, in Mbit/s; 0 if unknown. */
     std::uint32_t linkMegabits = 0;
     /** Seed for jitter; differs between nodes. */
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -35,6 +35,7 @@
         &Reducer::handleTick,
         &Reducer::handleStopRequested,
         &Reducer::handleConnectionsClosed,
+        &Reducer::handleInCell<&Cell::tableEpochChanged>,
         &Reducer::handleInCell<&Cell::cellRowRead>,
         &Reducer::handleInCell<&Cell::cellRowWriteFinished>,
         &Reducer::handleInCell<&Cell::memberRowsRead>,
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -15,6 +15,8 @@
 
 constexpr Duration firstWriteRetry = std::chrono::milliseconds(100);
 constexpr Duration longestWriteRetry = std::chrono::seconds(5);
+/** Time over which the nodes spread the writes of their rows after a restoration of the table. */
+constexpr Duration rewriteSpread = std::chrono::seconds(1);
 
 std::uint64_t nextRandom(std::uint64_t &state)
 {
@@ -93,10 +95,22 @@
     effects.add(WriteMemberRow{m_context.service, std::move(own)});
 }
 
+void TablePolling::tableRestored(MonotonicTime now)
+{
+    m_sawRestoration = true;
+    m_written.reset();
+    m_writeOutdated = m_writing.has_value();
+    m_writeRetry = firstWriteRetry;
+    m_writeAt = now + Duration(static_cast<std::int64_t>(nextRandom(m_random) % static_cast<std::uint64_t>(rewriteSpread.count())));
+    m_documentFollower.tableRestored(now);
+}
+
 void TablePolling::memberRowWriteFinished(const Event &event)
 {
     const auto &result = std::get<MemberRowWriteFinished>(event.body).result;
-    if (std::holds_alternative<RowWritten>(result)) {
+    if (std::exchange(m_writeOutdated, false)) {
+        m_writeRetry = firstWriteRetry;
+    } else if (std::holds_alternative<RowWritten>(result)) {
         m_written = m_writing;
         m_writeRetry = firstWriteRetry;
     } else {
@@ -142,7 +156,8 @@
         return;
     }
     if (row.isAbsent()) {
-        if (mayCreateCell()) {
+        const bool isNew = !mayTableHaveLostCell() || isAbandoned(*m_context.documents.document(), now);
+        if (isNew && mayCreateCell()) {
             row.write(newCellRow(), now, effects);
         }
         return;
@@ -180,6 +195,25 @@
     return delay == Duration::zero() || m_announcedRequestedAt >= m_context.identity.startedAt + delay;
 }
 
+/** Returns whether the cell may exist although the table has no row of it, because the table was restored from a copy that is older. */
+bool TablePolling::mayTableHaveLostCell() const
+{
+    return m_context.row.epoch() != TableEpoch() && (m_sawRestoration || !m_context.identity.firstStart);
+}
+
+/** Returns the longest time for which requests may still run under leases of a cell after its coordinator stopped acting. */
+Duration TablePolling::leasedWorkLimit() const
+{
+    const Timings &timings = m_context.timings;
+    return timings.withDrift(timings.voteDuration) + timings.withDrift(timings.memberLease) + m_context.executionWait();
+}
+
+/** Returns whether the row has not changed for so long that no coordinator and no member of its cell acts any more. */
+bool TablePolling::isAbandoned(const Document &document, MonotonicTime now) const
+{
+    return now >= m_context.row.unchangedSince() + m_context.timings.withDrift(document.holdLimit) + leasedWorkLimit();
+}
+
 CellRow TablePolling::newCellRow() const
 {
     CellRow row;
@@ -188,6 +222,9 @@
     row.nextSlot = MemberSlot(1);
     admitAnnounced(row);
     row.mark = 1;
+    if (mayTableHaveLostCell()) {
+        row.termFloor = CoordinatorTerm::termBeyondRestorations(Term(), m_context.row.epoch().value());
+    }
     row.document = m_context.documents.revision();
     return row;
 }
@@ -225,19 +262,18 @@
     if (!known || !document) {
         return std::nullopt;
     }
-    const Timings &timings = m_context.timings;
-    // Longest time for which requests may still run under leases of the known cell.
-    const Duration leasedWorkLimit = timings.withDrift(timings.voteDuration) + timings.withDrift(timings.memberLease) + m_context.executionWait();
     // Targets with target leases report to the new cell what their ended nodes granted.
-    const Duration waitAfterAllEnded = m_context.spansServices() ? Duration(0) : leasedWorkLimit;
-    const bool hasEnded = (m_allEndedSince && now >= *m_allEndedSince + waitAfterAllEnded && mayCreateCell()) || haveCoordinatorAndMajorityEnded(*known);
-    const bool abandoned = now >= m_context.row.unchangedSince() + timings.withDrift(document->holdLimit) + leasedWorkLimit;
-    if (!hasEnded && !abandoned) {
+    const Duration waitAfterAllEnded = m_context.spansServices() ? Duration(0) : leasedWorkLimit();
+    // A row of an earlier epoch may lack the members and the coordinator that were running when the table was restored.
+    const bool hasEnded = m_context.row.isOfThisEpoch()
+                          && ((m_allEndedSince && now >= *m_allEndedSince + waitAfterAllEnded && mayCreateCell()) || haveCoordinatorAndMajorityEnded(*known));
+    if (!hasEnded && !isAbandoned(*document, now)) {
         return std::nullopt;
     }
     CellRow row = known->row;
     row.revision = CellRevision(row.revision.value() + 1);
     row.termFloor = CoordinatorTerm::termBeyondHoldLimit(std::max(row.termFloor, row.map.version.term));
+    row.termFloor = CoordinatorTerm::termBeyondRestorations(row.termFloor, m_context.row.epoch().value() - known->epoch.value());
     const std::vector<Member> before = std::exchange(row.members, {});
     for (const Member &member : before) {
         row.former.emplace_back(member.slot, member.node);
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -13,6 +13,7 @@
 
 class EffectList;
 struct CellContext;
+struct Document;
 struct VersionedCellRow;
 struct Event;
 
@@ -41,6 +42,8 @@
     void tick(Role role, const Event &event, EffectList &effects);
     /** Writes this node's own row if it has changed. */
     void announce(MonotonicTime now, EffectList &effects);
+    /** Writes this node's row again and reads the document again, since the table may have lost the row and changes of the document. */
+    void tableRestored(MonotonicTime now);
     void memberRowWriteFinished(const Event &event);
     void memberRowsRead(const Event &event);
     void documentRead(const Event &event, EffectList &effects);
@@ -64,6 +67,9 @@
     bool haveCoordinatorAndMajorityEnded(const VersionedCellRow &known) const;
     bool hasResigned(MemberSlot slot) const;
     bool mayCreateCell() const;
+    bool mayTableHaveLostCell() const;
+    Duration leasedWorkLimit() const;
+    bool isAbandoned(const Document &document, MonotonicTime now) const;
     CellRow newCellRow() const;
     void admitAnnounced(CellRow &row, const std::vector<Member> &before = {}) const;
     std::optional<CellRow> takeoverRow(MonotonicTime now) const;
@@ -71,11 +77,15 @@
 
     CellContext &m_context;
     DocumentFollower m_documentFollower;
+    /** Whether the table was restored while this node was running. */
+    bool m_sawRestoration = false;
     std::vector<Member> m_announced;
     std::vector<CellRow> m_cells;
     MemberSlot m_lostSlot;
     std::optional<Member> m_written;
     std::optional<Member> m_writing;
+    /** The write in progress was sent before the table was restored. */
+    bool m_writeOutdated = false;
     MonotonicTime m_writeAt;
     Duration m_writeRetry;
     MonotonicTime m_nextPoll;
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -36,6 +36,8 @@
         RowConflict,
         PlatformDown,
         PlatformUp,
+        /** The platform's table came back from an older copy. */
+        TableRestored,
         DocumentInForce,
         DocumentRejected,
         HotKeySplit,
--- a/src/libnutmeghingeio/httpanswercollector.cpp
+++ b/src/libnutmeghingeio/httpanswercollector.cpp
@@ -17,7 +17,7 @@
     case HttpCallResult::DeadlineExpired:
         return "the answer did not arrive in time";
     case HttpCallResult::Malformed:
-        return "the answer was not valid HTTP or too large";
+        return "the answer was invalid or too large";
     case HttpCallResult::Cancelled:
         return "the call was cancelled";
     }
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -72,6 +72,8 @@
     std::unordered_map<AttemptId, Attempt> attempts;
     std::uint64_t tableReads = 0;
     std::uint64_t tableWrites = 0;
+    std::uint64_t tableRestorations = 0;
+    TableEpoch tableEpoch;
 
     void endRequest(RequestId request, MonotonicTime now);
     void endAttempt(const AttemptFinished &finished, MonotonicTime now);
@@ -121,6 +123,9 @@
         m_d->requestStarts.erase(cancelled->request);
     } else if (const auto *finished = std::get_if<AttemptFinished>(&event.body)) {
         m_d->endAttempt(*finished, event.at);
+    } else if (const auto *changed = std::get_if<TableEpochChanged>(&event.body)) {
+        m_d->tableRestorations += m_d->tableEpoch == TableEpoch() ? 0 : changed->epoch.value() - m_d->tableEpoch.value();
+        m_d->tableEpoch = changed->epoch;
     }
 }
 
@@ -160,6 +165,7 @@
     appendCounter(text, "control_bytes_total", "Bytes of control messages sent to peers.", adapters.controlBytes);
     appendCounter(text, "table_reads_total", "Read requests sent to the platform.", m_d->tableReads);
     appendCounter(text, "table_writes_total", "Write requests sent to the platform.", m_d->tableWrites);
+    appendCounter(text, "table_restorations_total", "Restorations of the platform's table from an older copy, since the node started.", m_d->tableRestorations);
     appendCounter(text, "refused_inputs_total", "Requests refused for invalid framing or excessive size.", adapters.refusedInputs);
     appendGauge(text, "caller_connections", "Open connections from callers.", adapters.callerConnections);
     appendSummary(text, "request_seconds", "Time from the arrival of a request to its complete answer.", m_d->requestSeconds);
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -30,6 +30,8 @@
     /** Time after SIGTERM at which the process is killed from outside; zero if it is not. */
     Duration stopLimit{0};
 
+    /** Whether the whole system starts for the first time, so that a table without the cell's row has not lost it. */
+    bool firstStart = false;
     /** Bandwidth of the VM's network link, in Mbit/s; 0 if unknown. VMs with a large one become coordinators first. */
     double linkMegabits = 0;
 
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -112,6 +112,7 @@
     if (root.has("listen")) {
         readListeners(root.mapping("listen"), settings);
     }
+    root.flag("firstStart", settings.firstStart);
     root.flag("pipelining", settings.pipelining);
     readLog(root.mapping("log"), settings);
     readTimeline(root.mapping("timeline"), settings);
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -128,6 +128,7 @@
     m_identity.region = m_settings.region;
     m_identity.service = m_settings.service;
     m_identity.cell = m_settings.cell;
+    m_identity.firstStart = m_settings.firstStart;
     m_identity.linkMegabits = static_cast<std::uint32_t>(m_settings.linkMegabits);
     // The VM has no persistent storage, so the wall clock time of the start is the incarnation.
     m_identity.incarnation = Incarnation(static_cast<std::uint64_t>(m_loop.wallTime().time_since_epoch().count()));
--- a/tests/core/documentfollowertest.cpp
+++ b/tests/core/documentfollowertest.cpp
@@ -82,27 +82,26 @@
     Setup setup;
     setup.reads();
     setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
-    std::optional<Duration> sentAt;
+    bool calling = false;
+    Duration sentAt{0};
     Duration wait{0};
     for (Duration at{0}; at < outage.end + 30s; at += step) {
         for (const Effect &effect : setup.tickAfter(step)) {
+            calling = true;
             sentAt = at;
             wait = std::get<FollowDocument>(effect).wait;
         }
-        const bool put = at >= putAt;
-        if (!sentAt || outage.covers(at)) {
-            if (sentAt && at >= *sentAt + wait + callTimeout) {
-                sentAt.reset();
-                setup.followed({PlatformUnavailable(), RowVersion()});
-            }
-            continue;
-        }
-        if (outage.covers(*sentAt) && at >= *sentAt + wait + callTimeout) {
-            sentAt.reset();
+        const bool isLost = outage.covers(sentAt) || outage.covers(at);
+        const bool isPut = at >= putAt;
+        if (calling && isLost && at >= sentAt + wait + callTimeout) {
+            calling = false;
             setup.followed({PlatformUnavailable(), RowVersion()});
-        } else if (!outage.covers(*sentAt) && (put || at >= *sentAt + wait)) {
-            sentAt.reset();
-            put ? setup.followed({Setup::document(5), RowVersion(47)}) : setup.followed({RowAbsent(), RowVersion(40)});
+        } else if (calling && !isLost && isPut) {
+            calling = false;
+            setup.followed({Setup::document(5), RowVersion(47)});
+        } else if (calling && !isLost && at >= sentAt + wait) {
+            calling = false;
+            setup.followed({RowAbsent(), RowVersion(40)});
         }
         if (setup.context.documents.revision() == DocumentRevision(5)) {
             return at - outage.end;
@@ -181,6 +180,34 @@
     }
 }
 
+TEST_CASE("After a restoration of the table, a document is read although versions after the known one are given out again")
+{
+    Setup setup;
+    setup.reads();
+    setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
+    CHECK(setup.followsAfter() == 40);
+    setup.follower.tableRestored(setup.now);
+    CHECK(setup.reads());
+    setup.read({ServiceName("all"), Setup::document(5), RowVersion(38)});
+    CHECK(setup.context.documents.revision() == DocumentRevision(5));
+    CHECK(setup.followsAfter() == 38);
+}
+
+TEST_CASE("A restored table with an older document does not replace the one in force")
+{
+    Setup setup;
+    setup.reads();
+    setup.read({ServiceName("all"), Setup::document(5), RowVersion(40)});
+    setup.followsAfter();
+    setup.follower.tableRestored(setup.now);
+    setup.reads();
+    setup.read({ServiceName("all"), Setup::document(4), RowVersion(30)});
+    CHECK(setup.context.documents.revision() == DocumentRevision(5));
+    setup.followsAfter();
+    setup.followed({Setup::document(6), RowVersion(31)});
+    CHECK(setup.context.documents.revision() == DocumentRevision(6));
+}
+
 TEST_CASE("An older document that arrives late does not replace a newer one")
 {
     Setup setup;
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -62,6 +62,37 @@
     return recovered || !cell.violation().empty() ? cell.violation() : "not all keys are held again";
 }
 
+/** Like violationUnderFaults(), but with restorations of the platform's table between the faults, and writes that arrive late. */
+std::string violationUnderRestorations(std::size_t nodes, std::uint64_t seed, int faultCount)
+{
+    TargetLeaseHarness cell(nodes, seed);
+    cell.run(5s);
+    cell.lateWritesPerMille = static_cast<unsigned>(cell.random(300));
+    for (int fault = 0; fault < faultCount && cell.violation().empty(); ++fault) {
+        switch (cell.random(4)) {
+        case 0:
+            cell.restorePlatform(std::chrono::milliseconds(100 + cell.random(8000)));
+            break;
+        case 1:
+            for (std::size_t node = 0; node < cell.size(); ++node) {
+                cell.killNode(node);
+            }
+            cell.run(std::chrono::milliseconds(cell.random(1000)));
+            for (std::size_t node = 0; node < cell.size(); ++node) {
+                cell.startNode(node);
+            }
+            break;
+        default:
+            injectRandomFault(cell);
+        }
+        cell.run(std::chrono::milliseconds(50 + cell.random(3000)));
+    }
+    cell.healAll();
+    cell.lateWritesPerMille = 0;
+    const bool recovered = cell.runUntilAllHeld(40s).has_value();
+    return recovered || !cell.violation().empty() ? cell.violation() : "not all keys are held again";
+}
+
 } // namespace
 
 TEST_CASE("Nodes that start together hold all keys within five seconds")
@@ -287,6 +318,76 @@
     CHECK(holds);
 }
 
+TEST_CASE("All keys stay held when the platform's table is restored from an older copy")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        TargetLeaseHarness cell(5, seed);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(2s);
+        INFO("seed " << seed);
+        for (const Duration age : {500ms, 3000ms, 6000ms}) {
+            cell.restorePlatform(age);
+            for (int step = 0; step < 80; ++step) {
+                cell.run(100ms);
+                CHECK(cell.heldShards() == TargetLeaseHarness::shards);
+            }
+        }
+        CHECK(cell.violation() == "");
+    }
+}
+
+TEST_CASE("After a restoration of the table and the loss of the coordinator, all keys are held again within the limit")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        TargetLeaseHarness cell(7, seed);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(2s);
+        const std::optional<std::size_t> coordinator = cell.coordinator();
+        REQUIRE(coordinator);
+        cell.restorePlatform(4s);
+        cell.killNode(*coordinator);
+        cell.run(600ms);
+        cell.startNode(*coordinator);
+        cell.run(lossLimit);
+        INFO("seed " << seed);
+        CHECK(cell.heldShards() == TargetLeaseHarness::shards);
+        CHECK(cell.violation() == "");
+    }
+}
+
+TEST_CASE("After a restoration of the table and the loss of all nodes, all keys are held again after the hold limit")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        TargetLeaseHarness cell(7, seed);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(2s);
+        for (std::size_t node = 0; node < cell.size(); ++node) {
+            cell.killNode(node);
+        }
+        cell.restorePlatform(4s);
+        cell.run(700ms);
+        for (std::size_t node = 0; node < cell.size(); ++node) {
+            cell.startNode(node);
+        }
+        INFO("seed " << seed);
+        CHECK(cell.runUntilAllHeld(25s));
+        CHECK(cell.violation() == "");
+    }
+}
+
+TEST_CASE("No key has two holders and fences increase under restorations of the table and random faults")
+{
+    const auto holds = rc::check([] {
+        const auto nodes = *rc::gen::inRange<std::size_t>(2, 8);
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const std::string violation = violationUnderRestorations(nodes, seed, *rc::gen::inRange(3, 14));
+        if (!violation.empty()) {
+            RC_FAIL(violation);
+        }
+    });
+    CHECK(holds);
+}
+
 TEST_CASE("Seeds that once failed cause no violation")
 {
     // Each comment names the failure that the seed below it reproduces.
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -42,15 +42,17 @@
     return node + m_nodesWithoutKeys < m_nodes.size() ? service : serviceWithoutKeys;
 }
 
-TargetLeaseHarness::TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys)
+TargetLeaseHarness::TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys, Timings timings)
     : m_format(std::make_unique<YamlDocumentFormat>())
     , m_nodesWithoutKeys(nodesWithoutKeys)
+    , m_timings(timings)
     , m_nodes(nodes)
     , m_random(seed)
 {
     if (nodesWithoutKeys > 0) {
         m_format = std::make_unique<TwoServicesFormat>();
     }
+    m_platform.epoch = TableEpoch(1);
     for (std::size_t node = 0; node < nodes; ++node) {
         m_nodes[node].clockRate = 0.99 + 0.02 * static_cast<double>(random(1000)) / 1000;
         startTarget(node);
@@ -113,8 +115,9 @@
     identity.cell = cellName;
     identity.controlEndpoint = Endpoint{"10.0.0.1", static_cast<std::uint16_t>(node)};
     identity.seed = random(1000000);
+    identity.firstStart = entry.incarnation == 1;
     identity.startedAt = clock(node);
-    entry.reducer = std::make_unique<Reducer>(identity, Timings::forHeartbeatsOf(heartbeat), m_format.get());
+    entry.reducer = std::make_unique<Reducer>(identity, m_timings, m_format.get());
     schedule(Duration(static_cast<std::int64_t>(random(10000))), [this, node, incarnation = entry.incarnation] { tickLoop(node, incarnation); });
 }
 
@@ -303,80 +306,127 @@
 void TargetLeaseHarness::replyFromPlatform(std::size_t node, std::function<EventBody(bool reachable)> access)
 {
     const std::uint64_t incarnation = m_nodes[node].incarnation;
-    schedule(std::chrono::milliseconds(4),
-             [this, node, incarnation, access = std::move(access)] { deliver(node, incarnation, access(!m_nodes[node].cutFromPlatform)); });
+    schedule(std::chrono::milliseconds(4), [this, node, incarnation, access = std::move(access)] {
+        const bool reachable = !m_nodes[node].cutFromPlatform;
+        EventBody answer = access(reachable);
+        if (reachable) {
+            showEpoch(node, incarnation);
+        }
+        deliver(node, incarnation, std::move(answer));
+    });
+}
+
+/** Tells the node the epoch of the table if it has not seen it yet, as an answer of the platform does. */
+void TargetLeaseHarness::showEpoch(std::size_t node, std::uint64_t incarnation)
+{
+    TableEpoch &seen = m_seenEpochs[{node, incarnation}];
+    if (seen < m_platform.epoch) {
+        seen = m_platform.epoch;
+        deliver(node, incarnation, TableEpochChanged{seen});
+    }
+}
+
+void TargetLeaseHarness::writeCellRow(std::size_t node, const WriteCellRow &write)
+{
+    if (lateWritesPerMille > 0 && random(1000) < lateWritesPerMille) {
+        schedule(std::chrono::milliseconds(500 + random(6000)), [this, write] {
+            m_platform.write(write);
+            m_platform.keepCopy(m_now);
+        });
+        replyFromPlatform(node, [](bool) -> EventBody { return CellRowWriteFinished{cellName, PlatformUnavailable()}; });
+        return;
+    }
+    replyFromPlatform(node, [this, write](bool reachable) -> EventBody {
+        CellRowWriteFinished finished{cellName, PlatformUnavailable()};
+        if (reachable) {
+            finished.result = m_platform.write(write);
+            m_platform.keepCopy(m_now);
+        }
+        return finished;
+    });
+}
+
+void TargetLeaseHarness::callForDocument(std::size_t node, Duration wait, bool reads)
+{
+    const std::uint64_t call = ++m_nodes[node].documentCall;
+    schedule(wait, [this, node, incarnation = m_nodes[node].incarnation, call, reads] {
+        const auto isReplaced = [this, node, call] { return m_nodes[node].documentCall != call; };
+        if (isReplaced()) {
+            return;
+        }
+        const bool reachable = !m_nodes[node].cutFromPlatform;
+        if (reachable) {
+            showEpoch(node, incarnation);
+        }
+        if (isReplaced()) {
+            return;
+        }
+        if (!reads) {
+            deliver(node, incarnation, DocumentFollowed{RowAbsent(), RowVersion(1)});
+        } else if (reachable) {
+            deliver(node, incarnation, DocumentRead{cellName, DocumentCopy{DocumentRevision(1), documentText}, RowVersion(1)});
+        } else {
+            deliver(node, incarnation, DocumentRead{cellName, PlatformUnavailable(), RowVersion()});
+        }
+    });
+}
+
+void TargetLeaseHarness::restorePlatform(Duration age)
+{
+    m_platform.restore(m_now - age);
 }
 
 void TargetLeaseHarness::execute(std::size_t node, const Effect &effect)
 {
-    std::visit(
-        Overloaded{
-            [&](const SendPeerMessage &send) {
-                const std::size_t to = send.to.port;
-                if (m_nodes[node].isolated || m_nodes[to].isolated || random(1000) < lossPerMille) {
-                    return;
-                }
-                const Duration after = delay / 10 + Duration(static_cast<std::int64_t>(random(static_cast<std::uint64_t>(delay.count()))));
-                schedule(after, [this, to, incarnation = m_nodes[to].incarnation, send] {
-                    deliver(to, incarnation, PeerMessageArrived{send.from, send.service, send.message, send.time});
-                });
-            },
-            [&](const ReadCellRow &) {
-                replyFromPlatform(node, [this](bool reachable) -> EventBody {
-                    return CellRowRead{cellName, reachable ? m_platform.read() : decltype(CellRowRead::result)(PlatformUnavailable())};
-                });
-            },
-            [&](const WriteCellRow &write) {
-                replyFromPlatform(node, [this, write](bool reachable) -> EventBody {
-                    return CellRowWriteFinished{cellName, reachable ? m_platform.write(write) : decltype(CellRowWriteFinished::result)(PlatformUnavailable())};
-                });
-            },
-            [&](const ReadMemberRows &) {
-                replyFromPlatform(node, [this](bool reachable) -> EventBody {
-                    if (!reachable) {
-                        return MemberRowsRead{cellName, PlatformUnavailable()};
-                    }
-                    std::vector<Member> members;
-                    for (const auto &[name, member] : m_memberRows) {
-                        members.push_back(member);
-                    }
-                    return MemberRowsRead{cellName, std::move(members)};
-                });
-            },
-            [&](const WriteMemberRow &write) {
-                replyFromPlatform(node, [this, write](bool reachable) -> EventBody {
-                    if (!reachable) {
-                        return MemberRowWriteFinished{PlatformUnavailable()};
-                    }
-                    m_memberRows[write.member.node.value()] = write.member;
-                    return MemberRowWriteFinished{RowWritten{RowVersion(1)}};
-                });
-            },
-            [&](const ReadDocument &) {
-                replyFromPlatform(node, [](bool reachable) -> EventBody {
-                    if (!reachable) {
-                        return DocumentRead{cellName, PlatformUnavailable(), RowVersion()};
-                    }
-                    return DocumentRead{cellName, DocumentCopy{DocumentRevision(1), documentText}, RowVersion(1)};
-                });
-            },
-            [&](const FollowDocument &follow) {
-                schedule(follow.wait, [this, node, incarnation = m_nodes[node].incarnation] {
-                    deliver(node, incarnation, DocumentFollowed{RowAbsent(), RowVersion(1)});
-                });
-            },
-            [&](const AnswerTarget &answer) {
-                if (!answer.grant) {
-                    return;
-                }
-                // A node that was paused answers late; the answer goes only to the target incarnation that sent the heartbeat.
-                const SentHeartbeat sent = m_sentHeartbeats.at(answer.announcement - 1);
-                schedule(Duration(200), [this, node, sent, grant = *answer.grant] { applyGrant(node, sent.targetIncarnation, sent.sentAt, grant); });
-            },
-            [&](const Record &record) { m_termsExpired += record.record.detail == "majority lapsed" ? 1 : 0; },
-            [](const auto &) {},
-        },
-        effect);
+    std::visit(Overloaded{
+                   [&](const SendPeerMessage &send) {
+                       const std::size_t to = send.to.port;
+                       if (m_nodes[node].isolated || m_nodes[to].isolated || random(1000) < lossPerMille) {
+                           return;
+                       }
+                       const Duration after = delay / 10 + Duration(static_cast<std::int64_t>(random(static_cast<std::uint64_t>(delay.count()))));
+                       schedule(after, [this, to, incarnation = m_nodes[to].incarnation, send] {
+                           deliver(to, incarnation, PeerMessageArrived{send.from, send.service, send.message, send.time});
+                       });
+                   },
+                   [&](const ReadCellRow &) {
+                       replyFromPlatform(node, [this](bool reachable) -> EventBody {
+                           return CellRowRead{cellName, reachable ? m_platform.read() : decltype(CellRowRead::result)(PlatformUnavailable())};
+                       });
+                   },
+                   [&](const WriteCellRow &write) { writeCellRow(node, write); },
+                   [&](const ReadMemberRows &) {
+                       replyFromPlatform(node, [this](bool reachable) -> EventBody {
+                           if (!reachable) {
+                               return MemberRowsRead{cellName, PlatformUnavailable()};
+                           }
+                           return MemberRowsRead{cellName, m_platform.memberRows()};
+                       });
+                   },
+                   [&](const WriteMemberRow &write) {
+                       replyFromPlatform(node, [this, write](bool reachable) -> EventBody {
+                           if (!reachable) {
+                               return MemberRowWriteFinished{PlatformUnavailable()};
+                           }
+                           m_platform.members[write.member.node] = write.member;
+                           m_platform.keepCopy(m_now);
+                           return MemberRowWriteFinished{RowWritten{RowVersion(1)}};
+                       });
+                   },
+                   [&](const ReadDocument &) { callForDocument(node, std::chrono::milliseconds(4), true); },
+                   [&](const FollowDocument &follow) { callForDocument(node, follow.wait, false); },
+                   [&](const AnswerTarget &answer) {
+                       if (!answer.grant) {
+                           return;
+                       }
+                       // A node that was paused answers late; the answer goes only to the target incarnation that sent the heartbeat.
+                       const SentHeartbeat sent = m_sentHeartbeats.at(answer.announcement - 1);
+                       schedule(Duration(200), [this, node, sent, grant = *answer.grant] { applyGrant(node, sent.targetIncarnation, sent.sentAt, grant); });
+                   },
+                   [&](const Record &record) { m_termsExpired += record.record.detail == "majority lapsed" ? 1 : 0; },
+                   [](const auto &) {},
+               },
+               effect);
 }
 
 void TargetLeaseHarness::check()
@@ -394,6 +444,7 @@
             if (m_lastHolders[shard] != holder && fence <= m_highestFences[shard]) {
                 m_violation = "shard " + std::to_string(shard) + " moved to node " + std::to_string(node) + " without a higher fence";
             }
+            m_highestSequence = std::max(m_highestSequence, fence.sequence);
             m_lastHolders[shard] = holder;
             m_highestFences[shard] = std::max(m_highestFences[shard], fence);
         }
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -27,7 +27,7 @@
     static constexpr Duration heartbeat = std::chrono::milliseconds(1000);
 
     /** The last nodes, as many as given, have targets of a service without keys. */
-    TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys = 0);
+    TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys = 0, Timings timings = Timings::forHeartbeatsOf(heartbeat));
     ~TargetLeaseHarness();
 
     /** Advances the virtual time; stops early at a violation. */
@@ -52,6 +52,8 @@
     void pauseNode(std::size_t node, Duration length);
     void setIsolated(std::size_t node, bool isolated);
     void setCutFromPlatform(std::size_t node, bool cut);
+    /** Restores the platform's table from a copy of the given age. */
+    void restorePlatform(Duration age);
     /** Removes all injected faults and starts all nodes and targets that were killed. */
     void healAll();
 
@@ -63,11 +65,15 @@
     std::size_t shardsOf(std::size_t node) const;
     /** Returns the number of terms that ended because their majority expired. */
     std::size_t termsExpired() const { return m_termsExpired; }
+    /** Returns the highest sequence number of a fence that a target was granted. */
+    std::uint64_t highestSequence() const { return m_highestSequence; }
     /** Returns the first violation of an invariant; empty if there was none. */
     const std::string &violation() const { return m_violation; }
 
     /** Number of lost messages per 1000. */
     unsigned lossPerMille = 0;
+    /** Number of writes of the cell row per 1000 that take effect only seconds after their call has failed. */
+    unsigned lateWritesPerMille = 0;
     /** Longest delay of a message. */
     Duration delay = std::chrono::milliseconds(3);
     std::uint64_t random(std::uint64_t below) { return m_random() % below; }
@@ -94,6 +100,8 @@
         double clockRate = 1;
         bool isolated = false;
         bool cutFromPlatform = false;
+        /** Number of the latest call for the document. */
+        std::uint64_t documentCall = 0;
         Target target;
     };
     struct SentHeartbeat {
@@ -111,6 +119,9 @@
     MonotonicTime clock(std::size_t node) const;
     void deliver(std::size_t node, std::uint64_t incarnation, EventBody body);
     void execute(std::size_t node, const Effect &effect);
+    void writeCellRow(std::size_t node, const WriteCellRow &write);
+    void callForDocument(std::size_t node, Duration wait, bool reads);
+    void showEpoch(std::size_t node, std::uint64_t incarnation);
     void replyFromPlatform(std::size_t node, std::function<EventBody(bool reachable)> access);
     void tickLoop(std::size_t node, std::uint64_t incarnation);
     void heartbeatLoop(std::size_t node, std::uint64_t targetIncarnation);
@@ -123,11 +134,11 @@
 
     std::unique_ptr<DocumentFormat> m_format;
     std::size_t m_nodesWithoutKeys = 0;
+    Timings m_timings;
     std::vector<Node> m_nodes;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     std::mt19937_64 m_random;
     FakePlatform m_platform;
-    std::map<std::string, Member> m_memberRows;
     /** Heartbeats of all targets, in the order sent; an announcement's number is its index plus 1. */
     std::vector<SentHeartbeat> m_sentHeartbeats;
     std::vector<Fence> m_highestFences{shards};
@@ -136,6 +147,9 @@
     Duration m_now{std::chrono::seconds(10)};
     std::uint64_t m_order = 0;
     std::size_t m_termsExpired = 0;
+    std::uint64_t m_highestSequence = 0;
+    /** Epoch of the table that each node has seen; the answers of earlier epochs are dropped. */
+    std::map<std::pair<std::size_t, std::uint64_t>, TableEpoch> m_seenEpochs;
     std::string m_violation;
 };
 
--- a/tests/io/scriptedserver.cpp
+++ b/tests/io/scriptedserver.cpp
@@ -16,7 +16,7 @@
         m_unanswered.push_back(exchange);
         return;
     }
-    exchange->answer(answer.status, {}, std::move(answer.body));
+    exchange->answer(answer.status, answer.headers, std::move(answer.body));
 }
 
 } // namespace nutmeghinge
--- a/tests/io/scriptedserver.h
+++ b/tests/io/scriptedserver.h
@@ -15,6 +15,7 @@
     std::string body;
     /** The server leaves the request unanswered. */
     bool isUnanswered = false;
+    HttpHeaders headers{};
 };
 
 /** A loopback HTTP server that answers with the test's script and records the requests. */
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -28,14 +28,26 @@
     {
         server.setScript([status, body](const HttpRequest &) { return ScriptedAnswer{status, body}; });
     }
+    /** Sets the answer to all calls; it states how often the tables were restored. */
+    void answerWith(std::uint16_t status, const std::string &body, const std::string &restorations)
+    {
+        server.setScript([=](const HttpRequest &) { return ScriptedAnswer{status, body, false, {{"store-era", restorations}}}; });
+    }
     template <typename Event, typename Effect>
     Event run(const Effect &effect)
     {
         events.clear();
         store.run(effect);
-        REQUIRE(runUntil(loop, [&] { return !events.empty(); }));
-        return std::get<Event>(events.front());
+        REQUIRE(runUntil(loop, [&] { return !events.empty() && std::holds_alternative<Event>(events.back()); }));
+        return std::get<Event>(events.back());
+    }
+    /** Returns the epoch that the last call reported as new; 0 if none. */
+    std::uint64_t reportedEpoch() const
+    {
+        const auto *changed = std::get_if<TableEpochChanged>(&events.front());
+        return changed ? changed->epoch.value() : 0;
     }
+    json lastBody() const { return json::parse(server.requests().back().body); }
 
     EventLoop loop;
     ScriptedServer server;
@@ -157,3 +169,93 @@
     setup.answerWith(200, rowsJson("members", "n-1", "broken", 530));
     CHECK(std::get<std::vector<Member>>(setup.run<MemberRowsRead>(ReadMemberRows{ServiceName("all")}).result).empty());
 }
+
+TEST_CASE("An answer that states one more restoration of the tables is reported as a new epoch before its result")
+{
+    Setup setup;
+    const ReadDocument read{ServiceName("all"), DocumentRevision(0)};
+    setup.answerWith(200, rowsJson("op", "config", R"({"version":7})", 530), "4");
+    CHECK(std::holds_alternative<DocumentCopy>(setup.run<DocumentRead>(read).result));
+    CHECK(setup.reportedEpoch() == 5);
+    setup.run<DocumentRead>(read);
+    CHECK(setup.reportedEpoch() == 0);
+    setup.answerWith(503, "{}", "5");
+    setup.run<DocumentRead>(read);
+    CHECK(setup.reportedEpoch() == 6);
+}
+
+TEST_CASE("A feed that continues from a version of an earlier epoch counts as lost history")
+{
+    Setup setup;
+    setup.answerWith(200, rowsJson("op", "config", R"({"version":7})", 530), "1");
+    setup.run<DocumentRead>(ReadDocument{ServiceName("all"), DocumentRevision(0)});
+    setup.answerWith(200, rowsJson("op", "config", R"({"version":9})", 41), "2");
+    CHECK(std::holds_alternative<HistoryLost>(setup.run<DocumentFollowed>(follow).result));
+    CHECK(setup.reportedEpoch() == 3);
+}
+
+TEST_CASE("A new call for the document replaces the outstanding one, whose result is dropped")
+{
+    Setup setup;
+    setup.server.setScript([](const HttpRequest &request) {
+        return request.path.find("feed") != std::string::npos ? ScriptedAnswer{200, "{}", true}
+                                                              : ScriptedAnswer{200, rowsJson("op", "config", R"({"version":7})", 530)};
+    });
+    setup.store.run(follow);
+    REQUIRE(runUntil(setup.loop, [&] { return !setup.server.requests().empty(); }));
+    setup.run<DocumentRead>(ReadDocument{ServiceName("all"), DocumentRevision(0)});
+    CHECK(setup.events.size() == 1);
+}
+
+TEST_CASE("Answers with an invalid number of restorations, or fewer than known, are refused and change nothing")
+{
+    Setup setup;
+    const ReadDocument read{ServiceName("all"), DocumentRevision(0)};
+    const std::string rows = rowsJson("op", "config", R"({"version":7})", 530);
+    setup.answerWith(200, rows, "4");
+    setup.run<DocumentRead>(read);
+    for (const std::string restorations : {"3", "0", "-1", "many", "", "5000", "99999999999999999999"}) {
+        INFO(restorations);
+        setup.answerWith(200, rows, restorations);
+        CHECK(std::holds_alternative<PlatformUnavailable>(setup.run<DocumentRead>(read).result));
+        CHECK(setup.reportedEpoch() == 0);
+    }
+    setup.answerWith(200, rows);
+    CHECK(std::holds_alternative<PlatformUnavailable>(setup.run<DocumentRead>(read).result));
+    setup.answerWith(200, rows, "4");
+    CHECK(std::holds_alternative<DocumentCopy>(setup.run<DocumentRead>(read).result));
+}
+
+TEST_CASE("After a restoration, a write with a version of the earlier epoch cannot match a row of the new one")
+{
+    Setup setup;
+    setup.answerWith(200, R"({"ver":57,"now":1})", "1");
+    const auto first = setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(0), someCell(), TableEpoch(2)});
+    CHECK(std::get<RowWritten>(first.result).version == RowVersion(57));
+    const std::string firstKey = setup.lastBody()["writes"][0]["key"];
+    setup.answerWith(200, R"({"ver":58,"now":1})", "2");
+    CHECK(std::holds_alternative<PlatformUnavailable>(setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(57), someCell(), TableEpoch(2)}).result));
+    CHECK(setup.lastBody()["writes"][0]["key"] == firstKey);
+    CHECK(setup.reportedEpoch() == 3);
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(0), someCell(), TableEpoch(3)});
+    CHECK(setup.lastBody()["writes"][0]["key"] != firstKey);
+}
+
+TEST_CASE("A cell row of an earlier epoch is read as one to write anew, and removed by the first write")
+{
+    Setup setup;
+    setup.answerWith(200, rowsJson("cells", "all@0000000002", CellRowCodec::toText(someCell()), 530), "2");
+    const auto read = setup.run<CellRowRead>(ReadCellRow{ServiceName("all")});
+    const auto &row = std::get<VersionedCellRow>(read.result);
+    CHECK(row.row == someCell());
+    CHECK(row.version == RowVersion(0));
+    CHECK(row.epoch == TableEpoch(2));
+    setup.answerWith(200, R"({"ver":531,"now":1})", "2");
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(0), someCell(), TableEpoch(3)});
+    const json old = {{"table", "cells"}, {"part", ""}, {"key", "all@0000000002"}};
+    json condition = old;
+    condition["ver"] = 12;
+    CHECK(setup.lastBody()["remove"] == json::array({old}));
+    CHECK(setup.lastBody()["expect"].size() == 2);
+    CHECK(setup.lastBody()["expect"][1] == condition);
+}
