Renew rows and document also when the platform begins to count restorations while nodes run

A node that had used a table without the count took its first value for a start, so its versions and its own row stayed those of before. Found by reading the diff.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -275,7 +275,7 @@
     const TableEpoch epoch = std::get<TableEpochChanged>(event.body).epoch;
     const TableEpoch before = m_d->context.row.epoch();
     m_d->context.row.enterEpoch(epoch, event.at);
-    if (before == TableEpoch()) {
+    if (before == TableEpoch() && !m_d->polling.hasUsedTable()) {
         return;
     }
     m_d->polling.tableRestored(event.at);
--- a/src/libnutmeghinge/documentfollower.h
+++ b/src/libnutmeghinge/documentfollower.h
@@ -27,6 +27,8 @@
     void tick(MonotonicTime now, EffectList &effects);
     /** Reads the row again: after the restoration of the table, a version of it no longer stands for the same changes. */
     void tableRestored(MonotonicTime now);
+    /** Returns whether a table version is known after which changes are requested. */
+    bool isFollowing() const { return m_after.has_value(); }
     void documentRead(const DocumentRead &answer, MonotonicTime now, EffectList &effects);
     void documentFollowed(const DocumentFollowed &answer, MonotonicTime now, EffectList &effects);
 
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -50,6 +50,8 @@
     void documentFollowed(const Event &event, EffectList &effects);
     void cellsRead(const Event &event);
 
+    /** Returns whether this node relies on an answer of the platform's table. */
+    bool hasUsedTable() const { return m_written.has_value() || m_documentFollower.isFollowing(); }
     /** Returns whether the platform has acknowledged this node's row as it is now. */
     bool hasAnnounced() const;
     /** Returns the member rows as last read: the nodes that have announced themselves. */
