--- a/src/libnutmeghingeio/platformclient.cpp
+++ b/src/libnutmeghingeio/platformclient.cpp
@@ -71,6 +71,7 @@
         newest.insert_or_assign(row.service, std::move(row));
     }
     std::vector<CellRow> result;
+    result.reserve(newest.size());
     for (auto &[service, row] : newest) {
         result.push_back(std::move(row));
     }
