Record what targets say about themselves in their answers, and count the requests sent to them

Change: the head of each answer of a target is read for a limit and a departure (platform/ names the headers; targets of our own protocol have their own). A timeline record and log line tell when a limit is named, changes or ends, at most one change a second; /metrics has the limit and the number of requests sent to the target. Unreadable values are recorded as bad input and change nothing. Admission is unchanged.

Ruled out: a second event for each answer only if it says something; the absence ends a limit, so it has to be reported too.

--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+void TargetAdmission::announced(const TargetAnnounced &announcement, MonotonicTime now)
+{
+    if (m_health.announced(announcement, now)) {
+        m_rateLimit.reset();
+    }
+}
+
 bool TargetAdmission::hasFreeSlot(const Document &document, MonotonicTime now) const
 {
     return m_inFlight < m_health.limit(now, document.slowStart);
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -4,6 +4,7 @@
 #include "rankedqueue.h"
 #include "targethealth.h"
 #include "targetpace.h"
+#include "targetratelimit.h"
 #include "units.h"
 
 #include <cstdint>
@@ -25,9 +26,13 @@
 public:
     TargetHealth &health() { return m_health; }
     const TargetHealth &health() const { return m_health; }
+    TargetRateLimit &rateLimit() { return m_rateLimit; }
+    const TargetRateLimit &rateLimit() const { return m_rateLimit; }
     RankedQueue &queue() { return m_queue; }
     const RankedQueue &queue() const { return m_queue; }
 
+    /** Applies an announcement of the target. */
+    void announced(const TargetAnnounced &announcement, MonotonicTime now);
     /** Returns whether a slot is free at this time. */
     bool hasFreeSlot(const Document &document, MonotonicTime now) const;
     /** Returns the expected time until a request queued at this rank is sent to the target. */
@@ -62,6 +67,7 @@
 
 private:
     TargetHealth m_health;
+    TargetRateLimit m_rateLimit;
     RankedQueue m_queue;
     std::uint32_t m_inFlight = 0;
     /** Number of attempts that block a handover, by shard. */
--- a/src/libnutmeghinge/decisions/targethealth.cpp
+++ b/src/libnutmeghinge/decisions/targethealth.cpp
@@ -34,15 +34,14 @@
 
 } // namespace
 
-void TargetHealth::announced(const TargetAnnounced &announcement, MonotonicTime now)
+bool TargetHealth::announced(const TargetAnnounced &announcement, MonotonicTime now)
 {
-    const bool restarted = !m_announced || announcement.targetIncarnation != m_incarnation;
+    const bool restarted = !m_announced || announcement.targetIncarnation != m_instance.incarnation;
     const bool resized = m_slots != std::max(announcement.slots, 1U);
     m_announced = true;
     m_announcedAt = now;
     m_endpoint = announcement.endpoint;
-    m_target = announcement.target;
-    m_incarnation = announcement.targetIncarnation;
+    m_instance = {announcement.target, announcement.targetIncarnation};
     m_slots = std::max(announcement.slots, 1U);
     if (restarted || resized) {
         m_learnedLimit = m_slots;
@@ -53,6 +52,7 @@
         m_probedUnhealthy = false;
         m_reportedExcess = 0;
     }
+    return restarted;
 }
 
 void TargetHealth::probed(const TargetProbed &probe, std::uint32_t inFlight, MonotonicTime now)
--- a/src/libnutmeghinge/decisions/targethealth.h
+++ b/src/libnutmeghinge/decisions/targethealth.h
@@ -17,8 +17,8 @@
 public:
     /** Sets the time after the last announcement at which the target counts as unhealthy. */
     void setAnnouncementLifetime(Duration lifetime) { m_announcementLifetime = lifetime; }
-    /** Applies an announcement; a new incarnation resets what is known of the target's health. */
-    void announced(const TargetAnnounced &announcement, MonotonicTime now);
+    /** Applies an announcement; a new incarnation resets what is known of the target's health. Returns whether it is one. */
+    bool announced(const TargetAnnounced &announcement, MonotonicTime now);
     /** Applies the result of a probe. inFlight is the number of requests that this node runs on the target. */
     void probed(const TargetProbed &probe, std::uint32_t inFlight, MonotonicTime now);
     /** Records that the target answered an attempt. */
@@ -34,8 +34,8 @@
     std::uint32_t limit(MonotonicTime now, Duration slowStart) const;
     /** Returns the number of slots that the target announced, at least 1. */
     std::uint32_t slots() const { return m_slots; }
-    /** Returns the name of the target; empty before the first announcement. */
-    const TargetName &target() const { return m_target; }
+    /** Returns the target's present incarnation; its name is empty before the first announcement. */
+    const TargetInstance &instance() const { return m_instance; }
     /** Returns the endpoint of the target; empty before the first announcement. */
     const Endpoint &endpoint() const { return m_endpoint; }
 
@@ -45,9 +45,8 @@
 
     Duration m_announcementLifetime{std::chrono::seconds(3)};
     Endpoint m_endpoint;
-    TargetName m_target;
+    TargetInstance m_instance;
     std::uint32_t m_slots = 1;
-    std::uint64_t m_incarnation = 0;
     bool m_announced = false;
     MonotonicTime m_announcedAt;
     MonotonicTime m_startedAt;
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -12,6 +12,7 @@
 #include "peermessages.h"
 #include "storedanswer.h"
 #include "targetlease.h"
+#include "targetstatement.h"
 #include "timelinerecord.h"
 #include "units.h"
 
@@ -127,7 +128,7 @@
     /** True if the other side may send nothing until the deadline, because the request may wait there for a slot. */
     bool mayBeIdle = false;
     /** Intended target; a different target at the same address must refuse the request. */
-    TargetName target;
+    TargetInstance target;
     /** Buffer the answer until it is complete and return it in AttemptAnswered, if it fits the size limit. */
     bool keepAnswer = false;
     /** Open a new connection for this attempt. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -11,6 +11,7 @@
 #include "peermessages.h"
 #include "storedanswer.h"
 #include "targetlease.h"
+#include "targetstatement.h"
 #include "units.h"
 
 #include <cstdint>
@@ -166,6 +167,23 @@
     std::optional<std::uint32_t> reportedInFlight;
 };
 
+/** The target beside this node said something about itself in an answer, or no longer says it. Repeated with each such answer. */
+struct TargetStated {
+    /** Where the statement comes from. */
+    enum class Source : std::uint8_t {
+        /** An answer of the target to this node. */
+        Answer,
+        /** Another node, which learned it from an answer that this node or its predecessor passed on. */
+        Peer,
+    };
+
+    TargetInstance target;
+    TargetStatement statement;
+    Source source = Source::Answer;
+    /** Time since the target was first known to leave. */
+    Duration leavingFor{0};
+};
+
 /** Result of GrantToTarget. */
 struct TargetGrantFinished {
     Fence fence;
@@ -281,6 +299,7 @@
                                TargetAnnounced,
                                TargetLeaving,
                                TargetProbed,
+                               TargetStated,
                                TargetGrantFinished,
                                RequestArrived,
                                RequestCancelled,
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -48,6 +48,7 @@
     request.shard = target.shard;
     begin(request, Request::Destination::Target, self, target.fence, now, effects);
     m_admission.started(request);
+    ++m_replies.counters().sentToTarget;
     SendToTarget effect;
     effect.request = request.id;
     effect.attempt = request.attempt;
@@ -57,7 +58,7 @@
     effect.deadline = deadline;
     effect.deadlineForHeadOnly = request.safe;
     effect.mayBeIdle = request.routed || !request.safe;
-    effect.target = m_admission.health().target();
+    effect.target = m_admission.health().instance();
     effect.keepAnswer = !request.deduplicationKey.empty();
     effect.freshConnection = request.freshConnection;
     m_replies.record(TimelineRecord::Kind::RequestSentToTarget, request, effects);
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -20,6 +20,7 @@
 #include "routeplanner.h"
 #include "shardof.h"
 #include "targetadmission.h"
+#include "targetstatementlog.h"
 #include "unknownforwards.h"
 #include "wakequeue.h"
 
@@ -126,6 +127,7 @@
     RequestAttempts attempts{table, admission, planner, replies};
     LoadMeter loadMeter;
     HeavyHitterSketch heavyHitterSketch;
+    TargetStatementLog statementLog;
     std::optional<MonotonicTime> loadSince;
     Fence mapVersion;
     bool stopping = false;
@@ -190,7 +192,7 @@
 
 void RequestRouter::targetAnnounced(const Event &event, EffectList &effects)
 {
-    m_d->admission.health().announced(std::get<TargetAnnounced>(event.body), event.at);
+    m_d->admission.announced(std::get<TargetAnnounced>(event.body), event.at);
     ownershipChanged(event, effects);
 }
 
@@ -200,6 +202,23 @@
     m_d->dispatchQueue(contextOf(event, effects));
 }
 
+void RequestRouter::targetStated(const Event &event, EffectList &effects)
+{
+    const auto &stated = std::get<TargetStated>(event.body);
+    if (stated.target != m_d->admission.health().instance()) {
+        return;
+    }
+    TargetRateLimit &limit = m_d->admission.rateLimit();
+    const std::optional<RequestRate> before = limit.rate();
+    auto change = TargetRateLimit::Change::None;
+    if (stated.source == TargetStated::Source::Answer) {
+        change = limit.stated(stated.statement, event.at);
+    } else if (stated.statement.limit) {
+        change = limit.relayed(*stated.statement.limit, event.at);
+    }
+    m_d->statementLog.record(stated, change, before, limit.rate(), event.at, effects);
+}
+
 void RequestRouter::requestArrived(const Event &event, EffectList &effects)
 {
     const Context context = contextOf(event, effects);
@@ -335,6 +354,7 @@
     RequestCounters &counters = m_d->replies.counters();
     counters.inFlight = m_d->admission.inFlight();
     counters.queued = m_d->admission.queue().size() + m_d->awaitingOwner.size();
+    counters.targetLimit = m_d->admission.rateLimit().rate();
     counters.retriesDenied = m_d->retryPolicy.denied();
     counters.deduplicationEvictions = m_d->deduplicationMemory.evictions();
     return counters;
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "events.h"
+#include "requestrate.h"
 #include "shardactivity.h"
 
 #include <memory>
+#include <optional>
 
 namespace nutmeghinge {
 
@@ -21,12 +23,16 @@
     std::uint64_t retries = 0;
     std::uint64_t retriesDenied = 0;
     std::uint64_t forwarded = 0;
+    /** Requests sent to the target beside this node, retries included. */
+    std::uint64_t sentToTarget = 0;
     std::uint64_t duplicatesJoined = 0;
     std::uint64_t duplicatesAnswered = 0;
     /** Stored answers that were evicted before the deduplication window ended, because the memory was full. */
     std::uint64_t deduplicationEvictions = 0;
     std::uint32_t inFlight = 0;
     std::uint32_t queued = 0;
+    /** Limit that the target names at present; empty if it names none. */
+    std::optional<RequestRate> targetLimit;
 };
 
 /**
@@ -74,6 +80,7 @@
     void endRequests(const Event &event, EffectList &effects);
     void targetAnnounced(const Event &event, EffectList &effects);
     void targetProbed(const Event &event, EffectList &effects);
+    void targetStated(const Event &event, EffectList &effects);
     void requestArrived(const Event &event, EffectList &effects);
     void requestCancelled(const Event &event, EffectList &effects);
     void attemptAnswering(const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -19,6 +19,11 @@
         NodeStopped,
         TargetAnnounced,
         TargetSilent,
+        /** The target named a limit on its requests, or another one than before. */
+        TargetLimitNamed,
+        TargetLimitEnded,
+        /** The target is about to stop. */
+        TargetLeaving,
         TermStarted,
         TermEnded,
         LeaseGranted,
--- a/src/libnutmeghingeio/forwardedattempt.cpp
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -72,6 +72,7 @@
         finish(AttemptUnknown{.reason = AttemptUnknown::Reason::WrongAnswer, .answerBegun = false});
         return;
     }
+    reportStatement(head);
     if (const auto refusal = parseRefusal(head)) {
         std::visit([this](const auto &result) { finish(result); }, *refusal);
         return;
@@ -79,6 +80,14 @@
     acceptAnswer(head);
 }
 
+/** Emits what the target says about itself, also if it says nothing, since that ends an earlier statement. */
+void ForwardedAttempt::reportStatement(const HttpAnswerHead &head)
+{
+    if (m_options.destination == AttemptDestination::Target) {
+        m_events(TargetStated{.target = m_options.call.target, .statement = m_request->protocol().statementOf(head)});
+    }
+}
+
 bool ForwardedAttempt::isAnswerToAttempt(const HttpAnswerHead &head) const
 {
     if (m_options.destination == AttemptDestination::Target) {
--- a/src/libnutmeghingeio/forwardedattempt.h
+++ b/src/libnutmeghingeio/forwardedattempt.h
@@ -60,6 +60,7 @@
         Finished,
     };
 
+    void reportStatement(const HttpAnswerHead &head);
     bool isAnswerToAttempt(const HttpAnswerHead &head) const;
     std::optional<std::variant<AttemptNotRun, AttemptUnknown>> parseRefusal(const HttpAnswerHead &head) const;
     void acceptAnswer(const HttpAnswerHead &head);
--- a/src/libnutmeghingeio/nativerequestprotocol.cpp
+++ b/src/libnutmeghingeio/nativerequestprotocol.cpp
@@ -2,6 +2,7 @@
 
 #include "fencetext.h"
 #include "numberparsing.h"
+#include "targetstatementreader.h"
 #include "wireheaders.h"
 
 #include <algorithm>
@@ -80,6 +81,11 @@
     return nutmeghinge::refusalOf(head, AttemptDestination::Target);
 }
 
+TargetStatement NativeRequestProtocol::statementOf(const HttpAnswerHead &head) const
+{
+    return readTargetStatement(head.headers, {.limit = wire::targetLimit, .leaving = wire::targetLeaving});
+}
+
 HttpHeaders NativeRequestProtocol::refusalHeaders(const RefuseRequest &refusal) const
 {
     HttpHeaders headers{{"content-type", "application/json"}, {std::string(wire::outcome), std::string(nameOf(refusal.outcome))}};
--- a/src/libnutmeghingeio/nativerequestprotocol.h
+++ b/src/libnutmeghingeio/nativerequestprotocol.h
@@ -15,6 +15,7 @@
     HttpHeaders targetHeaders(const HttpHeaders &forwarded, const TargetCall &call) const override;
     bool isAnswerToCall(const HttpAnswerHead &head, const HttpHeaders &forwarded, const TargetCall &call) const override;
     std::optional<std::variant<AttemptNotRun, AttemptUnknown>> refusalOf(const HttpAnswerHead &head) const override;
+    TargetStatement statementOf(const HttpAnswerHead &head) const override;
     HttpHeaders refusalHeaders(const RefuseRequest &refusal) const override;
 };
 
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -21,6 +21,7 @@
 
 namespace accumulators = boost::accumulators;
 
+constexpr double milli = 1000;
 constexpr std::array<double, 4> quantiles{0.5, 0.9, 0.99, 0.999};
 
 using Seconds = accumulators::accumulator_set<
@@ -155,6 +156,11 @@
     appendCounter(text, "requests_not_run_total", "Requests refused without being executed.", requests.notRun);
     appendCounter(text, "requests_unknown_total", "Requests that ended with an unknown outcome.", requests.unknown);
     appendCounter(text, "requests_forwarded_total", "Requests forwarded to another node.", requests.forwarded);
+    appendCounter(text, "target_requests_total", "Requests sent to the target beside this node, retries included.", requests.sentToTarget);
+    if (requests.targetLimit) {
+        const auto limit = static_cast<std::uint64_t>(requests.targetLimit->value() * milli);
+        appendGauge(text, "target_limit_millirequests_per_second", "Limit that the target names; absent if it names none.", limit);
+    }
     appendCounter(text, "retries_total", "Retries of requests.", requests.retries);
     appendCounter(text, "retries_denied_total", "Retries denied by the retry budget.", requests.retriesDenied);
     appendCounter(text, "duplicates_joined_total", "Duplicate requests that joined one in progress.", requests.duplicatesJoined);
--- a/src/libnutmeghingeio/requestprotocol.h
+++ b/src/libnutmeghingeio/requestprotocol.h
@@ -3,6 +3,7 @@
 #include "answerrefusal.h"
 #include "effects.h"
 #include "httpmessage.h"
+#include "targetstatement.h"
 #include "units.h"
 
 #include <optional>
@@ -20,7 +21,7 @@
     ShardIndex shard;
     Fence fence;
     /** Target to which the request is addressed. */
-    TargetName target;
+    TargetInstance target;
 };
 
 /**
@@ -48,6 +49,9 @@
     /** Returns the target's refusal; std::nullopt if the answer is not a refusal and goes to the caller. */
     virtual std::optional<std::variant<AttemptNotRun, AttemptUnknown>> refusalOf(const HttpAnswerHead &head) const = 0;
 
+    /** Returns what the target says about itself in the head of an answer. */
+    virtual TargetStatement statementOf(const HttpAnswerHead &head) const = 0;
+
     /** Returns the headers of an answer with which the node itself refuses a caller's request. */
     virtual HttpHeaders refusalHeaders(const RefuseRequest &refusal) const = 0;
 };
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -33,6 +33,10 @@
 inline constexpr std::string_view fence = "nutmeghinge-fence";
 /** Node to target and node to node: id of the attempt. The answer repeats it; an answer with another value is rejected. */
 inline constexpr std::string_view requestId = "nutmeghinge-request-id";
+/** Target to node, in answers: requests per second that the target takes from all nodes together. */
+inline constexpr std::string_view targetLimit = "nutmeghinge-target-limit";
+/** Target to node, in answers: "1" if the target is about to stop. */
+inline constexpr std::string_view targetLeaving = "nutmeghinge-target-leaving";
 /** In refusals of targets and nodes: "not-run" or "unknown". */
 inline constexpr std::string_view outcome = "nutmeghinge-outcome";
 /** Node to node with "not-run": name of the NotRunReason, such as "not-owner". */
--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -440,3 +440,21 @@
     CHECK(caller.received().ends_with("woodglue"));
     CHECK_FALSE(caller.wasReset());
 }
+
+TEST_CASE("What the target says about itself is reported with each of its answers and not passed on in nutmeghinge's own headers")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    setup.onTargetRequest = [](RawConnection &connection) {
+        connection.send(okHead + "nutmeghinge-target-limit: 3.8\r\nnutmeghinge-target-leaving: 1\r\nContent-Length: 4\r\n\r\nteak");
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("teak"); }));
+    const std::vector<TargetStated> stated = setup.all<TargetStated>();
+    REQUIRE(stated.size() == 1);
+    CHECK(stated.front().statement.limit == RequestRate(3.8));
+    CHECK(stated.front().statement.leaving);
+    CHECK(stated.front().source == TargetStated::Source::Answer);
+    CHECK_FALSE(contains(caller.received(), "nutmeghinge-target"));
+}
--- a/tests/platform/hostedprotocoltest.cpp
+++ b/tests/platform/hostedprotocoltest.cpp
@@ -21,7 +21,7 @@
     TargetCall result;
     result.attemptId = "a-1";
     result.timeLeft = 1234ms;
-    result.target = TargetName("i-7");
+    result.target = {TargetName("i-7"), 1};
     return result;
 }
 
@@ -116,3 +116,13 @@
     refusal.retryAfter = Duration(0);
     CHECK_FALSE(valueIn(protocol.refusalHeaders(refusal), "retry-after"));
 }
+
+TEST_CASE("The limit of a target and its departure are read from its answer, and reach the caller unchanged")
+{
+    const HttpAnswerHead head{.status = 200, .headers = {{"server-limit", "3.8"}, {"server-leaving", "1"}}, .contentLength = {}};
+    const TargetStatement statement = protocol.statementOf(head);
+    CHECK(statement.limit == RequestRate(3.8));
+    CHECK(statement.leaving);
+    CHECK_FALSE(protocol.isReserved("server-limit"));
+    CHECK_FALSE(protocol.isReserved("server-leaving"));
+}
