--- a/tests/core/loadplay.cpp
+++ b/tests/core/loadplay.cpp
@@ -126,6 +126,7 @@
 void LoadPlay::serve(const SendToTarget &sent)
 {
     const Caller caller = m_waiting.at(sent.request);
+    m_sentAt.push_back(m_node.m_now - m_start);
     const MonotonicTime done = m_node.m_now + drawWork(*caller.kind);
     const bool inTime = done <= sent.deadline;
     at(std::min(done, sent.deadline), [this, sent, caller, inTime] {
@@ -136,6 +137,13 @@
         } else {
             const bool met = m_node.m_now + callerDelay <= caller.firstAt + caller.kind->objective;
             ++(met ? result.inObjective : result.late);
+            TargetStatement statement;
+            statement.limit = std::prev(m_limits.upper_bound(m_node.m_now - m_start))->second;
+            if (statement.limit) {
+                m_limitNamedAt = std::min(m_limitNamedAt, Duration(m_node.m_now - m_start));
+            }
+            m_node.targetStated(statement);
+            carryOutEffects();
             m_node.answered(sent.attempt);
         }
         m_waiting.erase(sent.request);
--- a/tests/core/loadplay.h
+++ b/tests/core/loadplay.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,12 @@
 
     /** Sets the factor on the target's work from the given time of the play on; 2 means half the speed. */
     void setWorkFactor(Duration from, double factor) { m_workFactors[from] = factor; }
+    /** Sets the limit that the target names in its answers from the given time of the play on. */
+    void setLimit(Duration from, std::optional<RequestRate> limit) { m_limits[from] = limit; }
+    /** Returns the times of the play at which requests were sent to the target. */
+    const std::vector<Duration> &sentAt() const { return m_sentAt; }
+    /** Returns the time of the play at which an answer first named a limit; Duration::max() if none did. */
+    Duration limitNamedAt() const { return m_limitNamedAt; }
     /** Sets the time after the start of the play for which the node uses only a part of the target's slots. */
     void setSlowStart(Duration slowStart);
     /** Plays callers for the given time, then until all have left, and prints what they got. */
@@ -77,6 +84,9 @@
     std::vector<LoadKind> m_kinds;
     PseudoRandom m_random;
     std::map<Duration, double> m_workFactors{{Duration(0), 1.0}};
+    std::map<Duration, std::optional<RequestRate>> m_limits{{Duration(0), std::nullopt}};
+    std::vector<Duration> m_sentAt;
+    Duration m_limitNamedAt = Duration::max();
     MonotonicTime m_start;
     std::multimap<MonotonicTime, std::function<void()>> m_functions;
     std::map<RequestId, Caller> m_waiting;
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -146,6 +146,13 @@
         result.answerBegun = answerBegun;
         return finish(attempt, result);
     }
+    const Effects &targetStated(const TargetStatement &statement)
+    {
+        TargetStated stated;
+        stated.target.incarnation = 1;
+        stated.statement = statement;
+        return apply(&RequestRouter::targetStated, stated);
+    }
     const Effects &ownershipChanged() { return apply(&RequestRouter::ownershipChanged, Tick{}); }
     const Effects &tickAfter(Duration duration)
     {
