Send a target no more requests than the limit that it names in its answers

Callers and targets saw: targets in need that named 2.9 to 4.9 requests a second went on getting 13 to 25, 40 to 58 in 4 s where 28 to 34 are allowed.

Cause: no code read the limit. Admission went by free slots and pace only, and a target with nine slots that answers quickly is given what its slots bear. Class of fault: a signal of overload that only the other side can give reached callers as an opaque header.

Why this works: every request reaches a target through the node beside it, whatever node it began at and whether it is new, repeated, forwarded or a call of another target, and that node now paces them by a token bucket of the named rate. The queue is placed anew when a limit begins or falls: what can't be sent in time is refused at once, with the limit in the reason.

Ruled out: a share of the limit per node where requests begin (it would leave unused what one node has too little of, and a node that has not heard the limit would exceed it); sending at one and a half times the limit, which the rule would bear.

--- a/src/libnutmeghinge/decisions/rankedqueue.cpp
+++ b/src/libnutmeghinge/decisions/rankedqueue.cpp
@@ -1,5 +1,7 @@
 #include "rankedqueue.h"
 
+#include <iterator>
+
 namespace nutmeghinge {
 
 void RankedQueue::push(RequestId id, const QueueRank &rank, Duration work)
@@ -48,4 +50,9 @@
     return work;
 }
 
+std::size_t RankedQueue::countBefore(const QueueRank &rank) const
+{
+    return static_cast<std::size_t>(std::distance(m_entries.begin(), m_entries.lower_bound(rank)));
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/decisions/rankedqueue.h
+++ b/src/libnutmeghinge/decisions/rankedqueue.h
@@ -26,6 +26,8 @@
     bool isEmpty() const { return m_entries.empty(); }
     /** Returns the total work of the requests that are served before a request of this rank. */
     Duration workBefore(const QueueRank &rank) const;
+    /** Returns the number of requests that are served before a request of this rank. */
+    std::size_t countBefore(const QueueRank &rank) const;
     /** Returns the total work of all requests. */
     Duration work() const { return m_work; }
 
--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -41,21 +41,22 @@
     }
 }
 
-bool TargetAdmission::hasFreeSlot(const Document &document, MonotonicTime now) const
+bool TargetAdmission::maySend(const Document &document, MonotonicTime now) const
 {
-    return m_inFlight < m_health.limit(now, document.slowStart);
+    return m_inFlight < m_health.limit(now, document.slowStart) && m_rateLimit.maySend(now);
 }
 
 Duration TargetAdmission::expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const
 {
     // A slot becomes free only when a running request ends.
-    return (m_queue.workBefore(rank) + m_serviceTime) / m_health.limit(now, document.slowStart);
+    const Duration slotWait = (m_queue.workBefore(rank) + m_serviceTime) / m_health.limit(now, document.slowStart);
+    return m_rateLimit.rate() ? std::max(slotWait, m_rateLimit.waitBehind(m_queue.countBefore(rank), now)) : slotWait;
 }
 
 Duration TargetAdmission::retryAfter(const Document &document, MonotonicTime now) const
 {
     const Duration drained = (m_queue.work() + m_serviceTime) / m_health.limit(now, document.slowStart);
-    return std::max(drained, minimumRetryAfter);
+    return std::max({drained, m_rateLimit.waitBehind(m_queue.size(), now), minimumRetryAfter});
 }
 
 Duration TargetAdmission::serviceTime(std::uint32_t workClass) const
@@ -80,12 +81,18 @@
 std::string TargetAdmission::describe(const Document &document, MonotonicTime now) const
 {
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter(document, now));
-    return std::to_string(m_inFlight) + " running, " + std::to_string(m_queue.size()) + " waiting, limit "
-           + std::to_string(m_health.limit(now, document.slowStart)) + ", expected wait " + std::to_string(wait.count()) + " ms";
+    std::string numbers = std::to_string(m_inFlight) + " running, " + std::to_string(m_queue.size()) + " waiting, limit "
+                          + std::to_string(m_health.limit(now, document.slowStart)) + ", expected wait " + std::to_string(wait.count()) + " ms";
+    if (m_rateLimit.rate()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_rateLimit.namedAt());
+        numbers += ", the target takes " + toText(*m_rateLimit.rate()) + ", named " + std::to_string(age.count()) + " ms ago";
+    }
+    return numbers;
 }
 
-void TargetAdmission::started(const Request &request)
+void TargetAdmission::started(const Request &request, MonotonicTime now)
 {
+    m_rateLimit.sent(now);
     const std::size_t shard = request.shard.value();
     if (shard >= m_blocking.size()) {
         m_blocking.resize(shard + 1);
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -18,8 +18,8 @@
 struct Request;
 
 /**
- * Slots of the target beside this node and the queue for them. Counts running
- * requests and estimates how long a new request has to wait.
+ * Slots of the target beside this node, the limit that it names, and the queue for
+ * both. Counts running requests and estimates how long a new request has to wait.
  */
 class TargetAdmission
 {
@@ -33,11 +33,11 @@
 
     /** Applies an announcement of the target. */
     void announced(const TargetAnnounced &announcement, MonotonicTime now);
-    /** Returns whether a slot is free at this time. */
-    bool hasFreeSlot(const Document &document, MonotonicTime now) const;
+    /** Returns whether a slot is free and the target's limit allows a request at this time. */
+    bool maySend(const Document &document, MonotonicTime now) const;
     /** Returns the expected time until a request queued at this rank is sent to the target. */
     Duration expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const;
-    /** Returns the expected time until the present queue is empty, after which a refused caller may retry. */
+    /** Returns the expected time until the present queue is empty and a further request may be sent, after which a refused caller may retry. */
     Duration retryAfter(const Document &document, MonotonicTime now) const;
     /** Returns the moving average of the target's time per request of this work class; that of all requests if the class is new. */
     Duration serviceTime(std::uint32_t workClass) const;
@@ -52,7 +52,7 @@
     std::string describe(const Document &document, MonotonicTime now) const;
 
     /** Takes a slot for a request that is sent to the target. */
-    void started(const Request &request);
+    void started(const Request &request, MonotonicTime now);
     /** Records that the answer to the attempt has begun; called once per attempt. */
     void answering(const Request &request);
     /** Frees the slot of an attempt that has ended. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -47,7 +47,7 @@
 {
     request.shard = target.shard;
     begin(request, Request::Destination::Target, self, target.fence, now, effects);
-    m_admission.started(request);
+    m_admission.started(request, now);
     ++m_replies.counters().sentToTarget;
     SendToTarget effect;
     effect.request = request.id;
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -72,6 +72,8 @@
     void awaitOwner(Request &request, MonotonicTime at, const Context &context);
     void enqueueAt(Request &request, const AdmissionPolicy::Place &place);
     void requeueAsLate(Request &request, const Context &context);
+    /** Gives the queued requests new places, and refuses those that can no longer be sent in time, because the target now takes fewer. */
+    void placeQueuedAgain(const Context &context);
 
     // Attempts.
     void sendToTarget(Request &request, const RouteToTarget &target, const Context &context);
@@ -217,6 +219,9 @@
         change = limit.relayed(*stated.statement.limit, event.at);
     }
     m_d->statementLog.record(stated, change, before, limit.rate(), event.at, effects);
+    if (change == TargetRateLimit::Change::Named || change == TargetRateLimit::Change::Lowered) {
+        m_d->placeQueuedAgain(contextOf(event, effects));
+    }
 }
 
 void RequestRouter::requestArrived(const Event &event, EffectList &effects)
@@ -426,7 +431,7 @@
             heavyHitterSketch.count(request.keyHash);
         }
     }
-    if (admission.queue().isEmpty() && admission.hasFreeSlot(document(), context.now)) {
+    if (admission.queue().isEmpty() && admission.maySend(document(), context.now)) {
         sendToTarget(request, target, context);
         return;
     }
@@ -462,6 +467,21 @@
     refuseAsExpired(request, context);
 }
 
+void RequestRouter::Private::placeQueuedAgain(const Context &context)
+{
+    for (const RequestId id : admission.queue().takeAll()) {
+        Request &request = *table.find(id);
+        wakeQueue.cancel(request);
+        const auto place =
+            request.rank.late ? admissionPolicy.placeAsLate(request, document(), context.now) : admissionPolicy.place(request, document(), context.now);
+        if (place) {
+            enqueueAt(request, *place);
+        } else {
+            handleFullQueue(request, context);
+        }
+    }
+}
+
 void RequestRouter::Private::handleFullQueue(Request &request, const Context &context)
 {
     const Duration retryAfter = admission.retryAfter(document(), context.now);
@@ -725,7 +745,7 @@
 
 void RequestRouter::Private::dispatchQueue(const Context &context)
 {
-    while (!admission.queue().isEmpty() && admission.hasFreeSlot(document(), context.now)) {
+    while (!admission.queue().isEmpty() && admission.maySend(document(), context.now)) {
         Request &request = *table.find(*admission.queue().pop());
         wakeQueue.cancel(request);
         const auto target = RoutePlanner::planTarget(request, *ownership, context.now);
--- a/src/libnutmeghinge/targetstatementlog.cpp
+++ b/src/libnutmeghinge/targetstatementlog.cpp
@@ -2,8 +2,6 @@
 
 #include "effectlist.h"
 
-#include <string>
-
 namespace nutmeghinge {
 
 namespace {
@@ -12,13 +10,6 @@
 
 constexpr Duration minimumInterval = std::chrono::seconds(1);
 
-std::string textOf(RequestRate rate)
-{
-    std::string text = std::to_string(rate.value());
-    // std::to_string writes six decimals.
-    return text.substr(0, text.size() - 3) + " requests/s";
-}
-
 void add(TimelineRecord::Kind kind, std::string detail, EffectList &effects)
 {
     TimelineRecord record;
@@ -44,7 +35,7 @@
         return;
     }
     if (change == Change::Ended) {
-        add(TimelineRecord::Kind::TargetLimitEnded, stated.target.name.value() + " no longer names a limit, which was " + textOf(*before), effects);
+        add(TimelineRecord::Kind::TargetLimitEnded, stated.target.name.value() + " no longer names a limit, which was " + toText(*before), effects);
         return;
     }
     if (change != Change::Named && at < m_changeAt + minimumInterval) {
@@ -52,8 +43,8 @@
         return;
     }
     m_changeAt = at;
-    std::string detail = stated.target.name.value() + " takes " + textOf(*now);
-    detail += before ? ", before " + textOf(*before) : "";
+    std::string detail = stated.target.name.value() + " takes " + toText(*now);
+    detail += before ? ", before " + toText(*before) : "";
     detail += stated.source == TargetStated::Source::Peer ? ", learned from another node" : "";
     detail += m_changesOmitted > 0 ? ", " + std::to_string(m_changesOmitted) + " changes before this one were not recorded" : "";
     m_changesOmitted = 0;
--- a/tests/core/targetlimitplaytest.cpp
+++ b/tests/core/targetlimitplaytest.cpp
@@ -75,3 +75,29 @@
         }
     }
 }
+
+TEST_CASE("At 1.7 times a target's limit at least 0.95 of the limit is used", "[limit]")
+{
+    for (const double limit : {2.9, 8.0, 20.0}) {
+        LoadPlay play(9, {lookups(1.7 * limit)}, 5);
+        play.setLimit(5s, RequestRate(limit));
+        play.run(65s);
+        const auto used = std::count_if(play.sentAt().begin(), play.sentAt().end(), [](Duration time) { return time >= 10s && time < 65s; });
+        INFO("limit " << limit);
+        CHECK(static_cast<double>(used) >= 0.95 * limit * 55);
+    }
+}
+
+TEST_CASE("A target that takes no requests at present is tried every two seconds, so that the end of its limit is noticed", "[limit]")
+{
+    LoadPlay play(9, {lookups(10)}, 6);
+    play.setLimit(5s, RequestRate(0));
+    play.setLimit(20s, std::nullopt);
+    play.run(40s);
+    const auto sentIn = [&](Duration from, Duration until) {
+        return std::count_if(play.sentAt().begin(), play.sentAt().end(), [&](Duration time) { return time >= from && time < until; });
+    };
+    CHECK(sentIn(9s, 19s) >= 3);
+    CHECK(sentIn(9s, 19s) <= 7);
+    CHECK(sentIn(32s, 40s) >= 60);
+}
