Send no request to a target that says in its answers that it leaves, also after its node was restarted

What would be seen: a target that says only in its answers that it leaves is announced as ready by its heartbeats, so it kept its keys and went on getting requests; after a restart of the node beside it, a limit or a departure that callers had already been shown was forgotten.

Cause: departures were known from heartbeats and the notice of leaving only, a later heartbeat took them back, and what a process had learned ended with it.

Change: a departure, whatever says it first, belongs to the target's incarnation and ends only with it. Nodes tell each other with forwarded answers what the target said, and the node where a request begins repeats it with each request that it forwards to that member. So a restarted process knows of limit and departure before it sends the first request, without store or coordinator; it alone decides, as only it knows which target is there now.

Ruled out: refusing at the node where the request begins (it does not see that a new target has taken the old one's place, and would refuse what that one can run).

Measured: test-core, test-io and test-platform pass. With the cell's part taken out, the three tests of departures fail; the tests of the relay need its fields and were not seen to fail.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -381,7 +381,7 @@
 void Cell::targetLeaving(const Event &event, EffectList &effects)
 {
     m_d->beginEvent(event, effects);
-    m_d->context.target.leaving(std::get<TargetLeaving>(event.body), event.at);
+    m_d->context.target.leaving(std::get<TargetLeaving>(event.body), event.at, effects);
     m_d->polling.announce(event.at, effects);
 }
 
@@ -391,6 +391,18 @@
     m_d->context.target.probed(std::get<TargetProbed>(event.body));
 }
 
+bool Cell::targetStated(const Event &event, EffectList &effects)
+{
+    const auto &stated = std::get<TargetStated>(event.body);
+    if (!stated.statement.leaving || !m_d->context.target.statedLeaving(stated, event.at, effects)) {
+        return false;
+    }
+    m_d->beginEvent(event, effects);
+    m_d->polling.announce(event.at, effects);
+    m_d->follower.sendHeartbeatOnNextTick();
+    return true;
+}
+
 void Cell::targetGrantFinished(const Event &event, EffectList &effects)
 {
     m_d->beginEvent(event, effects);
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -39,6 +39,8 @@
     void targetAnnounced(const Event &event, EffectList &effects);
     void targetLeaving(const Event &event, EffectList &effects);
     void targetProbed(const Event &event, EffectList &effects);
+    /** Returns whether the target is now known to leave and was not before. */
+    bool targetStated(const Event &event, EffectList &effects);
     void targetGrantFinished(const Event &event, EffectList &effects);
     /** Handles a newer fence that the target has reported. */
     void handleNewerFence(Fence newer, const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -147,6 +147,8 @@
     /** Set if the sender's document has routes. */
     std::optional<RoutedRequest> routed;
     bool freshConnection = false;
+    /** What this node knows of the target beside the peer, if anything. */
+    std::optional<RelayedStatement> relayed{};
     /** Sender's clock; set by the reducer. */
     HybridTime time{};
 };
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -173,7 +173,7 @@
     enum class Source : std::uint8_t {
         /** An answer of the target to this node. */
         Answer,
-        /** Another node, which learned it from an answer that this node or its predecessor passed on. */
+        /** Another node, which learned it from an answer that this node's process, or an earlier one, passed on to it. */
         Peer,
     };
 
@@ -227,6 +227,8 @@
     std::uint64_t bodySize = 0;
     /** Clock of the node that forwarded the request; zero if it came from a caller. */
     HybridTime time{};
+    /** What the node that forwarded the request knows of the target beside this node, if anything. */
+    std::optional<RelayedStatement> relayed{};
 };
 
 /** The caller disconnected or cancelled before its answer was complete. */
@@ -238,6 +240,8 @@
 struct AttemptAnswering {
     AttemptId attempt;
     std::uint16_t status = 0;
+    /** What the target that answered the other node said about itself, if anything. */
+    std::optional<RelayedStatement> relayed{};
 };
 
 /** The complete answer was sent to the caller. */
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -47,9 +47,9 @@
         &Reducer::handleTargetAnnounced,
         &Reducer::handleInCell<&Cell::targetLeaving>,
         &Reducer::handleTargetProbed,
-        &Reducer::handleInRouter<&RequestRouter::targetStated>,
+        &Reducer::handleTargetStated,
         &Reducer::handleInCell<&Cell::targetGrantFinished>,
-        &Reducer::handleInRouter<&RequestRouter::requestArrived>,
+        &Reducer::handleRequestArrived,
         &Reducer::handleInRouter<&RequestRouter::requestCancelled>,
         &Reducer::handleInRouter<&RequestRouter::attemptAnswering>,
         &Reducer::handleAttemptFinished,
@@ -152,6 +152,24 @@
     m_router.targetProbed(event, effects);
 }
 
+void Reducer::handleTargetStated(const Event &event, EffectList &effects)
+{
+    m_router.targetStated(event, effects);
+    if (m_cell.targetStated(event, effects)) {
+        m_router.ownershipChanged(event, effects);
+    }
+}
+
+void Reducer::handleRequestArrived(const Event &event, EffectList &effects)
+{
+    const auto &arrived = std::get<RequestArrived>(event.body);
+    if (arrived.relayed) {
+        const TargetStated stated{arrived.relayed->target, arrived.relayed->statement, TargetStated::Source::Peer, arrived.relayed->leavingFor};
+        handleTargetStated(Event{event.at, event.wallTime, stated}, effects);
+    }
+    m_router.requestArrived(event, effects);
+}
+
 void Reducer::handleAttemptFinished(const Event &event, EffectList &effects)
 {
     const auto &finished = std::get<AttemptFinished>(event.body);
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -36,6 +36,8 @@
     void handleConnectionsClosed(const Event &event, EffectList &effects);
     void handleTargetAnnounced(const Event &event, EffectList &effects);
     void handleTargetProbed(const Event &event, EffectList &effects);
+    void handleTargetStated(const Event &event, EffectList &effects);
+    void handleRequestArrived(const Event &event, EffectList &effects);
     void handleAttemptFinished(const Event &event, EffectList &effects);
     template <void (Cell::*Member)(const Event &, EffectList &)>
     void handleInCell(const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -1,6 +1,7 @@
 #include "requestattempts.h"
 
 #include "effectlist.h"
+#include "membertargets.h"
 #include "requestreplies.h"
 #include "requesttable.h"
 #include "targetadmission.h"
@@ -30,9 +31,14 @@
 
 } // namespace
 
-RequestAttempts::RequestAttempts(RequestTable &table, TargetAdmission &admission, RoutePlanner &planner, RequestReplies &replies)
+RequestAttempts::RequestAttempts(RequestTable &table,
+                                 TargetAdmission &admission,
+                                 const MemberTargets &memberTargets,
+                                 RoutePlanner &planner,
+                                 RequestReplies &replies)
     : m_table(table)
     , m_admission(admission)
+    , m_memberTargets(memberTargets)
     , m_planner(planner)
     , m_replies(replies)
 {
@@ -84,6 +90,9 @@
         effect.routed = RoutedRequest{request.service, request.idempotent, request.priority, left, request.workClass};
     }
     effect.freshConnection = request.freshConnection;
+    if (destination == Request::Destination::Member) {
+        effect.relayed = m_memberTargets.statementFor(to.member->slot, now);
+    }
     m_replies.record(TimelineRecord::Kind::RequestForwarded, request, effects);
     effects.add(std::move(effect));
 }
--- a/src/libnutmeghinge/requestattempts.h
+++ b/src/libnutmeghinge/requestattempts.h
@@ -7,6 +7,7 @@
 namespace nutmeghinge {
 
 class EffectList;
+class MemberTargets;
 class RequestReplies;
 class RequestTable;
 class TargetAdmission;
@@ -19,7 +20,7 @@
 class RequestAttempts
 {
 public:
-    RequestAttempts(RequestTable &table, TargetAdmission &admission, RoutePlanner &planner, RequestReplies &replies);
+    RequestAttempts(RequestTable &table, TargetAdmission &admission, const MemberTargets &memberTargets, RoutePlanner &planner, RequestReplies &replies);
 
     /** Sends the request to the target beside this node. self: this node's own member slot. */
     void sendToTarget(Request &request, const RouteToTarget &target, MemberSlot self, MonotonicTime deadline, MonotonicTime now, EffectList &effects);
@@ -34,6 +35,7 @@
 
     RequestTable &m_table;
     TargetAdmission &m_admission;
+    const MemberTargets &m_memberTargets;
     RoutePlanner &m_planner;
     RequestReplies &m_replies;
 };
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -7,6 +7,7 @@
 #include "heavyhittersketch.h"
 #include "loadmeter.h"
 #include "member.h"
+#include "membertargets.h"
 #include "overloaded.h"
 #include "ownershipmap.h"
 #include "ownershipview.h"
@@ -126,7 +127,8 @@
     UnknownForwards unknownForwards;
     ReturningCallers returningCallers;
     RequestReplies replies;
-    RequestAttempts attempts{table, admission, planner, replies};
+    MemberTargets memberTargets;
+    RequestAttempts attempts{table, admission, memberTargets, planner, replies};
     LoadMeter loadMeter;
     HeavyHitterSketch heavyHitterSketch;
     TargetStatementLog statementLog;
@@ -276,6 +278,8 @@
     request->answerBegun = true;
     if (request->destination == Request::Destination::Target) {
         m_d->admission.answering(*request);
+    } else if (request->destination == Request::Destination::Member) {
+        m_d->memberTargets.answered(request->member, std::get<AttemptAnswering>(event.body).relayed, event.at);
     }
 }
 
@@ -302,6 +306,7 @@
     if (m_d->mapVersion != m_d->ownership->map().version) {
         m_d->mapVersion = m_d->ownership->map().version;
         m_d->cancelOutdatedForwards(context);
+        m_d->memberTargets.keepOnly([this](MemberSlot slot) { return m_d->ownership->member(slot) != nullptr; });
     }
     m_d->rerouteAwaitingOwner(context);
     m_d->dispatchQueue(context);
--- a/src/libnutmeghinge/targetwatch.cpp
+++ b/src/libnutmeghinge/targetwatch.cpp
@@ -3,6 +3,8 @@
 #include "effectlist.h"
 #include "ownershipmap.h"
 
+#include <algorithm>
+
 namespace nutmeghinge {
 
 namespace {
@@ -30,6 +32,14 @@
     return announcement.sequence <= m_latest->sequence;
 }
 
+void TargetWatch::recordLeaving(const TargetName &target, const char *source, EffectList &effects)
+{
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::TargetLeaving;
+    record.detail = target.value() + " leaves, according to " + source;
+    effects.record(std::move(record));
+}
+
 bool TargetWatch::announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
 {
     if (isStale(announcement)) {
@@ -46,21 +56,41 @@
         record.detail = announcement.target.value();
         effects.record(std::move(record));
     }
-    if (announcement.draining && (restarted || !m_latest->draining)) {
+    const bool wasDraining = !restarted && m_latest->draining;
+    if (announcement.draining && !wasDraining) {
         m_drainingSince = now;
+        recordLeaving(announcement.target, "heartbeat", effects);
     }
     m_unresponsive = false;
     m_latest = announcement;
+    m_latest->draining = announcement.draining || wasDraining;
     m_announcedAt = now;
     return true;
 }
 
-void TargetWatch::leaving(const TargetLeaving &notice, MonotonicTime now)
+void TargetWatch::leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects)
 {
     if (m_latest && m_latest->target == notice.target && !m_latest->draining) {
         m_latest->draining = true;
         m_drainingSince = now;
+        recordLeaving(notice.target, "its notice of leaving", effects);
+    }
+}
+
+bool TargetWatch::statedLeaving(const TargetStated &stated, MonotonicTime now, EffectList &effects)
+{
+    if (!m_latest || TargetInstance{m_latest->target, m_latest->targetIncarnation} != stated.target) {
+        return false;
     }
+    const MonotonicTime since = now - stated.leavingFor;
+    if (m_latest->draining) {
+        m_drainingSince = std::min(m_drainingSince, since);
+        return false;
+    }
+    m_latest->draining = true;
+    m_drainingSince = since;
+    recordLeaving(m_latest->target, stated.source == TargetStated::Source::Answer ? "its answer" : "another node", effects);
+    return true;
 }
 
 void TargetWatch::probed(const TargetProbed &result)
--- a/src/libnutmeghinge/targetwatch.h
+++ b/src/libnutmeghinge/targetwatch.h
@@ -24,7 +24,12 @@
     /** Applies an announcement. Returns false, and ignores it, if it was sent before one already applied. */
     bool announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
     /** Marks the target as draining if the notice names it: it ends without another announcement. */
-    void leaving(const TargetLeaving &notice, MonotonicTime now);
+    void leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects);
+    /**
+     * Marks the target as draining, from when it was first known to leave, if the statement is about its present incarnation. Returns
+     * whether that was not known before.
+     */
+    bool statedLeaving(const TargetStated &stated, MonotonicTime now, EffectList &effects);
     /** Counts failed probes; a successful one resets the count. */
     void probed(const TargetProbed &result);
     /** Sends a probe when one is due, and records when the target becomes unresponsive. */
@@ -34,7 +39,7 @@
     const std::optional<TargetAnnounced> &latest() const { return m_latest; }
     /** Returns whether the latest announcement arrived within the timeout. */
     bool isFresh(MonotonicTime now) const { return m_latest && now < m_announcedAt + m_announcementTimeout; }
-    /** Returns whether the target is draining: it is about to stop and wants no new requests. */
+    /** Returns whether the target is draining: it is about to stop and wants no new requests. Ends only with its incarnation. */
     bool isDraining() const { return m_latest && m_latest->draining; }
     /** Returns the time at which this node learned that the target is draining. */
     MonotonicTime drainingSince() const { return m_drainingSince; }
@@ -49,6 +54,7 @@
     bool hasGrant(const Fence &fence) const;
 
 private:
+    static void recordLeaving(const TargetName &target, const char *source, EffectList &effects);
     bool isStale(const TargetAnnounced &announcement) const;
 
     struct Grant {
--- a/src/libnutmeghingeio/forwardedattempt.cpp
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -2,6 +2,7 @@
 
 #include "endtoendheaders.h"
 #include "forwardedrequest.h"
+#include "relayedstatementheaders.h"
 #include "wireheaders.h"
 
 namespace nutmeghinge {
@@ -72,7 +73,7 @@
         finish(AttemptUnknown{.reason = AttemptUnknown::Reason::WrongAnswer, .answerBegun = false});
         return;
     }
-    reportStatement(head);
+    readStatement(head);
     if (const auto refusal = parseRefusal(head)) {
         std::visit([this](const auto &result) { finish(result); }, *refusal);
         return;
@@ -80,12 +81,18 @@
     acceptAnswer(head);
 }
 
-/** Emits what the target says about itself, also if it says nothing, since that ends an earlier statement. */
-void ForwardedAttempt::reportStatement(const HttpAnswerHead &head)
+/** Emits what this node's target says about itself, also if it says nothing, since that ends an earlier statement. */
+void ForwardedAttempt::readStatement(const HttpAnswerHead &head)
 {
-    if (m_options.destination == AttemptDestination::Target) {
-        m_events(TargetStated{.target = m_options.call.target, .statement = m_request->protocol().statementOf(head)});
+    if (m_options.destination == AttemptDestination::Peer) {
+        m_targetStatement = relayedStatementOf(head.headers);
+        return;
+    }
+    const TargetStatement statement = m_request->protocol().statementOf(head);
+    if (statement.limit || statement.leaving) {
+        m_targetStatement = RelayedStatement{.target = m_options.call.target, .statement = statement};
     }
+    m_events(TargetStated{.target = m_options.call.target, .statement = statement});
 }
 
 bool ForwardedAttempt::isAnswerToAttempt(const HttpAnswerHead &head) const
@@ -106,11 +113,12 @@
 {
     m_head = {.status = head.status, .headers = endToEndHeaders(head.headers, m_request->protocol()), .contentLength = head.contentLength};
     const bool fits = head.contentLength.value_or(0) <= m_options.bufferLimit;
+    m_request->setTargetStatement(m_targetStatement);
     m_state = State::Buffering;
     if (!m_options.keepAnswer || !fits) {
         startStreaming();
     }
-    m_events(AttemptAnswering{.attempt = m_options.id, .status = head.status});
+    m_events(AttemptAnswering{.attempt = m_options.id, .status = head.status, .relayed = m_targetStatement});
 }
 
 void ForwardedAttempt::startStreaming()
--- a/src/libnutmeghingeio/forwardedattempt.h
+++ b/src/libnutmeghingeio/forwardedattempt.h
@@ -60,7 +60,7 @@
         Finished,
     };
 
-    void reportStatement(const HttpAnswerHead &head);
+    void readStatement(const HttpAnswerHead &head);
     bool isAnswerToAttempt(const HttpAnswerHead &head) const;
     std::optional<std::variant<AttemptNotRun, AttemptUnknown>> parseRefusal(const HttpAnswerHead &head) const;
     void acceptAnswer(const HttpAnswerHead &head);
@@ -76,6 +76,8 @@
     EventFunction m_events;
     EndFunction m_ended;
     HttpClient::CallId m_call = 0;
+    /** What the target that sent the answer said about itself, if anything. */
+    std::optional<RelayedStatement> m_targetStatement;
     State m_state = State::AwaitingHead;
     HttpAnswerHead m_head;
     std::string m_bufferedBody;
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -4,6 +4,7 @@
 #include "nativerequestprotocol.h"
 #include "notrunreasonname.h"
 #include "numberparsing.h"
+#include "relayedstatementheaders.h"
 #include "requestprotocol.h"
 #include "wireheaders.h"
 
@@ -95,6 +96,7 @@
     }
     event.timeout = timeoutOfMilliseconds(numberIn(received, wire::deadline));
     event.routed = routedOf(received);
+    event.relayed = relayedStatementOf(received);
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
     event.time.wall = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(numberIn(received, wire::clockMilliseconds).value_or(0))));
     event.time.counter = static_cast<std::uint32_t>(numberIn(received, wire::clockCounter).value_or(0));
@@ -106,13 +108,18 @@
     m_exchange->setClosedFunction(std::move(function));
 }
 
+void ForwardedRequest::setTargetStatement(std::optional<RelayedStatement> relayed)
+{
+    m_targetStatement = std::move(relayed);
+}
+
 void ForwardedRequest::beginAnswer(const HttpAnswerHead &head)
 {
     if (hasEnded()) {
         return;
     }
     m_answerBegun = true;
-    m_exchange->beginAnswer({.status = head.status, .headers = withPeerRequestId(head.headers), .contentLength = head.contentLength});
+    m_exchange->beginAnswer({.status = head.status, .headers = withPeerHeaders(head.headers), .contentLength = head.contentLength});
 }
 
 bool ForwardedRequest::write(std::string_view data)
@@ -140,7 +147,7 @@
         return;
     }
     if (const auto exchange = takeExchange()) {
-        exchange->answer(answer.status, withPeerRequestId(answer.headers), answer.body);
+        exchange->answer(answer.status, withPeerHeaders(answer.headers), answer.body);
     }
 }
 
@@ -165,7 +172,7 @@
     if (refusal.outcome == Outcome::NotRun) {
         headers.emplace_back(wire::reason, nameOf(refusal.reason));
     }
-    exchange->answer(refusal.status, withPeerRequestId(std::move(headers)), refusalBody(refusal));
+    exchange->answer(refusal.status, withPeerHeaders(std::move(headers)), refusalBody(refusal));
 }
 
 void ForwardedRequest::reset()
@@ -180,11 +187,14 @@
     takeExchange();
 }
 
-HttpHeaders ForwardedRequest::withPeerRequestId(HttpHeaders headers) const
+HttpHeaders ForwardedRequest::withPeerHeaders(HttpHeaders headers) const
 {
     if (!m_peerRequestId.empty()) {
         headers.emplace_back(wire::requestId, m_peerRequestId);
     }
+    if (m_source == RequestForwarder::Source::Peer && m_targetStatement) {
+        appendRelayedStatement(headers, *m_targetStatement);
+    }
     return headers;
 }
 
--- a/src/libnutmeghingeio/forwardedrequest.h
+++ b/src/libnutmeghingeio/forwardedrequest.h
@@ -41,6 +41,8 @@
 
     /** Sets the function to call when the caller disconnects. */
     void setClosedFunction(std::function<void()> function);
+    /** Sets what the target that answers the request said about itself. A peer is told with the answer. */
+    void setTargetStatement(std::optional<RelayedStatement> relayed);
     /** Sends the head of the answer, unless the request has ended. */
     void beginAnswer(const HttpAnswerHead &head);
     /** Sends a part of the body. Returns false if the next part must wait until the writable function is called. */
@@ -61,7 +63,8 @@
     void onCallerDisconnected();
 
 private:
-    HttpHeaders withPeerRequestId(HttpHeaders headers) const;
+    /** Adds the headers that only a peer gets. */
+    HttpHeaders withPeerHeaders(HttpHeaders headers) const;
     std::shared_ptr<HttpExchange> takeExchange();
 
     RequestId m_id;
@@ -75,6 +78,7 @@
     std::string m_path;
     /** Id that the peer gave the request; the answer repeats it. */
     std::string m_peerRequestId;
+    std::optional<RelayedStatement> m_targetStatement;
     bool m_answerBegun = false;
 };
 
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -4,6 +4,7 @@
 #include "forwardedattempt.h"
 #include "forwardedrequest.h"
 #include "httpclient.h"
+#include "relayedstatementheaders.h"
 #include "requestprotocol.h"
 #include "wireheaders.h"
 
@@ -230,6 +231,9 @@
         headers.emplace_back(wire::objective, std::to_string(objective.count()));
         headers.emplace_back(wire::workClass, std::to_string(effect.routed->workClass));
     }
+    if (effect.relayed) {
+        appendRelayedStatement(headers, *effect.relayed);
+    }
     const Private::Destination peer{.kind = AttemptDestination::Peer,
                                     .endpoint = effect.peer,
                                     .deadline = effect.deadline,
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -33,10 +33,14 @@
 inline constexpr std::string_view fence = "nutmeghinge-fence";
 /** Node to target and node to node: id of the attempt. The answer repeats it; an answer with another value is rejected. */
 inline constexpr std::string_view requestId = "nutmeghinge-request-id";
-/** Target to node, in answers: requests per second that the target takes from all nodes together. */
+/** Target to node, in answers: requests per second that the target takes from all nodes together. Also node to node, with the target's name. */
 inline constexpr std::string_view targetLimit = "nutmeghinge-target-limit";
-/** Target to node, in answers: "1" if the target is about to stop. */
+/** Target to node, in answers: "1" if the target is about to stop. Also node to node, with the target's name. */
 inline constexpr std::string_view targetLeaving = "nutmeghinge-target-leaving";
+// Node to node: the target that the two headers above are about, and the milliseconds since it was first known to leave.
+inline constexpr std::string_view target = "nutmeghinge-target";
+inline constexpr std::string_view targetIncarnation = "nutmeghinge-target-incarnation";
+inline constexpr std::string_view targetLeavingForMs = "nutmeghinge-target-leaving-for-ms";
 /** In refusals of targets and nodes: "not-run" or "unknown". */
 inline constexpr std::string_view outcome = "nutmeghinge-outcome";
 /** Node to node with "not-run": name of the NotRunReason, such as "not-owner". */
@@ -53,7 +57,23 @@
 inline constexpr std::string_view unknown = "unknown";
 
 /** Headers that nodes send each other and strip from callers' requests. */
-inline constexpr std::array
-    peerHeaders{deadline, hops, service, repeatable, priority, objective, workClass, retryAfterMs, clockMilliseconds, clockCounter, requestId, outcome, reason};
+inline constexpr std::array peerHeaders{deadline,
+                                        hops,
+                                        service,
+                                        repeatable,
+                                        priority,
+                                        objective,
+                                        workClass,
+                                        retryAfterMs,
+                                        clockMilliseconds,
+                                        clockCounter,
+                                        requestId,
+                                        outcome,
+                                        reason,
+                                        targetLimit,
+                                        targetLeaving,
+                                        target,
+                                        targetIncarnation,
+                                        targetLeavingForMs};
 
 } // namespace nutmeghinge::wire
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -126,7 +126,10 @@
     }
     const Effects &arrive(const RequestArrived &arrived) { return apply(&RequestRouter::requestArrived, arrived); }
     const Effects &cancel(std::uint64_t id) { return apply(&RequestRouter::requestCancelled, RequestCancelled{RequestId(id)}); }
-    const Effects &answering(AttemptId attempt) { return apply(&RequestRouter::attemptAnswering, AttemptAnswering{attempt, 200}); }
+    const Effects &answering(AttemptId attempt, std::optional<RelayedStatement> relayed = {})
+    {
+        return apply(&RequestRouter::attemptAnswering, AttemptAnswering{attempt, 200, std::move(relayed)});
+    }
     template <typename Result>
     const Effects &finish(AttemptId attempt, Result result)
     {
@@ -146,12 +149,13 @@
         result.answerBegun = answerBegun;
         return finish(attempt, result);
     }
+    const Effects &targetStated(const TargetStated &stated) { return apply(&RequestRouter::targetStated, stated); }
     const Effects &targetStated(const TargetStatement &statement)
     {
         TargetStated stated;
         stated.target.incarnation = 1;
         stated.statement = statement;
-        return apply(&RequestRouter::targetStated, stated);
+        return targetStated(stated);
     }
     const Effects &ownershipChanged() { return apply(&RequestRouter::ownershipChanged, Tick{}); }
     const Effects &tickAfter(Duration duration)
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -290,6 +290,53 @@
     CHECK(cell.violation().empty());
 }
 
+TEST_CASE("A target that says only in its answers that it leaves gets no request two seconds later, and its keys move")
+{
+    TargetLeaseHarness cell(5, 11);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    REQUIRE(cell.shardsOf(1) > 0);
+    cell.answerAsLeaving(1);
+    cell.run(2s);
+    CHECK(cell.shardsAdmittedBy(1) == 0);
+    cell.run(4s);
+    CHECK(cell.shardsOf(1) == 0);
+    CHECK(cell.heldShards() == TargetLeaseHarness::shards);
+    CHECK(cell.violation().empty());
+}
+
+TEST_CASE("A node that was restarted learns from the first forwarded request that its target leaves")
+{
+    TargetLeaseHarness cell(5, 11);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    cell.killNode(1);
+    cell.run(500ms);
+    cell.startNode(1);
+    cell.run(5s);
+    REQUIRE(cell.shardsAdmittedBy(1) > 0);
+    cell.forwardKnowingDeparture(1, 3s);
+    CHECK(cell.shardsAdmittedBy(1) == 0);
+    cell.run(6s);
+    CHECK(cell.shardsOf(1) == 0);
+    CHECK(cell.heldShards() == TargetLeaseHarness::shards);
+    CHECK(cell.violation().empty());
+}
+
+TEST_CASE("A departure stays known although later heartbeats of the target say that it is ready, and ends with its incarnation")
+{
+    TargetLeaseHarness cell(5, 11);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    cell.answerAsLeaving(1);
+    cell.run(10s);
+    CHECK(cell.shardsAdmittedBy(1) == 0);
+    cell.killTarget(1);
+    cell.startTarget(1);
+    cell.run(20s);
+    CHECK(cell.shardsAdmittedBy(1) > 0);
+}
+
 TEST_CASE("All keys stay held during a platform outage")
 {
     TargetLeaseHarness cell(5, 12);
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -155,6 +155,41 @@
     m_nodes[node].target.draining = true;
 }
 
+TargetInstance TargetLeaseHarness::targetInstance(std::size_t node) const
+{
+    const std::uint64_t incarnation = m_nodes[node].target.incarnation;
+    return {TargetName("t" + std::to_string(node) + '-' + std::to_string(incarnation)), incarnation};
+}
+
+void TargetLeaseHarness::answerAsLeaving(std::size_t node)
+{
+    TargetStated stated;
+    stated.target = targetInstance(node);
+    stated.statement.leaving = true;
+    deliver(node, m_nodes[node].incarnation, stated);
+}
+
+void TargetLeaseHarness::forwardKnowingDeparture(std::size_t node, Duration leavingFor)
+{
+    RequestArrived arrived;
+    arrived.request = RequestId(1);
+    arrived.hops = 1;
+    arrived.relayed.emplace();
+    arrived.relayed->target = targetInstance(node);
+    arrived.relayed->statement.leaving = true;
+    arrived.relayed->leavingFor = leavingFor;
+    deliver(node, m_nodes[node].incarnation, arrived);
+}
+
+std::size_t TargetLeaseHarness::shardsAdmittedBy(std::size_t node) const
+{
+    std::size_t count = 0;
+    for (std::uint32_t shard = 0; isUp(node) && shard < shards; ++shard) {
+        count += m_nodes[node].reducer->cell().mayAdmit(ShardIndex(shard), clock(node)) ? 1 : 0;
+    }
+    return count;
+}
+
 void TargetLeaseHarness::pauseNode(std::size_t node, Duration length)
 {
     m_nodes[node].pausedUntil = std::max(m_nodes[node].pausedUntil, m_now + length);
@@ -236,7 +271,7 @@
     Target &target = m_nodes[node].target;
     TargetAnnounced announced;
     announced.service = serviceOf(node);
-    announced.target = TargetName("t" + std::to_string(node) + '-' + std::to_string(target.incarnation));
+    announced.target = targetInstance(node).name;
     announced.endpoint = Endpoint{"10.0.0.2", static_cast<std::uint16_t>(node)};
     announced.slots = 9;
     announced.targetIncarnation = target.incarnation;
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -46,6 +46,12 @@
     /** Starts a new incarnation of the target, without leases. */
     void startTarget(std::size_t node);
     void drainTarget(std::size_t node);
+    /** Delivers an answer of the target that says that it leaves; its heartbeats do not say so. */
+    void answerAsLeaving(std::size_t node);
+    /** Delivers a request of another node to the node that repeats for how long the node's target has been known to leave. */
+    void forwardKnowingDeparture(std::size_t node, Duration leavingFor);
+    /** Returns the number of shards whose requests the node would send to its target. */
+    std::size_t shardsAdmittedBy(std::size_t node) const;
     /** Delays the arrival of the target's heartbeats at its node. */
     void setHeartbeatDelay(std::size_t node, Duration delay) { m_nodes[node].target.heartbeatDelay = delay; }
     /** Delays all events of the node, as if its process were paused. */
@@ -127,6 +133,7 @@
     void heartbeatLoop(std::size_t node, std::uint64_t targetIncarnation);
     void sendHeartbeat(std::size_t node);
     void applyGrant(std::size_t node, std::uint64_t targetIncarnation, Duration sentAt, const TargetLeaseGrant &grant);
+    TargetInstance targetInstance(std::size_t node) const;
     bool holdsShard(const Target &target, std::uint32_t shard) const;
     void check();
 
--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -458,3 +458,45 @@
     CHECK(stated.front().source == TargetStated::Source::Answer);
     CHECK_FALSE(contains(caller.received(), "nutmeghinge-target"));
 }
+
+TEST_CASE("A peer is told with the answer what the target said about itself, and repeats it with the requests that it forwards")
+{
+    ForwarderSetup setup;
+    const std::string statement = "nutmeghinge-target: i-7\r\nnutmeghinge-target-incarnation: 12\r\nnutmeghinge-target-limit: 3.800000\r\n"
+                                  "nutmeghinge-target-leaving: 1\r\nnutmeghinge-target-leaving-for-ms: 1500\r\n";
+    const RelayedStatement expected{{TargetName("i-7"), 12}, {RequestRate(3.8), true, {}}, std::chrono::milliseconds(1500)};
+    SECTION("a peer's answer reports it, and a caller does not see it")
+    {
+        setup.sendToPeer();
+        setup.onTargetRequest = [&](RawConnection &connection) { connection.send(okHead + statement + "Content-Length: 4\r\n\r\nteak"); };
+        RawConnection caller(setup.loop, setup.callerEndpoint);
+        caller.send(getRequest);
+        REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("teak"); }));
+        CHECK(setup.all<AttemptAnswering>().at(0).relayed == expected);
+        CHECK_FALSE(contains(caller.received(), "nutmeghinge-target"));
+    }
+    SECTION("a peer's request reports it, and a caller's does not")
+    {
+        RawConnection peer(setup.loop, setup.peerEndpoint);
+        peer.send("GET /a HTTP/1.1\r\nHost: d\r\n" + statement + "\r\n");
+        RawConnection caller(setup.loop, setup.callerEndpoint);
+        caller.send("GET /a HTTP/1.1\r\nHost: d\r\n" + statement + "\r\n");
+        REQUIRE(setup.await<RequestArrived>(2));
+        std::size_t relayed = 0;
+        for (const RequestArrived &arrived : setup.all<RequestArrived>()) {
+            relayed += arrived.relayed == expected ? 1 : 0;
+            CHECK((arrived.relayed == expected || !arrived.relayed));
+        }
+        CHECK(relayed == 1);
+    }
+    SECTION("the target's answer to a peer's request carries it")
+    {
+        setup.sendToTarget();
+        setup.onTargetRequest = [](RawConnection &connection) { connection.send(okHead + "nutmeghinge-target-limit: 3.8\r\nContent-Length: 4\r\n\r\nteak"); };
+        RawConnection peer(setup.loop, setup.peerEndpoint);
+        peer.send(getRequest);
+        REQUIRE(runUntil(setup.loop, [&] { return peer.received().ends_with("teak"); }));
+        CHECK(contains(peer.received(), "nutmeghinge-target-limit: 3.800000\r\n"));
+        CHECK(contains(peer.received(), "nutmeghinge-target-incarnation: "));
+    }
+}
