Cut off an answer whose chunk extension or trailer never ends

What would be seen: a target in trouble that sends a chunk extension or a trailer without end keeps its slot and the caller for as long as bytes arrive, since each of them counts as progress and a safe request's deadline ends with the head of the answer.

Cause: only the head of an answer had a limit; the bytes between the parts of a chunked body had none.

Change: more than 64 KiB of them without a byte of body make the answer malformed. Chunks with extensions stay allowed, however many.

--- a/src/libnutmeghingeio/httpanswerparser.cpp
+++ b/src/libnutmeghingeio/httpanswerparser.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t maxHeaders = 100;
+/** Largest chunk extension or trailer; a longer one would never end. */
+constexpr std::size_t maxChunkOverheadBytes = 65536;
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 
@@ -127,7 +129,8 @@
     }
     std::size_t size = bytes.size();
     const ssize_t left = phr_decode_chunked(&m_chunks, bytes.data(), &size);
-    if (left == -1) {
+    m_chunkOverhead = size > 0 ? 0 : m_chunkOverhead + bytes.size();
+    if (left == -1 || (left == -2 && m_chunkOverhead > maxChunkOverheadBytes)) {
         return {.data = {}, .malformed = true};
     }
     return {.data = {bytes.data(), size}, .complete = left >= 0, .leftover = left > 0};
--- a/src/libnutmeghingeio/httpanswerparser.h
+++ b/src/libnutmeghingeio/httpanswerparser.h
@@ -70,6 +70,8 @@
     bool m_persistent = false;
     std::uint64_t m_bytesLeft = 0;
     phr_chunked_decoder m_chunks{};
+    /** Bytes of chunk sizes, extensions and trailers since the last byte of the body. */
+    std::size_t m_chunkOverhead = 0;
 };
 
 } // namespace nutmeghinge
--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -1,4 +1,5 @@
 #include "eventloop.h"
+#include "httpanswercollector.h"
 #include "rawserver.h"
 #include "recordingreceiver.h"
 #include "rununtil.h"
@@ -355,3 +356,29 @@
     }
     CHECK(setup.server.connections().size() == 2);
 }
+
+TEST_CASE("An answer whose chunk extension or trailer never ends is cut off")
+{
+    const std::string begin = GENERATE(std::string("4;a="), std::string("4\r\nteak\r\n0\r\nX-Trailer: "));
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + begin + std::string(300000, 'a'));
+    };
+    setup.send(setup.request());
+    REQUIRE(runUntil(setup.loop, [&] { return setup.receiver->result.has_value(); }));
+    CHECK(setup.receiver->result == HttpCallResult::Truncated);
+}
+
+TEST_CASE("An answer with a long body in many small chunks with extensions is complete")
+{
+    std::string body;
+    for (int chunk = 0; chunk < 20000; ++chunk) {
+        body += "4;name=value\r\nteak\r\n";
+    }
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body + "0\r\nX-Trailer: a\r\n\r\n");
+    };
+    CHECK(setup.run(setup.request()) == HttpCallResult::Complete);
+    CHECK(setup.receiver->body.size() == 80000);
+}
