Stop reading answers of probes and the platform at their size limit

What would be seen: a body without end in answer to a probe, a grant or a call of the platform was read and dropped at the speed of the link until the call's deadline, once a second, which takes processor time from requests.

Cause: the collector of such answers dropped what exceeded its limit, but went on reading.

Change: it pauses the connection there; the call ends at its deadline as malformed, as before.

Measured: the test failed before (100,000 bytes taken where 2,000 are allowed) and passes.

--- a/src/libnutmeghingeio/httpanswercollector.cpp
+++ b/src/libnutmeghingeio/httpanswercollector.cpp
@@ -42,7 +42,8 @@
     if (!m_overLimit) {
         m_answer.body.append(data);
     }
-    return true;
+    // A body without end is not read on; the call ends at its deadline.
+    return !m_overLimit;
 }
 
 void HttpAnswerCollector::finished(HttpCallResult result)
--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -382,3 +382,22 @@
     CHECK(setup.run(setup.request()) == HttpCallResult::Complete);
     CHECK(setup.receiver->body.size() == 80000);
 }
+
+TEST_CASE("A collected answer whose body never ends is read no further than its limit")
+{
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(8000000, 'a')); };
+    std::optional<CollectedAnswer> collected;
+    std::size_t received = 0;
+    HttpAnswerCollector collector(1000, [&](CollectedAnswer answer) { collected = std::move(answer); });
+    for (int part = 0; part < 100 && collector.bodyReceived(std::string(1000, 'a')); ++part) {
+        received += 1000;
+    }
+    CHECK(received <= 2000);
+    HttpClientRequest request = setup.request();
+    request.deadline = setup.loop.now() + std::chrono::milliseconds(300);
+    setup.client.send(request, std::make_shared<HttpAnswerCollector>(1000, [&](CollectedAnswer answer) { collected = std::move(answer); }));
+    REQUIRE(runUntil(setup.loop, [&] { return collected.has_value(); }));
+    CHECK(collected->result == HttpCallResult::Malformed);
+    CHECK(collected->body.size() <= 1000);
+}
