Close the connection of a refusal whose body never ends

What would be seen: a target that refuses a request and then sends without end kept a connection and processor time for as long as it sent; the request itself had ended.

Cause: the rest of a refusal is read so that its connection can be used again, without a limit.

Measured: the test failed before (2 MB sent and the connection still open) and passes.

--- a/src/libnutmeghingeio/forwardedattempt.cpp
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -134,12 +134,25 @@
 
 bool ForwardedAttempt::bodyReceived(std::string_view data)
 {
+    if (m_state == State::Finished) {
+        discardBody(data);
+        return true;
+    }
     if (m_state == State::Buffering) {
         return bufferBody(data);
     }
     return m_state != State::Streaming || m_request->write(data);
 }
 
+/** Reads the rest of a refusal, so that its connection can be used again, unless it is too long for one. */
+void ForwardedAttempt::discardBody(std::string_view data)
+{
+    m_discardedBytes += data.size();
+    if (m_discardedBytes > m_options.bufferLimit) {
+        m_client.cancel(m_call);
+    }
+}
+
 bool ForwardedAttempt::bufferBody(std::string_view data)
 {
     m_bufferedBody += data;
--- a/src/libnutmeghingeio/forwardedattempt.h
+++ b/src/libnutmeghingeio/forwardedattempt.h
@@ -65,6 +65,7 @@
     std::optional<std::variant<AttemptNotRun, AttemptUnknown>> parseRefusal(const HttpAnswerHead &head) const;
     void acceptAnswer(const HttpAnswerHead &head);
     void startStreaming();
+    void discardBody(std::string_view data);
     bool bufferBody(std::string_view data);
     void onAnswerComplete();
     void onAnswerFailed(HttpCallResult result);
@@ -78,6 +79,8 @@
     HttpClient::CallId m_call = 0;
     /** What the target that sent the answer said about itself, if anything. */
     std::optional<RelayedStatement> m_targetStatement;
+    /** Bytes of the body that were discarded after AttemptFinished. */
+    std::size_t m_discardedBytes = 0;
     State m_state = State::AwaitingHead;
     HttpAnswerHead m_head;
     std::string m_bufferedBody;
--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -500,3 +500,23 @@
         CHECK(contains(peer.received(), "nutmeghinge-target-incarnation: "));
     }
 }
+
+TEST_CASE("A refusal of the target whose body never ends does not keep its connection")
+{
+    ForwarderSetup setup;
+    setup.sendToTarget();
+    setup.onTargetRequest = [](RawConnection &connection) { connection.send("HTTP/1.1 503 Busy\r\nnutmeghinge-outcome: not-run\r\n\r\n"); };
+    std::size_t sent = 0;
+    setup.loop.callEvery(std::chrono::milliseconds(10), [&] {
+        if (!setup.target.connections().empty() && !setup.target.connections()[0]->isEnded()) {
+            setup.target.connections()[0]->send(std::string(20000, 'a'));
+            sent += 20000;
+        }
+    });
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>());
+    CHECK(setup.result<AttemptNotRun>());
+    CHECK(runUntil(setup.loop, [&] { return setup.target.connections()[0]->isEnded() || sent > 2000000; }));
+    CHECK(sent <= 1000000);
+}
