Give an owner whose shards were taken no lease without the map that took them

A map that was sent is left out of the answers for two heartbeats, since it is taken to be on its way; if it is lost, the next answer brings the lease alone, and the owner serves by its old map.

Change: the coordinator keeps the version of the map that took a member's shards, and answers heartbeats that state an older one with the map in the same message as the lease.

Measured: a harness test loses the coordinator's messages until 0 to 580 ms after the return; before, two owners admit the same shard in it; after, none.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -397,6 +397,7 @@
     status.targetIncarnation = targetIncarnation;
     if (restarted) {
         m_ledger.revokeShards(from, now, effects);
+        status.revokedVersion = m_ledger.map().version;
         return;
     }
     // The member's heartbeats may arrive before its target's first report; during recovery, its shards are known only now.
@@ -487,9 +488,11 @@
         answer.lease = m_context.timings.memberLease;
         status.leaseEnd = std::max(status.leaseEnd, now + m_context.timings.withDrift(answer.lease));
     }
-    // A heartbeat that was sent before the member received the newest map must not cause a second copy of it.
+    // A heartbeat that was sent before the member received the newest map must not cause a second copy of it, unless the member lost
+    // shards: a lease without the map that took them would let it serve them on.
+    const bool lostShards = heartbeat.mapVersion < status.revokedVersion;
     const bool mapUnderWay = status.sentVersion >= m_ledger.map().version && now < status.mapSentAt + mapDeliveryHeartbeats * m_context.timings.heartbeat;
-    if (heartbeat.mapVersion < m_ledger.map().version && !mapUnderWay) {
+    if (heartbeat.mapVersion < m_ledger.map().version && (lostShards || !mapUnderWay)) {
         answer.map = m_ledger.map();
         status.sentVersion = m_ledger.map().version;
         status.mapSentAt = now;
@@ -530,6 +533,7 @@
         const bool expired = now >= status.leaseEnd;
         if (expired && !status.leaseExpired) {
             m_ledger.revokeShards(slot, now + m_context.executionWait(), effects);
+            status.revokedVersion = m_ledger.map().version;
         }
         status.leaseExpired = expired;
     }
--- a/src/libnutmeghinge/memberstatus.h
+++ b/src/libnutmeghinge/memberstatus.h
@@ -28,6 +28,8 @@
     Fence sentVersion;
     MonotonicTime mapSentAt;
     bool leaseExpired = false;
+    /** Version of the map that last took the member's shards, other than by a handover. It gets a lease only together with that map. */
+    Fence revokedVersion;
     /** Latest incarnation of the target that the member reported; 0 if none. */
     std::uint64_t targetIncarnation = 0;
     bool leaving = false;
--- a/tests/core/cellfailuretest.cpp
+++ b/tests/core/cellfailuretest.cpp
@@ -210,3 +210,25 @@
         CHECK(harness.platform.writes - writes <= 5);
     }
 }
+
+TEST_CASE("An owner back from a pause serves no shard that another got meanwhile, although the map sent to it is lost")
+{
+    for (Duration lossAfterReturn = 0ms; lossAfterReturn < 600ms; lossAfterReturn += 20ms) {
+        CellHarness::Options options;
+        options.nodes = 3;
+        CellHarness harness(options);
+        harness.run(20s);
+        const std::size_t coordinator = harness.coordinator();
+        REQUIRE(coordinator < harness.size());
+        const std::size_t paused = (coordinator + 1) % harness.size();
+        REQUIRE(harness.shardsOf(paused) > 0);
+        harness.cutFromPlatform.insert(paused);
+        harness.extraDelay[{coordinator, paused}] = 1h;
+        harness.pause(paused, 1800ms);
+        harness.run(1800ms + lossAfterReturn);
+        harness.extraDelay.clear();
+        harness.run(3s);
+        INFO("messages lost for " << lossAfterReturn.count() << " us after the return");
+        CHECK(harness.violation() == "");
+    }
+}
