Let a coordinator that is stopped while it recovers announce that its term has ended

Cause: a stopping coordinator resigned only once no recovery was running; one that ran out of time for handovers ended as coordinator.

Change: once all connections are closed, the node ends its term whatever the state of the recovery, and announces it before it exits; the time for that announcement is bounded as before.

Measured: a test in the target lease harness stops a coordinator that recovers and then kills all others; keys were not all held within 12 s before and are now. test-core passes.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -546,6 +546,13 @@
     return !m_d->context.resigned || m_d->polling.hasAnnounced();
 }
 
+void Cell::resign(const Event &event, EffectList &effects)
+{
+    m_d->beginEvent(event, effects);
+    m_d->coordinator.end("the process ends", event, effects);
+    m_d->updateResigned();
+}
+
 bool Cell::isStopped() const
 {
     return m_d->stopped;
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -27,6 +27,8 @@
     // Event handlers, called by the Reducer only.
     void tick(const Event &event, EffectList &effects);
     void stop(const Event &event, EffectList &effects);
+    /** Ends this node's term if it is coordinator, even during a recovery, because the process is about to end. It starts no other. */
+    void resign(const Event &event, EffectList &effects);
     void tableEpochChanged(const Event &event, EffectList &effects);
     void cellRowRead(const Event &event, EffectList &effects);
     void cellRowWriteFinished(const Event &event, EffectList &effects);
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -134,10 +134,11 @@
     m_router.stop(event, effects);
 }
 
-void Reducer::handleConnectionsClosed(const Event &event, EffectList &)
+void Reducer::handleConnectionsClosed(const Event &event, EffectList &effects)
 {
     m_connectionsClosed = true;
     m_connectionsClosedAt = event.at;
+    m_cell.resign(event, effects);
 }
 
 void Reducer::handleTargetAnnounced(const Event &event, EffectList &effects)
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -181,6 +181,43 @@
     CHECK(cell.violation().empty());
 }
 
+TEST_CASE("A coordinator that was stopped while it recovered does not delay recovery after all other nodes are killed")
+{
+    TargetLeaseHarness cell(8, 31);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    const std::optional<std::size_t> first = cell.coordinator();
+    REQUIRE(first);
+    cell.killNode(*first);
+    // One owner stays away, so that its keys are unconfirmed and the next coordinator stays in recovery.
+    const std::size_t away = (*first + 1) % cell.size();
+    cell.pauseNode(away, 30s);
+    for (int step = 0; step < 1000 && (!cell.coordinator() || cell.coordinator() == first); ++step) {
+        cell.run(10ms);
+    }
+    const std::optional<std::size_t> stopped = cell.coordinator();
+    REQUIRE(stopped);
+    cell.run(100ms);
+    cell.killTarget(*stopped);
+    cell.stopNode(*stopped);
+    cell.run(1s);
+    REQUIRE(cell.coordinator() == stopped);
+    cell.closeConnections(*stopped);
+    cell.run(400ms);
+    CHECK(cell.hasExited(*stopped));
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        cell.killNode(node);
+    }
+    cell.run(700ms);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        if (node != *stopped) {
+            cell.startNode(node);
+        }
+    }
+    CHECK(cell.runUntilAllHeld(12s));
+    CHECK(cell.violation() == "");
+}
+
 TEST_CASE("Nodes that left earlier do not delay recovery after all other nodes are killed")
 {
     TargetLeaseHarness cell(11, 12);
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -126,6 +126,11 @@
     deliver(node, m_nodes[node].incarnation, StopRequested{});
 }
 
+void TargetLeaseHarness::closeConnections(std::size_t node)
+{
+    deliver(node, m_nodes[node].incarnation, ConnectionsClosed{});
+}
+
 std::optional<std::size_t> TargetLeaseHarness::coordinator() const
 {
     for (std::size_t node = 0; node < m_nodes.size(); ++node) {
@@ -458,6 +463,9 @@
                        const SentHeartbeat sent = m_sentHeartbeats.at(answer.announcement - 1);
                        schedule(Duration(200), [this, node, sent, grant = *answer.grant] { applyGrant(node, sent.targetIncarnation, sent.sentAt, grant); });
                    },
+                   [&](const Exit &) {
+                       m_exited.insert({node, m_nodes[node].incarnation});
+                   },
                    [&](const Record &record) { m_termsExpired += record.record.detail == "majority lapsed" ? 1 : 0; },
                    [](const auto &) {},
                },
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -39,6 +39,10 @@
     void startNode(std::size_t node);
     /** Requests a planned stop of the node; the test kills it when it would have ended. */
     void stopNode(std::size_t node);
+    /** Tells the stopping node that all connections of callers and peers are closed. */
+    void closeConnections(std::size_t node);
+    /** Returns whether the node has ended its process after a planned stop. */
+    bool hasExited(std::size_t node) const { return m_exited.contains({node, m_nodes[node].incarnation}); }
     /** Returns the coordinator; nothing if there is none. */
     std::optional<std::size_t> coordinator() const;
     /** Ends the target's process, which loses its leases. */
@@ -157,6 +161,8 @@
     std::uint64_t m_highestSequence = 0;
     /** Epoch of the table that each node has seen; the answers of earlier epochs are dropped. */
     std::map<std::pair<std::size_t, std::uint64_t>, TableEpoch> m_seenEpochs;
+    /** Nodes that have ended their process, with their incarnations. */
+    std::set<std::pair<std::size_t, std::uint64_t>> m_exited;
     std::string m_violation;
 };
 
