Answer requests on connections that a planned stop finds waiting to be accepted

What callers would see (told by operators of similar systems): during a planned stop under load, a connection that had just been established, with a request on it, is reset without an answer.

Cause: the listener is closed while connections wait in its queue, and the kernel resets them.

Change: a stop first accepts what waits; these connections are served like others that are open when the stop begins. Connections whose handshake ends after that are refused, which tells the client that nothing was read.

--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "eventloop.h"
 #include "httpserverexchange.h"
+#include "pendingconnections.h"
 #include "requestframing.h"
 
 #include <spdlog/spdlog.h>
@@ -44,6 +45,11 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &acknowledgementTimeoutMs, sizeof(acknowledgementTimeoutMs));
 }
 
+void releaseStream(uv_handle_t *handle)
+{
+    delete reinterpret_cast<uv_tcp_t *>(handle);
+}
+
 bool isUpgradedFromHttp1(const h2o_req_t &request)
 {
     return request.version >= http2Version && h2o_find_header_by_str(&request.headers, H2O_STRLIT("http2-settings"), -1) != -1;
@@ -87,6 +93,8 @@
     Private &operator=(const Private &) = delete;
 
     void acceptConnection();
+    void acceptPending();
+    void addConnection(uv_tcp_t *stream);
     void watchConnection(Connection &connection);
     void onClientClosed(Connection &connection);
     void onConnectionClosed(Connection &connection);
@@ -161,14 +169,35 @@
 {
     auto *stream = new uv_tcp_t;
     uv_tcp_init(loop.handle(), stream);
-    const auto release = [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); };
     if (uv_accept(reinterpret_cast<uv_stream_t *>(listener), reinterpret_cast<uv_stream_t *>(stream)) != 0) {
-        uv_close(reinterpret_cast<uv_handle_t *>(stream), release);
+        uv_close(reinterpret_cast<uv_handle_t *>(stream), releaseStream);
         return;
     }
+    addConnection(stream);
+}
+
+void HttpServer::Private::acceptPending()
+{
+    if (listener == nullptr) {
+        return;
+    }
+    for (const uv_os_sock_t socket : takePendingConnections(listener)) {
+        auto *stream = new uv_tcp_t;
+        uv_tcp_init(loop.handle(), stream);
+        if (uv_tcp_open(stream, socket) != 0) {
+            ::close(socket);
+            uv_close(reinterpret_cast<uv_handle_t *>(stream), releaseStream);
+            continue;
+        }
+        addConnection(stream);
+    }
+}
+
+void HttpServer::Private::addConnection(uv_tcp_t *stream)
+{
     auto connection = std::make_unique<Connection>();
     connection->server = this;
-    connection->socket = h2o_uv_socket_create(reinterpret_cast<uv_stream_t *>(stream), release);
+    connection->socket = h2o_uv_socket_create(reinterpret_cast<uv_stream_t *>(stream), releaseStream);
     connection->socket->on_close.cb = [](void *data) {
         auto *closed = static_cast<Connection *>(data);
         closed->server->onConnectionClosed(*closed);
@@ -325,6 +354,7 @@
 
 void HttpServer::shutDown(std::function<void()> closed)
 {
+    m_d->acceptPending();
     m_d->stopListening();
     m_d->shutdownFinished = std::move(closed);
     h2o_context_request_shutdown(&m_d->context);
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace nutmeghinge {
@@ -75,9 +76,24 @@
 PipelinedConnection::~PipelinedConnection() = default;
 
 bool PipelinedConnection::accept(uv_stream_t *listener)
+{
+    return begin(uv_accept(listener, reinterpret_cast<uv_stream_t *>(&m_socket)) == 0);
+}
+
+bool PipelinedConnection::adopt(uv_os_sock_t socket)
+{
+    const bool opened = uv_tcp_open(&m_socket, socket) == 0;
+    if (!opened) {
+        ::close(socket);
+    }
+    return begin(opened);
+}
+
+/** Starts reading if the socket was opened, else closes the connection. Returns whether it was opened. */
+bool PipelinedConnection::begin(bool opened)
 {
     m_self = shared_from_this();
-    if (uv_accept(listener, reinterpret_cast<uv_stream_t *>(&m_socket)) != 0) {
+    if (!opened) {
         m_state = State::Lingering;
         m_exchanges.clear();
         close();
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -48,6 +48,8 @@
 
     /** Accepts the next connection of the listener. Returns false if there is none. */
     bool accept(uv_stream_t *listener);
+    /** Takes over a connection that was accepted otherwise. Returns false, and closes the socket, if that fails. */
+    bool adopt(uv_os_sock_t socket);
     /** Closes the connection after the last pending answer. */
     void closeAfterAnswers();
     /** Like closeAfterAnswers(), but closes an idle connection at once. */
@@ -75,6 +77,7 @@
         phr_chunked_decoder decoder{};
     };
 
+    bool begin(bool opened);
     void handleInput(ssize_t size, const char *data);
     void parse();
     /** Returns false if more input is needed or the request was refused. */
--- a/src/libnutmeghingeio/pipelinedserver.cpp
+++ b/src/libnutmeghingeio/pipelinedserver.cpp
@@ -1,6 +1,7 @@
 #include "pipelinedserver.h"
 
 #include "eventloop.h"
+#include "pendingconnections.h"
 #include "pipelinedconnection.h"
 #include "socketaddress.h"
 
@@ -38,6 +39,7 @@
     }
 
     void accept();
+    void acceptPending();
     void stopListening();
     void finishShutdownIfClosed();
 
@@ -61,6 +63,19 @@
     }
 }
 
+void PipelinedServer::Private::acceptPending()
+{
+    if (listener == nullptr) {
+        return;
+    }
+    for (const uv_os_sock_t socket : takePendingConnections(listener)) {
+        auto connection = std::make_shared<PipelinedConnection>(loop, *this, PipelinedConnection::Limits{options.bodyLimit, options.idleTimeout});
+        if (connection->adopt(socket)) {
+            connections.emplace(connection.get(), connection);
+        }
+    }
+}
+
 void PipelinedServer::Private::stopListening()
 {
     if (listener != nullptr) {
@@ -120,6 +135,7 @@
 
 void PipelinedServer::shutDown(std::function<void()> closed)
 {
+    m_d->acceptPending();
     m_d->stopListening();
     m_d->shutdownFinished = std::move(closed);
     m_d->shuttingDown = true;
