Read a request that waits on an idle connection before a planned stop closes it

What callers would see: a request sent on a kept connection during a planned stop ends with the connection and without an answer, if the loop was busy when the time for closing idle connections came: timers run before sockets are read.

Measured: the test failed before for the pipelined server (1 of 2 cases) and passes.

--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -357,6 +357,13 @@
     return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket)) > writeQueueLimitBytes;
 }
 
+bool PipelinedConnection::hasUnreadInput() const
+{
+    uv_os_fd_t descriptor = -1;
+    char byte = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_socket), &descriptor) == 0 && recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void PipelinedConnection::handleWritten()
 {
     if (m_state == State::Open && !m_exchanges.empty() && !isWriteQueueFull() && m_exchanges.front()->m_writableFunction) {
@@ -374,7 +381,7 @@
 void PipelinedConnection::closeIfIdle()
 {
     closeAfterAnswers();
-    if (m_state == State::Open && m_exchanges.empty() && !m_partial && m_input.empty()) {
+    if (m_state == State::Open && m_exchanges.empty() && !m_partial && m_input.empty() && !hasUnreadInput()) {
         finish();
     }
 }
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -92,6 +92,8 @@
     void flush();
     void send(std::string bytes);
     bool isWriteQueueFull() const;
+    /** Returns whether the client has sent bytes that were not read yet. */
+    bool hasUnreadInput() const;
     void handleWritten();
     void handleDisconnect();
     void reset();
--- a/tests/io/shutdownbacklogtest.cpp
+++ b/tests/io/shutdownbacklogtest.cpp
@@ -87,3 +87,18 @@
     }
     CHECK(runUntil(loop, [&] { return closed; }));
 }
+
+TEMPLATE_TEST_CASE("A request that waits unread when a planned stop closes idle connections is answered", "", HttpServer, PipelinedServer)
+{
+    EventLoop loop;
+    TestType server = makeServer<TestType>(loop);
+    BlockingClient client(std::get<Endpoint>(server.listen({"127.0.0.1", 0})));
+    runUntil(loop, [&] { return server.openConnections() == 1; });
+    bool closed = false;
+    server.shutDown([&] { closed = true; });
+    // The loop stands still beyond the time at which idle connections are closed.
+    std::this_thread::sleep_for(400ms);
+    client.send(get);
+    CHECK(isAnswered(loop, client, closed));
+    CHECK(runUntil(loop, [&] { return closed; }));
+}
