Never send a request twice on one connection to a target, so that a late copy of an answer is not taken for another

What would be seen (told by operators of similar systems): a target sends a second copy of an answer, late, on a connection that is in use again, and the next request gets it. An answer that names another request was refused already. But a request that the target refused is sent again under the id that its caller gave it, perhaps on the same connection; the copy of the refusal then says that the second attempt did not run while it does, and a third may run it twice.

Change: a connection remembers the ids of its last eight requests and is not used for one of them again; the next pooled connection or a new one is.

Ruled out: no connection reuse after refusals (each refusal would cost a new connection).

Measured: the test failed before (503 of the copy in place of the 200) and passes; requests with different ids still share a connection.

--- a/src/libnutmeghingeio/httpclient.cpp
+++ b/src/libnutmeghingeio/httpclient.cpp
@@ -84,9 +84,11 @@
     bool sendOnIdle(Exchange &exchange)
     {
         std::vector<HttpClientConnection *> &pool = idle[exchange.request.to];
-        while (!pool.empty()) {
-            HttpClientConnection *connection = pool.back();
-            pool.pop_back();
+        const auto mayCarry = [&](const HttpClientConnection *connection) { return !connection->hasCarried(exchange.request.answerId); };
+        for (auto found = std::find_if(pool.rbegin(), pool.rend(), mayCarry); found != pool.rend();
+             found = std::find_if(pool.rbegin(), pool.rend(), mayCarry)) {
+            HttpClientConnection *connection = *found;
+            std::erase(pool, connection);
             const CallId call = exchange.call;
             if (connection->reuse(exchange)) {
                 running[call] = connection;
--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -39,6 +39,11 @@
     /** Headers without content-length, which the client sets. */
     HttpHeaders headers;
     std::shared_ptr<const std::string> body;
+    /**
+     * Id that the server repeats in its answer, if it has one that another request may have as well. No connection carries two
+     * requests with the same id, since a late second copy of the first answer would be taken for the answer to the second.
+     */
+    std::string answerId;
     /** Do not use a pooled connection. */
     bool freshConnection = false;
     MonotonicTime deadline = MonotonicTime::max();
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -18,6 +18,8 @@
 constexpr int acknowledgementTimeoutMs = 3000;
 constexpr int keepAliveIntervalS = 1;
 constexpr std::size_t maxHeadBytes = 65536;
+/** Number of requests whose answers may still come a second time. */
+constexpr std::size_t rememberedAnswerIds = 8;
 /** Shorter than the idle timeout of servers, so that a server rarely closes a connection just as a request is sent. */
 constexpr Duration idleLifetime = std::chrono::seconds(5);
 
@@ -125,6 +127,12 @@
 bool HttpClientConnection::sendRequest()
 {
     const HttpClientRequest &request = m_exchange->request;
+    if (!request.answerId.empty()) {
+        m_answerIds.push_back(request.answerId);
+        if (m_answerIds.size() > rememberedAnswerIds) {
+            m_answerIds.pop_front();
+        }
+    }
     m_requestHead = formatHead(request);
     m_requestBody = request.body;
     m_parser.emplace(request.method == "HEAD");
@@ -151,6 +159,11 @@
     return true;
 }
 
+bool HttpClientConnection::hasCarried(const std::string &answerId) const
+{
+    return !answerId.empty() && std::ranges::find(m_answerIds, answerId) != m_answerIds.end();
+}
+
 void HttpClientConnection::writeRest(std::size_t written)
 {
     std::array<uv_buf_t, 2> buffers{};
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -3,6 +3,7 @@
 #include "httpanswerparser.h"
 #include "httpclient.h"
 
+#include <deque>
 #include <optional>
 #include <span>
 #include <uv.h>
@@ -51,6 +52,8 @@
     /** Closes the connection without notifying the owner. */
     void close();
     const Endpoint &endpoint() const { return m_endpoint; }
+    /** Returns whether one of the last requests had the given answer id; false for an empty id. */
+    bool hasCarried(const std::string &answerId) const;
 
 private:
     enum class State : std::uint8_t {
@@ -107,6 +110,8 @@
     /** Size of the write queue when it was last examined, in bytes. */
     std::size_t m_unsent = 0;
     MonotonicTime m_lastProgress;
+    /** Answer ids of the last requests, oldest first. */
+    std::deque<std::string> m_answerIds;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -144,6 +144,7 @@
             .path = request.path(),
             .headers = std::move(headers),
             .body = request.body(),
+            .answerId = destination.kind == AttemptDestination::Target ? request.protocol().callerId(request.headers()) : std::string(),
             .freshConnection = destination.freshConnection,
             .deadline = destination.deadline,
             .deadlineForHeadOnly = destination.deadlineForHeadOnly,
--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -401,3 +401,33 @@
     CHECK(collected->result == HttpCallResult::Malformed);
     CHECK(collected->body.size() <= 1000);
 }
+
+TEST_CASE("A late second copy of a refusal is not taken for the answer to the same request sent again")
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) { connection.send(refusal); };
+    HttpClientRequest request = setup.request();
+    request.answerId = "9c41";
+    REQUIRE(setup.run(request) == HttpCallResult::Complete);
+    // The copy is sent once the request has come again, on the connection that had the first answer.
+    setup.onRequest = [&](RawConnection &connection) {
+        setup.server.connections()[0]->send(refusal);
+        setup.loop.callLater(std::chrono::milliseconds(50), [&connection] { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nteak"); });
+    };
+    REQUIRE(setup.run(request) == HttpCallResult::Complete);
+    CHECK(setup.receiver->head->status == 200);
+    CHECK(setup.receiver->body == "teak");
+}
+
+TEST_CASE("Requests with different answer ids share a connection")
+{
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nteak"); };
+    for (const char *id : {"1", "2", "3"}) {
+        HttpClientRequest request = setup.request();
+        request.answerId = id;
+        REQUIRE(setup.run(request) == HttpCallResult::Complete);
+    }
+    CHECK(setup.server.connections().size() == 1);
+}
