Place keys and requests by the limit that a target names, and try another replica at once when its queue is full

Change: a node reports as usable only the slots that its target's limit keeps busy, at least one. Ranges, replicas and the even strategy already weigh members by that number. A limit that has ended still counts for 10 s, so that nothing moves back and forth. A request of a service without keys that its node cannot send in time goes to another replica without a retry being charged, since no target has got it.

Ruled out: a rate beside the slots in the heartbeats and another measure in each strategy; weighed against it, whole slots are coarse (a target that takes less than one slot's work gets the keys of one slot).

--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -116,7 +116,8 @@
     m_load.inFlight = activity.targetRequests();
     m_load.healthy = target.isHealthy(now) && !target.isDraining();
     if (const std::optional<TargetAnnounced> &latest = target.latest()) {
-        m_load.slots = latest->slots;
+        // The router reports fewer slots if the target names a limit.
+        m_load.slots = m_load.slots == 0 ? latest->slots : std::min(m_load.slots, latest->slots);
     }
     return m_load;
 }
--- a/src/libnutmeghinge/decisions/retrypolicy.cpp
+++ b/src/libnutmeghinge/decisions/retrypolicy.cpp
@@ -68,7 +68,7 @@
     case NotRunReason::NotConnected:
         return decideAfterNotConnected(request, now);
     case NotRunReason::Overloaded:
-        return decideAfterOverload(request, retryAfter, now);
+        return decideAfterOverload(request, result, now);
     case NotRunReason::DeadlineExpired:
         // The owner kept the request until it could no longer be answered in time; another owner could not answer it either.
         return giveUp(NotRunReason::DeadlineExpired, retryAfter, "no slot of the target became free in time");
@@ -126,15 +126,18 @@
     return giveUp(NotRunReason::NotConnected, {}, "no connection to the target or to its node");
 }
 
-RetryDecision RetryPolicy::decideAfterOverload(const Request &request, Duration retryAfter, MonotonicTime now)
+RetryDecision RetryPolicy::decideAfterOverload(const Request &request, const AttemptNotRun &result, MonotonicTime now)
 {
+    const Duration retryAfter = result.retryAfter.value_or(Duration::zero());
     const bool refusedByTarget = request.destination == Request::Destination::Target;
     const MonotonicTime at = std::max(backoff(request.attempts, now), now + retryAfter);
     if (refusedByTarget && request.sharded && at < request.deadline && spend(request, now)) {
         return RetryAt{at};
     }
     const bool hasReplicas = !request.sharded && request.deduplicationKey.empty() && request.otherHost.empty() && !isFromPeer(request);
-    if (hasReplicas && request.attempts < maximumReplicasTried && spend(request, now)) {
+    // A request that no target has got yet adds nothing to the load of the targets.
+    const bool free = result.notSent && request.attempts == 1;
+    if (hasReplicas && request.attempts < maximumReplicasTried && (free || spend(request, now))) {
         return RetryNow{};
     }
     return giveUp(NotRunReason::Overloaded, retryAfter, "the target is overloaded");
--- a/src/libnutmeghinge/decisions/retrypolicy.h
+++ b/src/libnutmeghinge/decisions/retrypolicy.h
@@ -59,7 +59,7 @@
 private:
     RetryDecision decideAfterOwnerRefusal(const Request &request, MonotonicTime now);
     RetryDecision decideAfterNotConnected(const Request &request, MonotonicTime now);
-    RetryDecision decideAfterOverload(const Request &request, Duration retryAfter, MonotonicTime now);
+    RetryDecision decideAfterOverload(const Request &request, const AttemptNotRun &result, MonotonicTime now);
     RetryBudget &budgetOf(const Request &request);
     bool spend(const Request &request, MonotonicTime now);
     MonotonicTime backoff(std::uint32_t failures, MonotonicTime now);
--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace nutmeghinge {
 
@@ -46,6 +47,16 @@
     return m_inFlight < m_health.limit(now, document.slowStart) && m_rateLimit.maySend(now);
 }
 
+std::uint32_t TargetAdmission::usableSlots(MonotonicTime now) const
+{
+    const std::optional<RequestRate> rate = m_rateLimit.placingRate(now);
+    if (!rate) {
+        return m_health.slots();
+    }
+    const double busy = std::ceil(rate->value() * std::chrono::duration<double>(m_serviceTime).count());
+    return static_cast<std::uint32_t>(std::clamp(busy, 1.0, static_cast<double>(m_health.slots())));
+}
+
 Duration TargetAdmission::expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const
 {
     // A slot becomes free only when a running request ends.
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -35,6 +35,8 @@
     void announced(const TargetAnnounced &announcement, MonotonicTime now);
     /** Returns whether a slot is free and the target's limit allows a request at this time. */
     bool maySend(const Document &document, MonotonicTime now) const;
+    /** Returns the number of slots that requests may keep busy: those of the target, or fewer if it names a limit. At least 1. */
+    std::uint32_t usableSlots(MonotonicTime now) const;
     /** Returns the expected time until a request queued at this rank is sent to the target. */
     Duration expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const;
     /** Returns the expected time until the present queue is empty and a further request may be sent, after which a refused caller may retry. */
--- a/src/libnutmeghinge/decisions/targetratelimit.cpp
+++ b/src/libnutmeghinge/decisions/targetratelimit.cpp
@@ -3,6 +3,7 @@
 #include "targetstatement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmeghinge {
 
@@ -11,6 +12,8 @@
 constexpr Duration minimumLinger = std::chrono::seconds(2);
 /** Answers expected under the limit that must not name it before it ends. */
 constexpr double lingerAnswers = 4;
+/** Time for which a limit that has ended still counts for placing. */
+constexpr Duration placingLinger = std::chrono::seconds(10);
 /** Rate at which a target that takes no requests is tried again, so that the end of its limit is noticed. */
 constexpr double trialRate = 0.5;
 /** Requests that may be sent at once after a pause: one, and those of this time. */
@@ -44,7 +47,8 @@
     if (!m_rate || !statement.problem.empty() || now - m_namedAt < lingerTime()) {
         return Change::None;
     }
-    m_rate.reset();
+    m_endedRate = std::exchange(m_rate, std::nullopt);
+    m_endedAt = now;
     return Change::Ended;
 }
 
@@ -72,6 +76,11 @@
     return change;
 }
 
+std::optional<RequestRate> TargetRateLimit::placingRate(MonotonicTime now) const
+{
+    return m_rate || now >= m_endedAt + placingLinger ? m_rate : m_endedRate;
+}
+
 void TargetRateLimit::reset()
 {
     *this = TargetRateLimit();
--- a/src/libnutmeghinge/decisions/targetratelimit.h
+++ b/src/libnutmeghinge/decisions/targetratelimit.h
@@ -44,6 +44,8 @@
 
     /** Returns the limit in force; empty if there is none. */
     std::optional<RequestRate> rate() const { return m_rate; }
+    /** Returns the limit for placing keys and requests: that in force, or one that ended a short time ago, so that nothing moves back and forth. */
+    std::optional<RequestRate> placingRate(MonotonicTime now) const;
     /** Returns the time at which an answer last named a limit. */
     MonotonicTime namedAt() const { return m_namedAt; }
 
@@ -71,6 +73,9 @@
 
     std::optional<RequestRate> m_rate;
     MonotonicTime m_namedAt;
+    /** Limit that ended last, and when. */
+    std::optional<RequestRate> m_endedRate;
+    MonotonicTime m_endedAt;
     /** Time at which the limit in force, or a lower one, was last named. */
     MonotonicTime m_confirmedAt;
     /** The target has answered this node. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -262,6 +262,8 @@
     std::uint16_t status = 0;
     /** The target reported with its refusal that it had a free slot, so it did not refuse because it was full. */
     bool targetHadFreeSlot = false;
+    /** This node did not send the request anywhere in the attempt. */
+    bool notSent = false;
 };
 
 /** The request may have run: bytes may have reached the target, and no complete and valid answer arrived. */
--- a/src/libnutmeghinge/memberload.h
+++ b/src/libnutmeghinge/memberload.h
@@ -33,6 +33,7 @@
     MemberSlot slot;
     std::uint32_t inFlight = 0;
     std::uint32_t queued = 0;
+    /** Slots of the target that requests may keep busy; fewer than it has if it names a limit on its requests. */
     std::uint32_t slots = 0;
     /** Whether the member's node regards the target as healthy and the target is not draining. */
     bool healthy = true;
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -335,7 +335,7 @@
     load.slot = m_d->ownership->self();
     load.inFlight = m_d->admission.inFlight();
     load.queued = m_d->admission.queue().size();
-    load.slots = m_d->admission.health().slots();
+    load.slots = m_d->admission.usableSlots(now);
     load.serviceTime = m_d->admission.pace().timePerSecond();
     load.healthy = m_d->admission.health().isHealthy(now);
     load.shards = m_d->loadMeter.take(elapsed);
@@ -502,6 +502,7 @@
     AttemptNotRun result;
     result.reason = NotRunReason::Overloaded;
     result.retryAfter = retryAfter;
+    result.notSent = true;
     handleResult(request, result, context);
 }
 
