Pause less when a target begins to name a limit, and name the limit in refusals of services without keys too

Callers saw: after a limit of 2.9 a second was named, a target with 13 requests a second before got none for up to 3 s; refusals of a service without keys said only that the target is overloaded.

The reason of this node is kept if no replica is tried.

--- a/src/libnutmeghinge/decisions/targetratelimit.cpp
+++ b/src/libnutmeghinge/decisions/targetratelimit.cpp
@@ -19,10 +19,11 @@
 /** Requests that may be sent at once after a pause: one, and those of this time. */
 constexpr double burstSeconds = 0.25;
 /** Requests sent within this time before a limit begins count against it. */
-constexpr Duration countedBefore = std::chrono::milliseconds(1500);
+constexpr Duration countedBefore = std::chrono::milliseconds(1200);
 constexpr Duration sentPartLength = std::chrono::milliseconds(100);
-/** Time under the limit whose requests may have been sent before it began without delaying further ones. */
+/** Requests that may have been sent before the limit began without delaying further ones: those of this time, and a few. */
 constexpr double forgivenSeconds = 3;
+constexpr double forgivenRequests = 3;
 /** Longest time without requests after a limit has begun. */
 constexpr double longestPauseSeconds = 3;
 
@@ -103,7 +104,7 @@
     for (const SentPart &part : m_sentParts) {
         earlier += part.startedAt + countedBefore > now ? part.requests : 0;
     }
-    const double debt = std::clamp(earlier - forgivenSeconds * pace(), 0.0, longestPauseSeconds * pace());
+    const double debt = std::clamp(earlier - forgivenSeconds * pace() - forgivenRequests, 0.0, longestPauseSeconds * pace());
     m_tokens = std::min(m_tokens, -debt);
 }
 
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -490,9 +490,9 @@
 void RequestRouter::Private::handleFullQueue(Request &request, const Context &context)
 {
     const Duration retryAfter = admission.retryAfter(document(), context.now);
+    std::string reason = "the queue for the target is full: " + admission.describe(document(), context.now);
     if (request.sharded || request.hops > 0) {
-        refuse(
-            request, {503, NotRunReason::Overloaded, retryAfter, "the queue for the target is full: " + admission.describe(document(), context.now)}, context);
+        refuse(request, {503, NotRunReason::Overloaded, retryAfter, std::move(reason)}, context);
         return;
     }
     // Handled like a refusal by a replica, because another replica may have room in its queue.
@@ -503,7 +503,11 @@
     result.reason = NotRunReason::Overloaded;
     result.retryAfter = retryAfter;
     result.notSent = true;
-    handleResult(request, result, context);
+    RetryDecision decision = retryPolicy.decideAfterNotRun(request, result, context.now);
+    if (auto *end = std::get_if<GiveUp>(&decision)) {
+        end->refusal.detail = std::move(reason);
+    }
+    applyDecision(request, decision, context);
 }
 
 void RequestRouter::Private::refuseAsExpired(Request &request, const Context &context)
--- a/tests/core/targetlimitplacingtest.cpp
+++ b/tests/core/targetlimitplacingtest.cpp
@@ -61,6 +61,20 @@
     CHECK(node.m_router.takeLoad(node.m_now).slots == 9);
 }
 
+TEST_CASE("The reason of a refusal names the target's limit and when it was named", "[limit]")
+{
+    RouterFixture node(false, 9);
+    node.m_ownership.m_members.resize(1);
+    node.ownershipChanged();
+    serveOne(node, 1, 200ms);
+    node.targetStated(limitOf(0.5));
+    node.m_now += 70ms;
+    RequestArrived request = RouterFixture::request(2);
+    request.timeout = 1s;
+    node.arrive(request);
+    CHECK(node.only<RefuseRequest>().detail.find("the target takes 0.5 requests/s, named 70 ms ago") != std::string::npos);
+}
+
 TEST_CASE("A request that its node cannot send to a limited target goes to another replica without a retry being spent", "[limit]")
 {
     RouterFixture node(false, 9);
