--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -158,10 +158,11 @@
         const char *name;
     };
     const std::initializer_list<Listener> listeners{
+        // First, as its port is often fixed: a listener whose port the system chooses could take it.
+        {m_announcements->listen(m_settings.listenTarget), m_targetEndpoint, "target"},
         {m_callerServer->listen(m_settings.listenCallers), m_callerEndpoint, "callers"},
         {m_peerServer.listen(m_settings.listenPeers), m_identity.peerEndpoint, "peers"},
         {m_peerLink.listen(m_settings.listenControl), m_identity.controlEndpoint, "control"},
-        {m_announcements->listen(m_settings.listenTarget), m_targetEndpoint, "target"},
         {m_operationsServer.listen(m_settings.listenOperations), m_identity.operationsEndpoint, "operations"},
     };
     for (const Listener &listener : listeners) {
