--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,13 +16,13 @@
     std::size_t nodes = 5;
     int seconds = 10;
     int minutes = 0;
-    std::size_t restorations = 0;
+    SoakExtras extras;
 };
 
 /** Runs the plan of one seed. Returns whether every check passed. */
 bool runSeed(std::uint64_t seed, const Options &options)
 {
-    SoakRun run(seed, options.nodes, std::chrono::seconds(options.seconds), options.restorations);
+    SoakRun run(seed, options.nodes, std::chrono::seconds(options.seconds), options.extras);
     const SoakObservations observations = run.run();
     const std::vector<std::string> violations = findViolations(observations);
     std::cout << "seed " << seed << ": " << observations.requests.size() << " requests, " << observations.executions.size() << " executions, "
@@ -85,12 +85,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     Options options;
     std::string seeds = "1-50";
+    std::string seed;
     po::options_description description("Injects seeded faults into real nodes on loopback and checks the guarantees of the service");
     description.add_options()("help", "show this text");
     description.add_options()("seeds", po::value(&seeds)->default_value(seeds), "FIRST-LAST");
-    description.add_options()("seed", po::value(&seeds), "one seed");
+    description.add_options()("seed", po::value(&seed), "one seed, in place of --seeds");
     description.add_options()("minutes", po::value(&options.minutes), "run random seeds for this time instead of --seeds");
-    description.add_options()("restorations", po::value(&options.restorations), "restorations of the platform's table from a copy in each seed; default 0");
+    description.add_options()(
+        "restorations", po::value(&options.extras.restorations), "restorations of the platform's table from a copy in each seed; default 0");
+    description.add_options()("statements", po::value(&options.extras.statements), "limits and departures that targets state in each seed; default 0");
     description.add_options()("nodes", po::value(&options.nodes)->default_value(options.nodes), "number of nodes, each with a target");
     description.add_options()("seconds", po::value(&options.seconds)->default_value(options.seconds), "time during which each seed injects faults");
     try {
@@ -105,7 +108,7 @@
         std::cerr << error.what() << '\n';
         return 2;
     }
-    if (!readSeeds(seeds, options) || options.nodes < 1 || options.nodes > 60 || options.seconds < 1) {
+    if (!readSeeds(seed.empty() ? seeds : seed, options) || options.nodes < 1 || options.nodes > 60 || options.seconds < 1) {
         std::cerr << "--seeds: FIRST-LAST; --nodes: 1 to 60; --seconds: 1 or more\n";
         return 2;
     }
--- a/tests/soak/soakchecks.cpp
+++ b/tests/soak/soakchecks.cpp
@@ -102,12 +102,65 @@
     }
 }
 
+/** Returns the times of the executions at the target within the given time, in order. */
+std::vector<SoakTime> executionsAt(const SoakObservations &observations, const std::string &target, SoakTime from, SoakTime to)
+{
+    std::vector<SoakTime> times;
+    for (const SoakExecution &execution : observations.executions) {
+        if (execution.target == target && execution.at >= from && execution.at < to) {
+            times.push_back(execution.at);
+        }
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+/** Checks that a target got no more than one and a half times its limit, plus five requests, in any four seconds once the limit binds. */
+void checkLimit(const SoakObservations &observations, const SoakStatement &statement, Violations &violations)
+{
+    constexpr std::chrono::seconds window(4);
+    constexpr std::chrono::seconds settling(3);
+    constexpr std::chrono::milliseconds knownAfter(500);
+    const std::size_t allowed = 6 * statement.limit + 5;
+    const std::vector<SoakTime> times = executionsAt(observations, statement.target, statement.from + knownAfter, statement.to);
+    std::size_t first = 0;
+    std::size_t most = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= window) {
+            ++first;
+        }
+        most = times[last] >= statement.from + settling ? std::max(most, last - first + 1) : most;
+    }
+    if (most > allowed) {
+        violations.push_back(statement.target + " ran " + std::to_string(most) + " requests in 4 s under a limit of " + std::to_string(statement.limit)
+                             + " a second");
+    }
+}
+
+/** Checks that a target ran no request later than two seconds after its first answer that said that it leaves. */
+void checkDeparture(const SoakObservations &observations, const SoakStatement &statement, Violations &violations)
+{
+    constexpr std::chrono::milliseconds drain(2000);
+    const std::vector<SoakTime> times = executionsAt(observations, statement.target, statement.from, statement.to);
+    const auto late = std::count_if(times.begin(), times.end(), [&](SoakTime time) { return time > times.front() + drain; });
+    if (late > 0) {
+        violations.push_back(statement.target + " ran " + std::to_string(late) + " requests over two seconds after it had said that it leaves");
+    }
+}
+
+void checkStatements(const SoakObservations &observations, Violations &violations)
+{
+    for (const SoakStatement &statement : observations.statements) {
+        (statement.limit > 0 ? checkLimit : checkDeparture)(observations, statement, violations);
+    }
+}
+
 } // namespace
 
 std::vector<std::string> findViolations(const SoakObservations &observations)
 {
     Violations violations = observations.failures;
-    for (const auto check : {checkOrders, checkAnswers, checkFences, checkPlannedStops, checkDocuments, checkRecovery}) {
+    for (const auto check : {checkOrders, checkAnswers, checkFences, checkPlannedStops, checkDocuments, checkRecovery, checkStatements}) {
         check(observations, violations);
     }
     return violations;
--- a/tests/soak/soakcheckstest.cpp
+++ b/tests/soak/soakcheckstest.cpp
@@ -111,3 +111,28 @@
     lost.unservedKeys = {"teak"};
     CHECK(reportsOnly(lost, "not served again"));
 }
+
+TEST_CASE("The soak checks report a target that ran more requests than its limit allows")
+{
+    SoakObservations limited = cleanRun();
+    limited.statements.push_back({"c", start, start + 10s, 2});
+    for (int request = 0; request < 20; ++request) {
+        limited.executions.push_back(execution("c", 1000ms + request * 400ms, 3));
+    }
+    CHECK(findViolations(limited).empty());
+    for (int request = 0; request < 20; ++request) {
+        limited.executions.push_back(execution("c", 6000ms + request * 50ms, 3));
+    }
+    CHECK(reportsOnly(limited, "under a limit of 2"));
+}
+
+TEST_CASE("The soak checks report a target that ran a request two seconds after it had said that it leaves")
+{
+    SoakObservations departed = cleanRun();
+    departed.statements.push_back({"c", start, start + 10s, 0});
+    departed.executions.push_back(execution("c", 500ms, 3));
+    departed.executions.push_back(execution("c", 2400ms, 3));
+    CHECK(findViolations(departed).empty());
+    departed.executions.push_back(execution("c", 2600ms, 3));
+    CHECK(reportsOnly(departed, "had said that it leaves"));
+}
--- a/tests/soak/soakobservation.h
+++ b/tests/soak/soakobservation.h
@@ -39,6 +39,16 @@
     std::string order;
 };
 
+/** Time during which all answers of a target named a limit, or said that it leaves. */
+struct SoakStatement {
+    std::string target;
+    SoakTime from;
+    /** End of the statement or of the target's process; of a departure also the end of its node's process. */
+    SoakTime to = SoakTime::max();
+    /** Requests per second; 0 for a departure. */
+    std::uint64_t limit = 0;
+};
+
 /** Revision of the document in force that an incarnation of a node reported. */
 struct SoakDocument {
     std::string node;
@@ -50,6 +60,7 @@
 struct SoakObservations {
     std::vector<SoakRequest> requests;
     std::vector<SoakExecution> executions;
+    std::vector<SoakStatement> statements;
     /** In the order of the status queries. */
     std::vector<SoakDocument> documents;
     /** Indexes of the VMs on which the plan has no fault that may cut off requests. */
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -34,6 +34,8 @@
     ActionTraits{SoakAction::SilenceCallers, "silence callers", true, 2000},
     ActionTraits{SoakAction::CutAnnouncements, "cut target's announcements", false, 4000},
     ActionTraits{SoakAction::RestorePlatform, "restore platform from a copy", false, 6000},
+    ActionTraits{SoakAction::LimitTarget, "target names a limit", false, 9000},
+    ActionTraits{SoakAction::LeaveTarget, "target says that it leaves", false, 6000},
 };
 
 const ActionTraits &traitsOf(SoakAction action)
@@ -53,7 +55,7 @@
     return traitsOf(action).mayCutRequests;
 }
 
-std::vector<SoakStep> makeSoakPlan(std::uint64_t seed, std::size_t vmCount, milliseconds length, std::size_t restorations)
+std::vector<SoakStep> makeSoakPlan(std::uint64_t seed, std::size_t vmCount, milliseconds length, const SoakExtras &extras)
 {
     constexpr milliseconds firstStepDelay(500);
     // One step per second on average.
@@ -69,12 +71,19 @@
         step.length = milliseconds(1 + below(static_cast<std::uint64_t>(traitsOf(step.action).maxLengthMs)));
         plan.push_back(step);
     }
-    for (std::size_t index = 0; index < restorations; ++index) {
+    const auto addStep = [&](SoakAction action, std::size_t vmIndex) {
         SoakStep step;
-        step.action = SoakAction::RestorePlatform;
+        step.action = action;
+        step.vmIndex = vmIndex;
         step.at = firstStepDelay + milliseconds(below(static_cast<std::uint64_t>(length.count())));
         step.length = milliseconds(1 + below(static_cast<std::uint64_t>(traitsOf(step.action).maxLengthMs)));
         plan.push_back(step);
+    };
+    for (std::size_t index = 0; index < extras.restorations; ++index) {
+        addStep(SoakAction::RestorePlatform, 0);
+    }
+    for (std::size_t index = 0; index < extras.statements; ++index) {
+        addStep(index % 2 == 0 ? SoakAction::LimitTarget : SoakAction::LeaveTarget, below(vmCount));
     }
     std::stable_sort(plan.begin(), plan.end(), [](const SoakStep &left, const SoakStep &right) { return left.at < right.at; });
     return plan;
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -25,6 +25,16 @@
     SilenceCallers,
     CutAnnouncements,
     RestorePlatform,
+    LimitTarget,
+    LeaveTarget,
+};
+
+/** Steps that a plan contains besides those drawn from all other actions. */
+struct SoakExtras {
+    /** Restorations of the platform's table; the length of the step is the age of the copy. */
+    std::size_t restorations = 0;
+    /** Limits and departures that targets state in their answers, in turn. */
+    std::size_t statements = 0;
 };
 
 /** Name of the action in printed plans. */
@@ -42,10 +52,7 @@
     std::size_t vmIndex = 0;
 };
 
-/**
- * Returns the steps in the order of their start; equal arguments give equal plans. The plan contains the given number of
- * restorations of the platform's table, whose length is the age of the copy, and does not differ otherwise.
- */
-std::vector<SoakStep> makeSoakPlan(std::uint64_t seed, std::size_t vmCount, std::chrono::milliseconds length, std::size_t restorations);
+/** Returns the steps in the order of their start; equal arguments give equal plans. The extras change nothing else in the plan. */
+std::vector<SoakStep> makeSoakPlan(std::uint64_t seed, std::size_t vmCount, std::chrono::milliseconds length, const SoakExtras &extras);
 /** One line for the printed plan. */
 std::string toText(const SoakStep &step);
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t slowPlatformMs = 400;
 constexpr std::uint64_t lostAnswers = 5;
 constexpr milliseconds callerDelay(60);
+/** Requests per second that a target names; its share of the load is far more. */
+constexpr std::uint64_t namedLimit = 30;
 
 const std::string service = "advice-desk";
 
@@ -43,14 +45,14 @@
 
 } // namespace
 
-SoakRun::SoakRun(std::uint64_t seed, std::size_t vmCount, milliseconds length, std::size_t restorations)
+SoakRun::SoakRun(std::uint64_t seed, std::size_t vmCount, milliseconds length, const SoakExtras &extras)
     : m_seed(seed)
     , m_length(length)
-    , m_plan(makeSoakPlan(seed, vmCount, length, restorations))
+    , m_plan(makeSoakPlan(seed, vmCount, length, extras))
     , m_cluster(service)
     , m_vms(vmCount)
 {
-    if (restorations > 0) {
+    if (extras.restorations > 0) {
         TestCluster::control(m_cluster.platform(), {{"countsRestorations", true}});
         // Nodes that lose all memory together with the table wait this long.
         m_leaseSettings = "leases:\n  holdLimit: 12s\n";
@@ -110,10 +112,30 @@
 
 void SoakRun::killNode(Vm &vm)
 {
+    endStatements(vm, true);
     vm.processes->node.reset();
     vm.nodePaused = false;
 }
 
+void SoakRun::beginStatement(Vm &vm, std::uint64_t limit)
+{
+    if (!vm.processes->target) {
+        return;
+    }
+    endStatements(vm);
+    m_observations.statements.push_back({vm.processes->name, now(), SoakTime::max(), limit});
+    TestCluster::control(vm.processes->targetEndpoint, limit > 0 ? nlohmann::json{{"limit", limit}} : nlohmann::json{{"leaving", true}});
+}
+
+void SoakRun::endStatements(const Vm &vm, bool departuresOnly)
+{
+    for (SoakStatement &statement : m_observations.statements) {
+        if (statement.target == vm.processes->name && statement.to == SoakTime::max() && (statement.limit == 0 || !departuresOnly)) {
+            statement.to = now();
+        }
+    }
+}
+
 void SoakRun::stopNode(Vm &vm)
 {
     if (vm.processes->node && !vm.nodePaused) {
@@ -140,6 +162,7 @@
     } else if (const int code = vm.processes->node->wait(); code != 0) {
         m_observations.failures.push_back(vm.processes->name + " exited with code " + std::to_string(code) + " after SIGTERM");
     }
+    endStatements(vm, true);
     vm.processes->node.reset();
 }
 
@@ -151,10 +174,12 @@
         killNode(vm);
         break;
     case SoakAction::KillTarget:
+        endStatements(vm);
         vm.processes->target.reset();
         break;
     case SoakAction::KillBoth:
         killNode(vm);
+        endStatements(vm);
         vm.processes->target.reset();
         break;
     case SoakAction::KillAllNodes:
@@ -204,6 +229,12 @@
     case SoakAction::RestorePlatform:
         TestCluster::control(m_cluster.platform(), {{"restoreAgeMs", step.length.count()}});
         break;
+    case SoakAction::LimitTarget:
+        beginStatement(vm, namedLimit);
+        break;
+    case SoakAction::LeaveTarget:
+        beginStatement(vm, 0);
+        break;
     }
 }
 
@@ -255,6 +286,14 @@
     case SoakAction::CutAnnouncements:
         vm.announcements->setStalled(false);
         break;
+    case SoakAction::LimitTarget:
+    case SoakAction::LeaveTarget:
+        // A departure ends only with the target's process.
+        endStatements(vm);
+        if (vm.processes->target) {
+            startTarget(vm);
+        }
+        break;
     default:
         break;
     }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -22,7 +22,7 @@
 {
 public:
     /** Starts the cluster and waits until it serves every shard. The length is the time during which steps start. */
-    SoakRun(std::uint64_t seed, std::size_t vmCount, std::chrono::milliseconds length, std::size_t restorations);
+    SoakRun(std::uint64_t seed, std::size_t vmCount, std::chrono::milliseconds length, const SoakExtras &extras);
 
     /** Applies all steps of the plan under load, waits for recovery and returns what was observed. */
     SoakObservations run();
@@ -54,6 +54,10 @@
     void waitUntilStopped(Vm &vm);
     void killNode(Vm &vm);
     void putDocument();
+    /** Makes the VM's target state a limit, or its departure if the limit is 0, in its answers. */
+    void beginStatement(Vm &vm, std::uint64_t limit);
+    /** Ends the recorded statements of the VM's target; of departures only, if only its node has ended. */
+    void endStatements(const Vm &vm, bool departuresOnly = false);
     void observeDocuments();
     void applySteps();
     void callerLoop(std::uint64_t seed, std::size_t number);
--- a/tests/standins/targetstandin.cpp
+++ b/tests/standins/targetstandin.cpp
@@ -155,6 +155,12 @@
     if (from.contains("falseLoad")) {
         m_faults.falseLoad = from["falseLoad"].is_null() ? std::nullopt : std::optional(reader.number(from, "falseLoad"));
     }
+    if (from.contains("limit")) {
+        m_namedLimit = from["limit"].is_null() ? std::nullopt : std::optional(reader.number(from, "limit"));
+    }
+    if (from.contains("leaving")) {
+        m_saysLeaving = reader.flag(from, "leaving");
+    }
     if (from.contains("drain")) {
         m_drainingSince = reader.flag(from, "drain") ? std::optional(m_loop.now()) : std::nullopt;
         if (m_announcer) {
@@ -369,9 +375,20 @@
     if (!answer.requestId.empty()) {
         headers.emplace_back(wire::requestId, answer.requestId);
     }
+    appendStatement(headers);
     work.exchange->answer(200, std::move(headers), answer.body);
 }
 
+void TargetStandin::appendStatement(HttpHeaders &headers) const
+{
+    if (m_namedLimit) {
+        headers.emplace_back(wire::targetLimit, std::to_string(*m_namedLimit));
+    }
+    if (m_saysLeaving) {
+        headers.emplace_back(wire::targetLeaving, "1");
+    }
+}
+
 void TargetStandin::sendTruncated(Work &work, const Answer &answer)
 {
     work.exchange->beginAnswer({200, {{std::string(wire::requestId), answer.requestId}}, answer.body.size()});
@@ -421,6 +438,7 @@
     if (!requestId.empty()) {
         headers.emplace_back(wire::requestId, requestId);
     }
+    appendStatement(headers);
     exchange.answer(status, std::move(headers), reason);
 }
 
--- a/tests/standins/targetstandin.h
+++ b/tests/standins/targetstandin.h
@@ -90,6 +90,8 @@
     bool refuseOutdatedFence(Work &work);
     void countExecution(Work &work);
     void finishWork(const std::shared_ptr<Work> &work);
+    /** Adds what the target says about itself. */
+    void appendStatement(HttpHeaders &headers) const;
     void sendAnswer(Work &work);
     void sendTruncated(Work &work, const Answer &answer);
     void startDownload(const std::shared_ptr<Work> &work);
@@ -124,6 +126,10 @@
     std::uint64_t m_served = 0;
     std::uint64_t m_cancelled = 0;
     Answer m_previousAnswer;
+    /** Limit that all answers name, in requests per second; empty for none. */
+    std::optional<std::uint64_t> m_namedLimit;
+    /** All answers say that the target leaves, its announcements do not. */
+    bool m_saysLeaving = false;
     HttpServer m_server;
     std::optional<TargetAnnouncer> m_announcer;
 };
