Remove a query of members' targets that only a test used

Found when reading the diff. No behaviour changes; the departure is visible in what is repeated to the member.

--- a/src/libnutmeghinge/decisions/membertargets.cpp
+++ b/src/libnutmeghinge/decisions/membertargets.cpp
@@ -47,10 +47,4 @@
     return relayed;
 }
 
-bool MemberTargets::isLeaving(MemberSlot member) const
-{
-    const auto known = m_targets.find(member);
-    return known != m_targets.end() && known->second.leavingSince.has_value();
-}
-
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/decisions/membertargets.h
+++ b/src/libnutmeghinge/decisions/membertargets.h
@@ -27,8 +27,6 @@
 
     /** Returns what is known of the member's target; std::nullopt if it has said nothing. */
     std::optional<RelayedStatement> statementFor(MemberSlot member, MonotonicTime now) const;
-    /** Returns whether the member's target has said that it leaves. */
-    bool isLeaving(MemberSlot member) const;
 
 private:
     struct Known {
--- a/tests/core/membertargetstest.cpp
+++ b/tests/core/membertargetstest.cpp
@@ -46,10 +46,8 @@
     targets.answered(MemberSlot(2), leaving(1, 500ms), now);
     targets.answered(MemberSlot(2), leaving(1, 0ms), now + 1s);
     targets.answered(MemberSlot(2), std::nullopt, now + 2s);
-    CHECK(targets.isLeaving(MemberSlot(2)));
     CHECK(targets.statementFor(MemberSlot(2), now + 2s) == leaving(1, 2500ms));
     targets.answered(MemberSlot(2), limitOf(2, 4), now + 3s);
-    CHECK_FALSE(targets.isLeaving(MemberSlot(2)));
     CHECK(targets.statementFor(MemberSlot(2), now + 3s) == limitOf(2, 4));
 }
 
