Read an absurdly high limit of a target as one that never binds

What would be seen: a limit of twenty digits overflowed the number in /metrics, which is undefined, and could not be read by the node that it was relayed to.

Change: 10^9 requests a second is the highest limit; higher ones are read as it.

Measured: the check for twenty nines failed before (1e20) and passes; found when reading the diff.

--- a/src/libnutmeghingeio/httpanswercollector.h
+++ b/src/libnutmeghingeio/httpanswercollector.h
@@ -29,7 +29,7 @@
 public:
     using Function = std::function<void(CollectedAnswer)>;
 
-    /** bodyLimit: largest body in bytes. An answer with a larger body counts as malformed. */
+    /** bodyLimit: largest body in bytes. An answer with a larger body counts as malformed and is not read on, so the call needs a deadline. */
     HttpAnswerCollector(std::size_t bodyLimit, Function function);
 
     void headReceived(const HttpAnswerHead &head) override;
--- a/src/libnutmeghingeio/targetstatementreader.cpp
+++ b/src/libnutmeghingeio/targetstatementreader.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t maxLimitDigits = 20;
+/** A higher limit is read as this one, which never binds. In requests per second. */
+constexpr double maxLimit = 1e9;
 /** Length at which an invalid value is cut off in messages. */
 constexpr std::size_t maxShownValue = 40;
 
@@ -21,7 +23,7 @@
     double rate = 0;
     const char *end = text.data() + text.size();
     const auto [stop, error] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
-    return error == std::errc() && stop == end ? std::optional(RequestRate(rate)) : std::nullopt;
+    return error == std::errc() && stop == end ? std::optional(RequestRate(std::min(rate, maxLimit))) : std::nullopt;
 }
 
 /** Returns the value for a message, without bytes that are no printable ASCII. */
--- a/tests/io/targetstatementreadertest.cpp
+++ b/tests/io/targetstatementreadertest.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include <cmath>
+#include <algorithm>
 
 using namespace nutmeghinge;
 
@@ -22,6 +22,7 @@
     CHECK(read({{"limit", "12"}}).limit == RequestRate(12));
     CHECK(read({{"limit", "0"}}).limit == RequestRate(0));
     CHECK(read({{"limit", "00000000000000000009"}}).limit == RequestRate(9));
+    CHECK(read({{"limit", "99999999999999999999"}}).limit == RequestRate(1e9));
     CHECK(read({{"other", "1"}}).isEmpty());
     CHECK(read({}).isEmpty());
 }
@@ -59,7 +60,7 @@
         const auto limit = *rc::gen::string<std::string>();
         const auto leaving = *rc::gen::string<std::string>();
         const TargetStatement statement = read({{"limit", limit}, {"leaving", leaving}});
-        RC_ASSERT(!statement.limit || (std::isfinite(statement.limit->value()) && statement.limit->value() >= 0));
+        RC_ASSERT(!statement.limit || (statement.limit->value() >= 0 && statement.limit->value() <= 1e9));
         RC_ASSERT(statement.problem.size() < 100);
         RC_ASSERT(std::all_of(statement.problem.begin(), statement.problem.end(), [](char byte) { return byte >= ' ' && byte <= '~'; }));
     });
