Remember what targets said by node, so that it is repeated to a node that was restarted

What would be seen: after a restart of the node beside a limited or leaving target, other nodes repeated nothing to it, and it sent until the target's first answer as if nothing had been said: what was to prevent.

Cause: statements were remembered by member, and a restarted node is another member.

Change: they are remembered by the node's name, which restarts do not change, and forgotten two minutes after the last one.

Measured: a test replaces the member of a node by another one and passes; it was not run on the code before, whose memory has no such key.

--- a/src/libnutmeghinge/decisions/membertargets.cpp
+++ b/src/libnutmeghinge/decisions/membertargets.cpp
@@ -4,19 +4,30 @@
 
 namespace nutmeghinge {
 
-void MemberTargets::answered(MemberSlot member, const std::optional<RelayedStatement> &relayed, MonotonicTime now)
+namespace {
+
+/** Time after its last statement at which a target is forgotten. */
+constexpr Duration statementLifetime = std::chrono::minutes(2);
+
+} // namespace
+
+void MemberTargets::answered(const NodeName &node, const std::optional<RelayedStatement> &relayed, MonotonicTime now)
 {
-    const auto known = m_targets.find(member);
+    const auto known = m_targets.find(node);
     if (!relayed) {
         if (known != m_targets.end()) {
             known->second.limit.reset();
         }
         return;
     }
-    Known &entry = known == m_targets.end() ? m_targets[member] : known->second;
+    if (known == m_targets.end()) {
+        expire(now);
+    }
+    Known &entry = known == m_targets.end() ? m_targets[node] : known->second;
     if (entry.target != relayed->target) {
-        entry = Known{relayed->target, std::nullopt, std::nullopt};
+        entry = Known{relayed->target, std::nullopt, std::nullopt, now};
     }
+    entry.statedAt = now;
     if (relayed->statement.problem.empty()) {
         entry.limit = relayed->statement.limit;
     }
@@ -26,14 +37,14 @@
     }
 }
 
-void MemberTargets::keepOnly(const std::function<bool(MemberSlot)> &isMember)
+void MemberTargets::expire(MonotonicTime now)
 {
-    std::erase_if(m_targets, [&](const auto &entry) { return !isMember(entry.first); });
+    std::erase_if(m_targets, [&](const auto &entry) { return now - entry.second.statedAt > statementLifetime; });
 }
 
-std::optional<RelayedStatement> MemberTargets::statementFor(MemberSlot member, MonotonicTime now) const
+std::optional<RelayedStatement> MemberTargets::statementFor(const NodeName &node, MonotonicTime now) const
 {
-    const auto known = m_targets.find(member);
+    const auto known = m_targets.find(node);
     if (known == m_targets.end() || (!known->second.limit && !known->second.leavingSince)) {
         return std::nullopt;
     }
--- a/src/libnutmeghinge/decisions/membertargets.h
+++ b/src/libnutmeghinge/decisions/membertargets.h
@@ -4,7 +4,6 @@
 #include "targetstatement.h"
 #include "units.h"
 
-#include <functional>
 #include <map>
 #include <optional>
 
@@ -20,22 +19,24 @@
 class MemberTargets
 {
 public:
-    /** Applies the statement that came with an answer of the member; std::nullopt if its target said nothing. */
-    void answered(MemberSlot member, const std::optional<RelayedStatement> &relayed, MonotonicTime now);
-    /** Forgets the members for which the function returns false. */
-    void keepOnly(const std::function<bool(MemberSlot)> &isMember);
+    /** Applies the statement that came with an answer of the node; std::nullopt if its target said nothing. */
+    void answered(const NodeName &node, const std::optional<RelayedStatement> &relayed, MonotonicTime now);
 
-    /** Returns what is known of the member's target; std::nullopt if it has said nothing. */
-    std::optional<RelayedStatement> statementFor(MemberSlot member, MonotonicTime now) const;
+    /** Returns what is known of the target beside the node; std::nullopt if it has said nothing. */
+    std::optional<RelayedStatement> statementFor(const NodeName &node, MonotonicTime now) const;
 
 private:
     struct Known {
         TargetInstance target;
         std::optional<RequestRate> limit;
         std::optional<MonotonicTime> leavingSince;
+        MonotonicTime statedAt;
     };
 
-    std::map<MemberSlot, Known> m_targets;
+    void expire(MonotonicTime now);
+
+    /** By node and not by member, since a restarted node is another member. */
+    std::map<NodeName, Known> m_targets;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -91,7 +91,7 @@
     }
     effect.freshConnection = request.freshConnection;
     if (destination == Request::Destination::Member) {
-        effect.relayed = m_memberTargets.statementFor(to.member->slot, now);
+        effect.relayed = m_memberTargets.statementFor(to.member->node, now);
     }
     m_replies.record(TimelineRecord::Kind::RequestForwarded, request, effects);
     effects.add(std::move(effect));
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -278,8 +278,11 @@
     request->answerBegun = true;
     if (request->destination == Request::Destination::Target) {
         m_d->admission.answering(*request);
-    } else if (request->destination == Request::Destination::Member) {
-        m_d->memberTargets.answered(request->member, std::get<AttemptAnswering>(event.body).relayed, event.at);
+        return;
+    }
+    const Member *member = request->destination == Request::Destination::Member ? m_d->ownership->member(request->member) : nullptr;
+    if (member) {
+        m_d->memberTargets.answered(member->node, std::get<AttemptAnswering>(event.body).relayed, event.at);
     }
 }
 
@@ -306,7 +309,6 @@
     if (m_d->mapVersion != m_d->ownership->map().version) {
         m_d->mapVersion = m_d->ownership->map().version;
         m_d->cancelOutdatedForwards(context);
-        m_d->memberTargets.keepOnly([this](MemberSlot slot) { return m_d->ownership->member(slot) != nullptr; });
     }
     m_d->rerouteAwaitingOwner(context);
     m_d->dispatchQueue(context);
--- a/tests/core/membertargetstest.cpp
+++ b/tests/core/membertargetstest.cpp
@@ -32,23 +32,23 @@
 {
     MemberTargets targets;
     const MonotonicTime now{10s};
-    targets.answered(MemberSlot(2), limitOf(1, 4), now);
-    CHECK(targets.statementFor(MemberSlot(2), now) == limitOf(1, 4));
-    CHECK_FALSE(targets.statementFor(MemberSlot(3), now));
-    targets.answered(MemberSlot(2), std::nullopt, now);
-    CHECK_FALSE(targets.statementFor(MemberSlot(2), now));
+    targets.answered(NodeName("b"), limitOf(1, 4), now);
+    CHECK(targets.statementFor(NodeName("b"), now) == limitOf(1, 4));
+    CHECK_FALSE(targets.statementFor(NodeName("c"), now));
+    targets.answered(NodeName("b"), std::nullopt, now);
+    CHECK_FALSE(targets.statementFor(NodeName("b"), now));
 }
 
 TEST_CASE("A departure stays known from its earliest time on until another target answers for the member", "[limit]")
 {
     MemberTargets targets;
     const MonotonicTime now{10s};
-    targets.answered(MemberSlot(2), leaving(1, 500ms), now);
-    targets.answered(MemberSlot(2), leaving(1, 0ms), now + 1s);
-    targets.answered(MemberSlot(2), std::nullopt, now + 2s);
-    CHECK(targets.statementFor(MemberSlot(2), now + 2s) == leaving(1, 2500ms));
-    targets.answered(MemberSlot(2), limitOf(2, 4), now + 3s);
-    CHECK(targets.statementFor(MemberSlot(2), now + 3s) == limitOf(2, 4));
+    targets.answered(NodeName("b"), leaving(1, 500ms), now);
+    targets.answered(NodeName("b"), leaving(1, 0ms), now + 1s);
+    targets.answered(NodeName("b"), std::nullopt, now + 2s);
+    CHECK(targets.statementFor(NodeName("b"), now + 2s) == leaving(1, 2500ms));
+    targets.answered(NodeName("b"), limitOf(2, 4), now + 3s);
+    CHECK(targets.statementFor(NodeName("b"), now + 3s) == limitOf(2, 4));
 }
 
 TEST_CASE("A node that was restarted keeps the limit that another node knows of, from the first request on", "[limit]")
@@ -92,3 +92,32 @@
     node.arrive(RouterFixture::request(2));
     CHECK(node.only<ForwardRequest>().relayed == limitOf(1, 4));
 }
+
+TEST_CASE("What a member's target said is repeated to the member that its node is after a restart", "[limit]")
+{
+    RouterFixture node;
+    node.m_ownership.m_members.back().node = NodeName("b");
+    node.m_ownership.setOwner(MemberSlot(2));
+    node.ownershipChanged();
+    node.arrive(RouterFixture::request(1));
+    node.answering(node.only<ForwardRequest>().attempt, limitOf(1, 4));
+    node.m_ownership.m_members.pop_back();
+    node.m_ownership.setOwner(noMember, ShardOwnership::State::Unowned);
+    node.ownershipChanged();
+    node.m_now += 500ms;
+    node.m_ownership.addMember(MemberSlot(5), "south");
+    node.m_ownership.m_members.back().node = NodeName("b");
+    node.m_ownership.setOwner(MemberSlot(5));
+    node.ownershipChanged();
+    node.arrive(RouterFixture::request(2));
+    CHECK(node.only<ForwardRequest>().relayed == limitOf(1, 4));
+}
+
+TEST_CASE("Targets that have said nothing for two minutes are forgotten when another says something", "[limit]")
+{
+    MemberTargets targets;
+    targets.answered(NodeName("b"), limitOf(1, 4), MonotonicTime(10s));
+    targets.answered(NodeName("c"), limitOf(1, 4), MonotonicTime(131s));
+    CHECK_FALSE(targets.statementFor(NodeName("b"), MonotonicTime(131s)));
+    CHECK(targets.statementFor(NodeName("c"), MonotonicTime(131s)));
+}
