State with each new document by how much it can be late, and who told the node

The logs gave no way to tell a node whose waiting call hung from one that nobody told: DocumentInForce said only the revision. Each node now keeps when it last knew that its document was the newest (the sending of the last call that the platform answered). A document that comes into force later was accepted after that, so the time since bounds its delay. It is in the log line and the timeline (longestDelayMs, and the source), in /metrics (revision, time unconfirmed now, summary of the delays) and in /status.

No decision changes. The delay between acknowledgement and use over all nodes follows from the same line of all nodes, which have the clock of the timeline; the operator's acknowledgement itself is not known to nodes.

--- a/src/libnutmeghinge/activedocument.cpp
+++ b/src/libnutmeghinge/activedocument.cpp
@@ -11,6 +11,19 @@
 
 const YamlDocumentFormat yamlFormat;
 
+const char *describe(DocumentSource source)
+{
+    switch (source) {
+    case DocumentSource::Platform:
+        return "from the platform";
+    case DocumentSource::Coordinator:
+        return "from the coordinator";
+    case DocumentSource::Member:
+        break;
+    }
+    return "from a member";
+}
+
 } // namespace
 
 ActiveDocument::ActiveDocument(const DocumentFormat *format)
@@ -18,7 +31,11 @@
 {
 }
 
-bool ActiveDocument::offer(const DocumentCopy &copy, const ServiceName &service, std::uint32_t assignedShards, EffectList &effects)
+bool ActiveDocument::offer(const DocumentCopy &copy,
+                           const ServiceName &service,
+                           std::uint32_t assignedShards,
+                           const DocumentArrival &arrival,
+                           EffectList &effects)
 {
     if (copy.revision <= m_copy.revision || copy.revision == m_rejected || copy.text.empty()) {
         return false;
@@ -39,6 +56,8 @@
     TimelineRecord record;
     record.kind = TimelineRecord::Kind::DocumentInForce;
     record.document = copy.revision;
+    record.longestDelay = arrival.unconfirmedFor;
+    record.detail = describe(arrival.source);
     effects.record(std::move(record));
     return true;
 }
--- a/src/libnutmeghinge/activedocument.h
+++ b/src/libnutmeghinge/activedocument.h
@@ -3,8 +3,10 @@
 #include "documentset.h"
 #include "ids.h"
 #include "peermessages.h"
+#include "units.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace nutmeghinge {
@@ -12,6 +14,21 @@
 class DocumentFormat;
 class EffectList;
 
+/** Where a node got a document from. */
+enum class DocumentSource : std::uint8_t {
+    Platform,
+    Coordinator,
+    /** A member's heartbeat; only coordinators receive them. */
+    Member,
+};
+
+/** How a document reached this node. */
+struct DocumentArrival {
+    DocumentSource source = DocumentSource::Platform;
+    /** Time since the earlier document was last known to be the newest, which bounds the delay of this one; empty if it never was. */
+    std::optional<Duration> unconfirmedFor;
+};
+
 /**
  * Holds the document in force at this node. Its revision never decreases; an
  * invalid document leaves the earlier one in force. Owned by the CellContext.
@@ -27,7 +44,7 @@
      * @param service service of the target beside the node
      * @param assignedShards number of shards in the ownership map, which the document must not change; 0: no check
      */
-    bool offer(const DocumentCopy &copy, const ServiceName &service, std::uint32_t assignedShards, EffectList &effects);
+    bool offer(const DocumentCopy &copy, const ServiceName &service, std::uint32_t assignedShards, const DocumentArrival &arrival, EffectList &effects);
 
     /** Returns the document of the node's own service; null before one is known. */
     const Document *document() const { return m_document; }
--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -515,6 +515,11 @@
     return m_d->context.documents.revision();
 }
 
+std::optional<Duration> Cell::documentAge(MonotonicTime now) const
+{
+    return m_d->context.documentFreshness.age(now);
+}
+
 bool Cell::isCoordinator(MonotonicTime now) const
 {
     return m_d->coordinator.isActive(now);
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -6,6 +6,7 @@
 #include "timings.h"
 
 #include <memory>
+#include <optional>
 
 namespace nutmeghinge {
 
@@ -61,6 +62,8 @@
 
     /** Returns the revision of the document in force at this node. */
     DocumentRevision documentRevision() const;
+    /** Returns the time since that document was last known to be the newest; empty if it never was. */
+    std::optional<Duration> documentAge(MonotonicTime now) const;
     /** Returns whether this node is the coordinator at this time. */
     bool isCoordinator(MonotonicTime now) const;
     /** Returns the coordinator term that this node follows, or its own if it is the coordinator. */
--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -68,9 +68,10 @@
     return true;
 }
 
-bool CellContext::offerDocument(const DocumentCopy &copy, EffectList &effects)
+bool CellContext::offerDocument(const DocumentCopy &copy, DocumentSource source, MonotonicTime now, EffectList &effects)
 {
-    return documents.offer(copy, targetService(), spansServices() ? 0 : assignedShards(), effects);
+    const DocumentArrival arrival{source, documentFreshness.age(now)};
+    return documents.offer(copy, targetService(), spansServices() ? 0 : assignedShards(), arrival, effects);
 }
 
 std::uint32_t CellContext::assignedShards() const
--- a/src/libnutmeghinge/cellcontext.h
+++ b/src/libnutmeghinge/cellcontext.h
@@ -2,6 +2,7 @@
 
 #include "activedocument.h"
 #include "cellrowstore.h"
+#include "documentfreshness.h"
 #include "memberlease.h"
 #include "memberlist.h"
 #include "memberload.h"
@@ -32,7 +33,7 @@
     /** Replaces the map by one with a higher version. Returns whether the map was replaced. */
     bool updateMap(const OwnershipMap &newer);
     /** Puts a newer, valid document in force. Returns whether it came into force. */
-    bool offerDocument(const DocumentCopy &copy, EffectList &effects);
+    bool offerDocument(const DocumentCopy &copy, DocumentSource source, MonotonicTime now, EffectList &effects);
     /** Returns the number of shards in the map, excluding those of hot keys; 0 without a map. */
     std::uint32_t assignedShards() const;
     /** Returns whether the cell contains the nodes of several services. */
@@ -67,6 +68,7 @@
     VoteRecord voteRecord;
     MemberLease lease;
     ActiveDocument documents;
+    DocumentFreshness documentFreshness;
     TargetWatch target;
     TargetLeases targetLeases;
     /** Incarnation of the target that last reported its held ranges; 0 if none has. */
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -355,7 +355,7 @@
         return;
     }
     if (heartbeat.newerDocument) {
-        m_context.offerDocument(*heartbeat.newerDocument, effects);
+        m_context.offerDocument(*heartbeat.newerDocument, DocumentSource::Member, event.at, effects);
     }
     if (!isElected() || event.at >= m_termEnd || heartbeat.term != m_term.term() || !m_context.members.find(from)) {
         return;
--- a/src/libnutmeghinge/documentfollower.cpp
+++ b/src/libnutmeghinge/documentfollower.cpp
@@ -29,6 +29,7 @@
         return;
     }
     m_calling = true;
+    m_sentAt = now;
     if (m_after) {
         // A waiting call that a silent platform never received would hide the platform's return until it times out.
         effects.add(FollowDocument{m_context.service, *m_after, m_lastCallFailed ? Duration(0) : followTime});
@@ -52,8 +53,9 @@
         return;
     }
     if (const auto *copy = std::get_if<DocumentCopy>(&answer.result)) {
-        m_context.offerDocument(*copy, effects);
+        m_context.offerDocument(*copy, DocumentSource::Platform, now, effects);
     }
+    m_context.documentFreshness.confirmedByPlatform(m_sentAt);
     m_after = answer.tableVersion;
     callAgain(now);
 }
@@ -72,8 +74,9 @@
     }
     m_after = answer.tableVersion;
     if (const auto *copy = std::get_if<DocumentCopy>(&answer.result)) {
-        m_context.offerDocument(*copy, effects);
+        m_context.offerDocument(*copy, DocumentSource::Platform, now, effects);
     }
+    m_context.documentFreshness.confirmedByPlatform(m_sentAt);
 }
 
 void DocumentFollower::callAgain(MonotonicTime now)
--- a/src/libnutmeghinge/documentfollower.h
+++ b/src/libnutmeghinge/documentfollower.h
@@ -42,6 +42,8 @@
     /** Table version after which changes are requested; empty if the row has to be read. */
     std::optional<RowVersion> m_after;
     bool m_calling = false;
+    /** Time at which the latest call was sent. */
+    MonotonicTime m_sentAt;
     bool m_lastCallFailed = false;
     /** Earliest time of the next call. */
     MonotonicTime m_callAt;
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -106,7 +106,7 @@
     if (answer.map && m_context.updateMap(*answer.map)) {
         m_heartbeatRequested = true;
     }
-    if (answer.newerDocument && m_context.offerDocument(*answer.newerDocument, effects)) {
+    if (answer.newerDocument && m_context.offerDocument(*answer.newerDocument, DocumentSource::Coordinator, event.at, effects)) {
         m_heartbeatRequested = true;
     }
     if (answer.revision > m_context.members.revision()) {
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -137,6 +137,7 @@
         }
         if (!m_readingDocument && !m_context.timings.followsDocument) {
             m_readingDocument = true;
+            m_documentRequestedAt = now;
             effects.add(ReadDocument{m_context.service, m_context.documents.highestRevisionSeen()});
         }
     }
@@ -308,8 +309,12 @@
         return;
     }
     m_readingDocument = false;
-    if (const auto *copy = std::get_if<DocumentCopy>(&std::get<DocumentRead>(event.body).result)) {
-        m_context.offerDocument(*copy, effects);
+    const auto &result = std::get<DocumentRead>(event.body).result;
+    if (const auto *copy = std::get_if<DocumentCopy>(&result)) {
+        m_context.offerDocument(*copy, DocumentSource::Platform, event.at, effects);
+    }
+    if (!std::holds_alternative<PlatformUnavailable>(result)) {
+        m_context.documentFreshness.confirmedByPlatform(m_documentRequestedAt);
     }
 }
 
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -98,6 +98,7 @@
     /** Time at which the read that returned m_announced was sent. */
     MonotonicTime m_announcedRequestedAt;
     bool m_readingDocument = false;
+    MonotonicTime m_documentRequestedAt;
     bool m_readingCells = false;
     std::uint64_t m_random;
     /** Time at which this node first knew that all members have ended; empty while one may be running. */
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -3,6 +3,7 @@
 #include "fence.h"
 #include "hybridtime.h"
 #include "ids.h"
+#include "units.h"
 
 #include <cstdint>
 #include <optional>
@@ -72,6 +73,8 @@
     std::optional<MemberSlot> member;
     std::optional<Fence> fence;
     std::optional<DocumentRevision> document;
+    /** DocumentInForce: time since the earlier document was last known to be the newest. The document was accepted within this time. */
+    std::optional<Duration> longestDelay;
     /** Short human-readable text; never parsed. */
     std::string detail;
 };
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -64,6 +64,7 @@
 struct NodeMetrics::Private {
     Seconds requestSeconds{accumulators::extended_p_square_probabilities = quantiles};
     Seconds targetSeconds{accumulators::extended_p_square_probabilities = quantiles};
+    Seconds documentDelaySeconds{accumulators::extended_p_square_probabilities = quantiles};
     std::unordered_map<RequestId, MonotonicTime> requestStarts;
     struct Attempt {
         RequestId request;
@@ -140,6 +141,10 @@
         m_d->endRequest(refuse->request, now);
     } else if (const auto *stored = std::get_if<AnswerFromStore>(&effect)) {
         m_d->endRequest(stored->request, now);
+    } else if (const auto *record = std::get_if<Record>(&effect)) {
+        if (record->record.longestDelay) {
+            m_d->documentDelaySeconds(secondsOf(*record->record.longestDelay));
+        }
     } else if (std::holds_alternative<WriteCellRow>(effect) || std::holds_alternative<WriteMemberRow>(effect)) {
         ++m_d->tableWrites;
     } else if (std::holds_alternative<ReadCellRow>(effect) || std::holds_alternative<ReadMemberRows>(effect) || std::holds_alternative<ReadDocument>(effect)
@@ -148,7 +153,7 @@
     }
 }
 
-std::string NodeMetrics::toText(const RequestCounters &requests, const AdapterCounters &adapters) const
+std::string NodeMetrics::toText(const RequestCounters &requests, const DocumentState &documents, const AdapterCounters &adapters) const
 {
     std::string text;
     appendCounter(text, "requests_arrived_total", "Requests received from callers and peers.", requests.arrived);
@@ -174,6 +179,18 @@
     appendCounter(text, "table_restorations_total", "Restorations of the platform's table from an older copy, since the node started.", m_d->tableRestorations);
     appendCounter(text, "refused_inputs_total", "Requests refused for invalid framing or excessive size.", adapters.refusedInputs);
     appendGauge(text, "caller_connections", "Open connections from callers.", adapters.callerConnections);
+    appendGauge(text, "document_revision", "Revision of the document in force.", documents.revision.value());
+    if (documents.age) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*documents.age).count();
+        appendGauge(text,
+                    "document_unconfirmed_milliseconds",
+                    "Time since the document in force was last known to be the newest; absent if it never was.",
+                    static_cast<std::uint64_t>(age));
+    }
+    appendSummary(text,
+                  "document_longest_delay_seconds",
+                  "Time from when the earlier document was last known to be the newest until a newer one was in force.",
+                  m_d->documentDelaySeconds);
     appendSummary(text, "request_seconds", "Time from the arrival of a request to its complete answer.", m_d->requestSeconds);
     appendSummary(text, "target_seconds", "Time from sending a request to the target to its complete answer.", m_d->targetSeconds);
     return text;
--- a/src/libnutmeghingeio/nodemetrics.h
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace nutmeghinge {
@@ -19,6 +20,13 @@
     std::size_t callerConnections = 0;
 };
 
+/** State of the document in force when the metrics are read. */
+struct DocumentState {
+    DocumentRevision revision;
+    /** Time since it was last known to be the newest; empty if it never was. */
+    std::optional<Duration> age;
+};
+
 /**
  * Collects the metrics of one node from its events and effects, and exports them
  * in the Prometheus text format. Owned by the Node.
@@ -34,7 +42,7 @@
     void observeEvent(const Event &event);
     void observeEffect(const Effect &effect, MonotonicTime now);
     /** Returns the text for /metrics. Times are in seconds. */
-    std::string toText(const RequestCounters &requests, const AdapterCounters &adapters) const;
+    std::string toText(const RequestCounters &requests, const DocumentState &documents, const AdapterCounters &adapters) const;
 
 private:
     struct Private;
--- a/src/libnutmeghingeio/recordline.cpp
+++ b/src/libnutmeghingeio/recordline.cpp
@@ -37,6 +37,16 @@
     return true;
 }
 
+bool readLongestDelay(std::string_view text, TimelineRecord &record)
+{
+    std::chrono::milliseconds::rep milliseconds = 0;
+    if (!readNumber(text, milliseconds)) {
+        return false;
+    }
+    record.longestDelay = std::chrono::milliseconds(milliseconds);
+    return true;
+}
+
 bool readFence(std::string_view text, TimelineRecord &record)
 {
     record.fence = fenceFromText(text);
@@ -65,6 +75,7 @@
     Field{"shard", [](std::string_view text, TimelineRecord &record) { return readId(text, record.shard); }},
     Field{"member", [](std::string_view text, TimelineRecord &record) { return readId(text, record.member); }},
     Field{"document", [](std::string_view text, TimelineRecord &record) { return readId(text, record.document); }},
+    Field{"longestDelayMs", readLongestDelay},
     Field{"fence", readFence},
     Field{"at", readTime},
 };
@@ -97,6 +108,9 @@
     append(line, "shard", record.shard);
     append(line, "member", record.member);
     append(line, "document", record.document);
+    if (record.longestDelay) {
+        append(line, "longestDelayMs", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*record.longestDelay).count()));
+    }
     if (record.fence) {
         append(line, "fence", fenceToText(*record.fence));
     }
--- a/src/libnutmeghingeio/timelinering.cpp
+++ b/src/libnutmeghingeio/timelinering.cpp
@@ -33,6 +33,9 @@
     if (record.document) {
         object["document"] = record.document->value();
     }
+    if (record.longestDelay) {
+        object["longestDelayMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(*record.longestDelay).count();
+    }
     return object;
 }
 
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -320,12 +320,13 @@
 
 std::string Node::metricsPage() const
 {
+    const Cell &cell = m_reducer->cell();
     AdapterCounters adapters;
     adapters.controlMessages = m_peerLink.messagesSent();
     adapters.controlBytes = m_peerLink.bytesSent();
     adapters.refusedInputs = m_callerServer->refusedInputs() + m_peerServer.refusedInputs();
     adapters.callerConnections = m_callerServer->openConnections();
-    return m_metrics.toText(m_reducer->router().counters(), adapters);
+    return m_metrics.toText(m_reducer->router().counters(), {cell.documentRevision(), cell.documentAge(m_loop.now())}, adapters);
 }
 
 std::string Node::statusPage() const
@@ -333,6 +334,7 @@
     const Cell &cell = m_reducer->cell();
     const MonotonicTime now = m_loop.now();
     const OwnershipMap &map = cell.map();
+    const std::optional<Duration> documentAge = cell.documentAge(now);
     const nlohmann::json status{
         {"node", m_identity.node.value()},
         {"incarnation", m_identity.incarnation.value()},
@@ -352,6 +354,7 @@
         {"term", cell.term().value()},
         {"revision", cell.revision().value()},
         {"document", cell.documentRevision().value()},
+        {"documentUnconfirmedMs", documentAge ? nlohmann::json(std::chrono::duration_cast<std::chrono::milliseconds>(*documentAge).count()) : nlohmann::json()},
         {"leaseMs", std::chrono::duration_cast<std::chrono::milliseconds>(cell.leaseEnd() - now).count()},
         {"map", {{"term", map.version.term.value()}, {"sequence", map.version.sequence}, {"shards", map.shards.size()}}},
         {"serving", servedShards(cell, now)},
--- a/tests/core/documentfollowertest.cpp
+++ b/tests/core/documentfollowertest.cpp
@@ -40,10 +40,11 @@
         EffectList effects{HybridTime{}};
         follower.documentRead(answer, now, effects);
     }
-    void followed(const DocumentFollowed &answer)
+    Effects followed(const DocumentFollowed &answer)
     {
         EffectList effects{HybridTime{}};
         follower.documentFollowed(answer, now, effects);
+        return effects.take();
     }
     bool reads(Duration after = 0s)
     {
@@ -180,6 +181,21 @@
     }
 }
 
+TEST_CASE("A document in force states its source and the longest time by which it can be late")
+{
+    Setup setup;
+    setup.reads();
+    setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
+    setup.followsAfter();
+    setup.now += 2300ms;
+    const Effects effects = setup.followed({Setup::document(5), RowVersion(47)});
+    REQUIRE(effects.size() == 1);
+    const TimelineRecord &record = std::get<Record>(effects.front()).record;
+    CHECK(record.kind == TimelineRecord::Kind::DocumentInForce);
+    CHECK(record.longestDelay == Duration(2300ms));
+    CHECK(record.detail == "from the platform");
+}
+
 TEST_CASE("After a restoration of the table, a document is read although versions after the known one are given out again")
 {
     Setup setup;
--- a/tests/io/recordlinetest.cpp
+++ b/tests/io/recordlinetest.cpp
@@ -25,6 +25,9 @@
     record.shard = *anyOptional<ShardIndex, std::uint32_t>();
     record.member = *anyOptional<MemberSlot, std::uint32_t>();
     record.document = *anyOptional<DocumentRevision, std::uint64_t>();
+    if (*rc::gen::arbitrary<bool>()) {
+        record.longestDelay = std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(0, 4000000000000));
+    }
     if (*rc::gen::arbitrary<bool>()) {
         record.fence = Fence{Term(*rc::gen::arbitrary<std::uint64_t>()), *rc::gen::arbitrary<std::uint64_t>()};
     }
@@ -47,6 +50,7 @@
         RC_ASSERT(read->shard == record.shard);
         RC_ASSERT(read->member == record.member);
         RC_ASSERT(read->document == record.document);
+        RC_ASSERT(read->longestDelay == record.longestDelay);
         RC_ASSERT(read->fence == record.fence);
         RC_ASSERT(read->detail == record.detail);
     }));
