Show documents out of force for seconds when connections fall silent or the table is restored

The harness of target leases plays documents now: a row with versions, calls that the platform holds, their time limits, silent connections, a silent platform, a restored table whose versions are given out again, a dropped history.

The harness checks for two holders after each grant and not after each event: only a grant makes a target a holder, and only holders change what the check compares, so it sees the same violations.

--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
+/** Time that a call takes to reach the platform, and its answer to come back. */
+constexpr Duration platformDelay = std::chrono::milliseconds(2);
+/** Timeout of the adapter for a call, in addition to the time for which the platform may hold it. */
+constexpr Duration callTimeout = std::chrono::milliseconds(1500);
+/** Time after which connections between nodes that have fallen silent are replaced: a heartbeat and the wait for its answer. */
+constexpr Duration peerSilenceNoticedAfter = std::chrono::milliseconds(700);
 constexpr Duration releaseInterval = std::chrono::milliseconds(100);
 constexpr std::uint32_t keysOfShard = numericKeys / TargetLeaseHarness::shards;
 const ServiceName service{"roster"};
@@ -48,6 +54,7 @@
     , m_timings(timings)
     , m_nodes(nodes)
     , m_random(seed)
+    , m_documents(documentText)
 {
     if (nodesWithoutKeys > 0) {
         m_format = std::make_unique<TwoServicesFormat>();
@@ -80,7 +87,6 @@
         m_timers.pop();
         m_now = timer.at;
         timer.action();
-        check();
     }
     m_now = end;
 }
@@ -107,6 +113,8 @@
     Node &entry = m_nodes[node];
     ++entry.incarnation;
     entry.pausedUntil = Duration(0);
+    entry.disturbedUntil = m_now;
+    entry.silentConnection = false;
     NodeIdentity identity;
     identity.node = NodeName("node" + std::to_string(node));
     identity.incarnation = Incarnation(entry.incarnation);
@@ -203,11 +211,13 @@
 void TargetLeaseHarness::setIsolated(std::size_t node, bool isolated)
 {
     m_nodes[node].isolated = isolated;
+    m_nodes[node].disturbedUntil = m_now;
 }
 
 void TargetLeaseHarness::setCutFromPlatform(std::size_t node, bool cut)
 {
     m_nodes[node].cutFromPlatform = cut;
+    m_nodes[node].disturbedUntil = m_now;
 }
 
 void TargetLeaseHarness::healAll()
@@ -318,6 +328,8 @@
     target.heldShards = std::move(next);
     // The target's clock may run 2 % slow.
     target.leaseEnd = sentAt + grant.holdTime * 102 / 100;
+    // Only a grant can make a target a holder.
+    check();
     if (releasedShards) {
         schedule(releaseInterval, [this, node, targetIncarnation] {
             if (m_nodes[node].target.up && m_nodes[node].target.incarnation == targetIncarnation) {
@@ -346,8 +358,12 @@
 void TargetLeaseHarness::replyFromPlatform(std::size_t node, std::function<EventBody(bool reachable)> access)
 {
     const std::uint64_t incarnation = m_nodes[node].incarnation;
+    if (std::exchange(m_nodes[node].silentConnection, false) || m_platformSilent) {
+        schedule(callTimeout, [this, node, incarnation, access = std::move(access)] { deliver(node, incarnation, access(false)); });
+        return;
+    }
     schedule(std::chrono::milliseconds(4), [this, node, incarnation, access = std::move(access)] {
-        const bool reachable = !m_nodes[node].cutFromPlatform;
+        const bool reachable = isPlatformReachable(node);
         EventBody answer = access(reachable);
         if (reachable) {
             showEpoch(node, incarnation);
@@ -386,34 +402,147 @@
     });
 }
 
-void TargetLeaseHarness::callForDocument(std::size_t node, Duration wait, bool reads)
+/** Sends a call for the document: reads the row, or waits for a change after the version. */
+void TargetLeaseHarness::callForDocument(std::size_t node, std::optional<RowVersion> after, Duration wait, Duration timeLimit)
 {
-    const std::uint64_t call = ++m_nodes[node].documentCall;
-    schedule(wait, [this, node, incarnation = m_nodes[node].incarnation, call, reads] {
-        const auto isReplaced = [this, node, call] { return m_nodes[node].documentCall != call; };
-        if (isReplaced()) {
+    const std::uint64_t incarnation = m_nodes[node].incarnation;
+    const DocumentCall call{node, incarnation, ++m_nodes[node].documentCall, after, m_seenEpochs[{node, incarnation}]};
+    schedule(platformDelay, [this, call] {
+        if (isPlatformReachable(call.node)) {
+            m_documentCalls.push_back(call);
+            answerDocumentCalls();
+        }
+    });
+    schedule(platformDelay + wait, [this, call] {
+        const auto isSame = [&](const DocumentCall &other) { return other.node == call.node && other.number == call.number; };
+        if (std::erase_if(m_documentCalls, isSame) > 0) {
+            answerDocumentCall(call, DocumentFollowed{RowAbsent(), m_documents.version()});
+        }
+    });
+    schedule(timeLimit, [this, call] {
+        Node &entry = m_nodes[call.node];
+        if (!entry.reducer || entry.incarnation != call.incarnation || entry.documentCall != call.number) {
             return;
         }
-        const bool reachable = !m_nodes[node].cutFromPlatform;
-        if (reachable) {
-            showEpoch(node, incarnation);
+        ++entry.documentCall;
+        const EventBody failed = call.after ? EventBody(DocumentFollowed{PlatformUnavailable(), RowVersion()})
+                                            : EventBody(DocumentRead{cellName, PlatformUnavailable(), RowVersion()});
+        deliver(call.node, call.incarnation, failed);
+    });
+}
+
+bool TargetLeaseHarness::isCurrent(const DocumentCall &call) const
+{
+    const Node &entry = m_nodes[call.node];
+    return entry.reducer && entry.incarnation == call.incarnation && entry.documentCall == call.number && call.number > entry.silencedCalls;
+}
+
+void TargetLeaseHarness::answerDocumentCalls()
+{
+    const std::vector<DocumentCall> calls = std::exchange(m_documentCalls, {});
+    for (const DocumentCall &call : calls) {
+        if (call.after == m_documents.version() || call.waitsForLostVersion) {
+            m_documentCalls.push_back(call);
+            continue;
         }
-        if (isReplaced()) {
+        answerDocumentCall(call, call.after ? EventBody(followAnswer(call)) : EventBody(DocumentRead{cellName, m_documents.read(), m_documents.version()}));
+    }
+}
+
+DocumentFollowed TargetLeaseHarness::followAnswer(const DocumentCall &call) const
+{
+    DocumentFollowed answer{RowAbsent(), m_documents.version()};
+    std::visit([&](const auto &change) { answer.result = change; }, m_documents.changeAfter(*call.after));
+    return answer;
+}
+
+/** Sends the answer. A node that has seen another epoch since it sent a call to follow takes it as lost history. */
+void TargetLeaseHarness::answerDocumentCall(const DocumentCall &call, EventBody answer)
+{
+    schedule(platformDelay, [this, call, answer = std::move(answer)] {
+        if (!isPlatformReachable(call.node) || !isCurrent(call)) {
             return;
         }
-        if (!reads) {
-            deliver(node, incarnation, DocumentFollowed{RowAbsent(), RowVersion(1)});
-        } else if (reachable) {
-            deliver(node, incarnation, DocumentRead{cellName, DocumentCopy{DocumentRevision(1), documentText}, RowVersion(1)});
-        } else {
-            deliver(node, incarnation, DocumentRead{cellName, PlatformUnavailable(), RowVersion()});
+        showEpoch(call.node, call.incarnation);
+        if (!isCurrent(call)) {
+            return;
         }
+        ++m_nodes[call.node].documentCall;
+        const bool isOutdated = call.after && call.epoch != m_platform.epoch;
+        deliver(call.node, call.incarnation, isOutdated ? EventBody(DocumentFollowed{HistoryLost(), RowVersion()}) : answer);
     });
 }
 
-void TargetLeaseHarness::restorePlatform(Duration age)
+void TargetLeaseHarness::putDocument()
+{
+    m_documents.put(m_now);
+    m_accepted[m_documents.newestRevision()] = m_now;
+    answerDocumentCalls();
+}
+
+void TargetLeaseHarness::restorePlatform(Duration age, Duration documentRewrittenAfter)
 {
     m_platform.restore(m_now - age);
+    m_documents.restore(m_now - age);
+    for (DocumentCall &call : m_documentCalls) {
+        call.waitsForLostVersion = call.after && *call.after > m_documents.version();
+    }
+    answerDocumentCalls();
+    schedule(documentRewrittenAfter, [this] {
+        m_documents.rewrite(m_now);
+        answerDocumentCalls();
+    });
+    m_platformDisturbedUntil = m_now + documentRewrittenAfter;
+}
+
+void TargetLeaseHarness::setPlatformSilent(bool silent)
+{
+    m_platformSilent = silent;
+    m_platformDisturbedUntil = silent ? Duration::max() : m_now;
+    m_documentCalls.clear();
+}
+
+void TargetLeaseHarness::silenceConnections()
+{
+    m_documentCalls.clear();
+    m_messagesLostUntil = m_now + peerSilenceNoticedAfter;
+    for (Node &node : m_nodes) {
+        node.silencedCalls = node.documentCall;
+        node.silentConnection = true;
+        node.disturbedUntil = std::max(node.disturbedUntil, m_now);
+    }
+}
+
+void TargetLeaseHarness::dropHistory()
+{
+    m_documents.dropHistory();
+    m_platformDisturbedUntil = std::max(m_platformDisturbedUntil, m_now);
+    const std::vector<DocumentCall> calls = std::exchange(m_documentCalls, {});
+    for (const DocumentCall &call : calls) {
+        answerDocumentCall(call, DocumentFollowed{HistoryLost(), RowVersion()});
+    }
+}
+
+bool TargetLeaseHarness::isCalm(std::size_t node, Duration calmFor) const
+{
+    const Node &entry = m_nodes[node];
+    const Duration disturbedUntil = std::max({entry.disturbedUntil, entry.pausedUntil, m_platformDisturbedUntil});
+    return isUp(node) && !entry.isolated && !entry.cutFromPlatform && lossPerMille == 0 && m_now - calmFor >= disturbedUntil;
+}
+
+std::optional<Duration> TargetLeaseHarness::longestDocumentDelay(Duration calmFor) const
+{
+    std::optional<Duration> longest;
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        if (m_platformDisturbedUntil == Duration::max() || !isCalm(node, calmFor)) {
+            continue;
+        }
+        const auto next = m_accepted.upper_bound(documentOf(node));
+        if (next != m_accepted.end()) {
+            longest = std::max(longest, std::optional(m_now - next->second));
+        }
+    }
+    return longest;
 }
 
 void TargetLeaseHarness::execute(std::size_t node, const Effect &effect)
@@ -421,7 +550,7 @@
     std::visit(Overloaded{
                    [&](const SendPeerMessage &send) {
                        const std::size_t to = send.to.port;
-                       if (m_nodes[node].isolated || m_nodes[to].isolated || random(1000) < lossPerMille) {
+                       if (m_nodes[node].isolated || m_nodes[to].isolated || m_now < m_messagesLostUntil || random(1000) < lossPerMille) {
                            return;
                        }
                        const Duration after = delay / 10 + Duration(static_cast<std::int64_t>(random(static_cast<std::uint64_t>(delay.count()))));
@@ -453,8 +582,8 @@
                            return MemberRowWriteFinished{RowWritten{RowVersion(1)}};
                        });
                    },
-                   [&](const ReadDocument &) { callForDocument(node, std::chrono::milliseconds(4), true); },
-                   [&](const FollowDocument &follow) { callForDocument(node, follow.wait, false); },
+                   [&](const ReadDocument &) { callForDocument(node, std::nullopt, Duration(0), callTimeout); },
+                   [&](const FollowDocument &follow) { callForDocument(node, follow.after, follow.wait, follow.wait + callTimeout); },
                    [&](const AnswerTarget &answer) {
                        if (!answer.grant) {
                            return;
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "documentformat.h"
+#include "fakedocumentfeed.h"
 #include "fakeplatform.h"
 #include "reducer.h"
 
@@ -62,12 +63,28 @@
     void pauseNode(std::size_t node, Duration length);
     void setIsolated(std::size_t node, bool isolated);
     void setCutFromPlatform(std::size_t node, bool cut);
-    /** Restores the platform's table from a copy of the given age. */
-    void restorePlatform(Duration age);
+    /** Restores the platform's table from a copy of the given age. The operator writes the newest document again after some time. */
+    void restorePlatform(Duration age, Duration documentRewrittenAfter = Duration(0));
+    /** Whether the platform answers nobody; calls sent meanwhile are lost. */
+    void setPlatformSilent(bool silent);
+    /** Open connections of all nodes, to the platform and to each other, transfer nothing more; new ones work. */
+    void silenceConnections();
+    /** The platform discards its history of changes. */
+    void dropHistory();
+
+    /** Accepts the next revision of the document. */
+    void putDocument();
+    DocumentRevision documentOf(std::size_t node) const { return m_nodes[node].reducer->cell().documentRevision(); }
+    /**
+     * Returns the longest time for which a node that has been calm for the given time now uses a document although a newer one
+     * was accepted; empty if each of them uses the newest. A node is calm while no fault concerns it or the platform.
+     */
+    std::optional<Duration> longestDocumentDelay(Duration calmFor) const;
     /** Removes all injected faults and starts all nodes and targets that were killed. */
     void healAll();
 
     bool isUp(std::size_t node) const { return m_nodes[node].reducer != nullptr; }
+    bool isIsolated(std::size_t node) const { return m_nodes[node].isolated; }
     std::size_t size() const { return m_nodes.size(); }
     /** Returns the number of shards that all targets hold together. */
     std::size_t heldShards() const;
@@ -110,10 +127,28 @@
         double clockRate = 1;
         bool isolated = false;
         bool cutFromPlatform = false;
+        /** End of the last fault that concerned the node. */
+        Duration disturbedUntil{0};
         /** Number of the latest call for the document. */
         std::uint64_t documentCall = 0;
+        /** Latest call whose connection has fallen silent. */
+        std::uint64_t silencedCalls = 0;
+        /** The connection that the next call other than for documents uses transfers nothing. */
+        bool silentConnection = false;
         Target target;
     };
+    /** A call for the document that has reached the platform and is not answered yet. */
+    struct DocumentCall {
+        std::size_t node = 0;
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;
+        /** Version after which changes are requested; empty if the row is read. */
+        std::optional<RowVersion> after;
+        /** Epoch that the node had seen when it sent the call. */
+        TableEpoch epoch;
+        /** The call was waiting when the table was restored, and its version is higher than those of the copy. */
+        bool waitsForLostVersion = false;
+    };
     struct SentHeartbeat {
         Duration sentAt;
         std::uint64_t targetIncarnation = 0;
@@ -130,7 +165,15 @@
     void deliver(std::size_t node, std::uint64_t incarnation, EventBody body);
     void execute(std::size_t node, const Effect &effect);
     void writeCellRow(std::size_t node, const WriteCellRow &write);
-    void callForDocument(std::size_t node, Duration wait, bool reads);
+    void callForDocument(std::size_t node, std::optional<RowVersion> after, Duration wait, Duration timeLimit);
+    /** Answers the calls for the document for which there is an answer now. */
+    void answerDocumentCalls();
+    void answerDocumentCall(const DocumentCall &call, EventBody answer);
+    DocumentFollowed followAnswer(const DocumentCall &call) const;
+    /** Returns whether the node still waits for the answer to the call, and can receive it. */
+    bool isCurrent(const DocumentCall &call) const;
+    bool isPlatformReachable(std::size_t node) const { return !m_platformSilent && !m_nodes[node].cutFromPlatform; }
+    bool isCalm(std::size_t node, Duration calmFor) const;
     void showEpoch(std::size_t node, std::uint64_t incarnation);
     void replyFromPlatform(std::size_t node, std::function<EventBody(bool reachable)> access);
     void tickLoop(std::size_t node, std::uint64_t incarnation);
@@ -150,6 +193,15 @@
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     std::mt19937_64 m_random;
     FakePlatform m_platform;
+    FakeDocumentFeed m_documents;
+    std::vector<DocumentCall> m_documentCalls;
+    /** Times at which the revisions of the document were accepted. */
+    std::map<DocumentRevision, Duration> m_accepted;
+    bool m_platformSilent = false;
+    /** End of the last fault of the platform. */
+    Duration m_platformDisturbedUntil{0};
+    /** Messages between nodes are lost until then, as their connections have fallen silent. */
+    Duration m_messagesLostUntil{0};
     /** Heartbeats of all targets, in the order sent; an announcement's number is its index plus 1. */
     std::vector<SentHeartbeat> m_sentHeartbeats;
     std::vector<Fence> m_highestFences{shards};
