Put documents in force in time although calls that wait for them are lost without a sign

What callers saw: requests routed by an old document for seconds after a newer one was acknowledged (CONFIG), with silent connections, a restored table or several faults at once.

Cause: a call that waits for changes can be lost and looks like one that waits. Its connection has fallen silent, or the table was restored and the call waits for a version that the copy does not reach. The node noticed at the call's own time limit, 9.5 s, or, where the other end's kernel has lost the connection, after the 3 to 4 s of the kernel's keep-alive, both over the users' bound of 2 s with 3 s of calm. As such faults hit all nodes at the same time, the coordinator waited as well and had nothing to tell.

Change: the coordinator states with each answer to a heartbeat how long ago the platform confirmed its document. A call waits 8 s only while that is younger than 1.5 s; else it waits 0.8 s, has 0.5 s for its answer, and a longer one is replaced at once. So the coordinator itself, a node without one, and one whose coordinator cannot reach the platform notice a lost call within 1.3 s. A replaced call uses a new connection, and the delay before a retry counts from the failed call's start.

Ruled out: short waits at all nodes (1.2 calls a second and node where the table gives 2,000 to all), the kernel's keep-alive alone (it needs the other end's kernel to have forgotten the connection), epochs in heartbeats (they cover a restoration only).

The test of calls after a failure states now that the coordinator confirms, as only then calls wait for a second or more. The message gains a field; nodes from before and after can run in one cell, those from before confirm nothing.

--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -497,6 +497,7 @@
         status.sentVersion = m_ledger.map().version;
         status.mapSentAt = now;
     }
+    answer.documentAge = m_context.documentFreshness.ageByPlatform(now);
     if (heartbeat.document < answer.document) {
         answer.newerDocument = m_context.documents.copy();
     }
--- a/src/libnutmeghinge/documentfollower.h
+++ b/src/libnutmeghinge/documentfollower.h
@@ -16,8 +16,11 @@
  * same version, without waiting until one is answered, so that the platform's
  * return is noticed within a call's timeout. Reads the row again if the platform
  * no longer has the changes since then. Each node follows the document on its own, so the failure
- * of one node does not keep a document from the others. Owned by the
- * TablePolling.
+ * of one node does not keep a document from the others.
+ *
+ * A call that waits can be lost without a sign. Calls wait long only while the
+ * coordinator, whose own calls wait briefly, confirms that there is no newer
+ * document. Owned by the TablePolling.
  */
 class DocumentFollower
 {
@@ -33,6 +36,11 @@
     void documentFollowed(const DocumentFollowed &answer, MonotonicTime now, EffectList &effects);
 
 private:
+    /** Returns whether the call in progress waits too long now that the coordinator no longer confirms the document. */
+    bool isWaitUnconfirmed(MonotonicTime now) const;
+    void sendCall(MonotonicTime now, EffectList &effects);
+    /** Returns the time up to which the answer to the latest call, which states no change, excludes one. */
+    MonotonicTime noChangeUntil(MonotonicTime now) const;
     /** Schedules the next call after one that the platform answered. */
     void callAgain(MonotonicTime now);
     /** Schedules the next call after one that failed. */
@@ -44,10 +52,12 @@
     bool m_calling = false;
     /** Time at which the latest call was sent. */
     MonotonicTime m_sentAt;
+    /** Time for which the platform may hold the latest call. */
+    Duration m_wait{0};
     bool m_lastCallFailed = false;
     /** Earliest time of the next call. */
     MonotonicTime m_callAt;
-    /** Delay after the next failed call. */
+    /** Shortest interval between the next failed call and the one after it. */
     Duration m_retry;
 };
 
--- a/src/libnutmeghinge/documentfreshness.cpp
+++ b/src/libnutmeghinge/documentfreshness.cpp
@@ -1,18 +1,42 @@
 #include "documentfreshness.h"
 
-#include <algorithm>
-
 namespace nutmeghinge {
 
-void DocumentFreshness::confirmedByPlatform(MonotonicTime sentAt)
+namespace {
+
+/** Covers a call of the coordinator that waits, and the interval between heartbeats. */
+constexpr Duration confirmationLifetime = std::chrono::milliseconds(1500);
+
+std::optional<Duration> ageOf(const std::optional<MonotonicTime> &at, MonotonicTime now)
+{
+    return at ? std::optional<Duration>(std::max(Duration(0), std::chrono::duration_cast<Duration>(now - *at))) : std::nullopt;
+}
+
+} // namespace
+
+void DocumentFreshness::confirmedByPlatform(MonotonicTime at)
+{
+    m_byPlatform = std::max(m_byPlatform, std::optional(at));
+}
+
+void DocumentFreshness::confirmedByCoordinator(MonotonicTime at)
+{
+    m_byCoordinator = std::max(m_byCoordinator, std::optional(at));
+}
+
+bool DocumentFreshness::isConfirmedByCoordinator(MonotonicTime now) const
 {
-    m_byPlatform = std::max(m_byPlatform, std::optional(sentAt));
+    return m_byCoordinator && now < *m_byCoordinator + confirmationLifetime;
+}
+
+std::optional<Duration> DocumentFreshness::ageByPlatform(MonotonicTime now) const
+{
+    return ageOf(m_byPlatform, now);
 }
 
 std::optional<Duration> DocumentFreshness::age(MonotonicTime now) const
 {
-    const std::optional<MonotonicTime> at = confirmedAt();
-    return at ? std::optional<Duration>(std::max(Duration(0), std::chrono::duration_cast<Duration>(now - *at))) : std::nullopt;
+    return ageOf(confirmedAt(), now);
 }
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/documentfreshness.h
+++ b/src/libnutmeghinge/documentfreshness.h
@@ -2,6 +2,7 @@
 
 #include "units.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace nutmeghinge {
@@ -15,16 +16,23 @@
 class DocumentFreshness
 {
 public:
-    /** Records a call about documents that the platform answered. sentAt: when the call was sent; later changes need not be in its answer. */
-    void confirmedByPlatform(MonotonicTime sentAt);
+    /** Records that the platform had no newer document at the given time. */
+    void confirmedByPlatform(MonotonicTime at);
+    /** Records that the coordinator knew of no newer document at the given time. */
+    void confirmedByCoordinator(MonotonicTime at);
 
+    /** Returns whether the coordinator would have told this node of a newer document that the platform accepted a while ago. */
+    bool isConfirmedByCoordinator(MonotonicTime now) const;
     /** Returns the latest time at which this node's document was known to be the newest; empty before the first. */
-    std::optional<MonotonicTime> confirmedAt() const { return m_byPlatform; }
+    std::optional<MonotonicTime> confirmedAt() const { return std::max(m_byPlatform, m_byCoordinator); }
+    /** Returns the time since the platform last confirmed it to this node itself; empty if it never did. */
+    std::optional<Duration> ageByPlatform(MonotonicTime now) const;
     /** Returns the time since the document was last known to be the newest; empty if it never was. */
     std::optional<Duration> age(MonotonicTime now) const;
 
 private:
     std::optional<MonotonicTime> m_byPlatform;
+    std::optional<MonotonicTime> m_byCoordinator;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -55,7 +55,7 @@
 
 /**
  * Reads the accepted revision of a service's document and its text. Replaces an outstanding ReadDocument or FollowDocument, which
- * has no result then.
+ * has no result then; the connections that were open at that time are not used for it, since they may have fallen silent.
  */
 struct ReadDocument {
     ServiceName service;
@@ -73,6 +73,8 @@
     RowVersion after;
     /** Longest time to wait for a change. */
     Duration wait{0};
+    /** Time after which the call has failed, the waiting included. */
+    Duration timeLimit{0};
 };
 
 /** Reads the cell rows of all services. */
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -109,6 +109,9 @@
     if (answer.newerDocument && m_context.offerDocument(*answer.newerDocument, DocumentSource::Coordinator, event.at, effects)) {
         m_heartbeatRequested = true;
     }
+    if (answer.documentAge && m_context.documents.highestRevisionSeen() >= answer.document) {
+        m_context.documentFreshness.confirmedByCoordinator(answer.sentAt - m_context.timings.withDrift(*answer.documentAge));
+    }
     if (answer.revision > m_context.members.revision()) {
         m_context.row.requestRead();
     }
--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -91,6 +91,8 @@
     std::vector<MemberLoad> loads;
     /** Time, counted from sentAt, for which a successor of the coordinator may act without writing to the table. */
     Duration holdLeft{0};
+    /** Time since the platform last confirmed to the coordinator that its document is the newest; empty if it never did. */
+    std::optional<Duration> documentAge;
 
     friend bool operator==(const HeartbeatAnswer &, const HeartbeatAnswer &) = default;
 };
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -194,6 +194,7 @@
         to.setSentAt(microsecondsOf(message.sentAt));
         to.setLease(message.lease.count());
         to.setHoldLeft(message.holdLeft.count());
+        to.setDocumentAge(message.documentAge ? message.documentAge->count() : -1);
         if (message.map) {
             writeMap(to.initMap(), *message.map);
         }
@@ -468,6 +469,9 @@
         message.sentAt = time(from.getSentAt());
         message.lease = duration(from.getLease(), Codec::maxLease, "lease");
         message.holdLeft = duration(from.getHoldLeft(), Codec::maxHoldLeft, "remaining hold limit");
+        if (from.getDocumentAge() >= 0) {
+            message.documentAge = duration(from.getDocumentAge(), Codec::maxDocumentAge, "age of the document");
+        }
         if (from.hasMap()) {
             message.map = map(from.getMap());
         }
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -38,6 +38,7 @@
     static constexpr std::uint64_t maxMilliRequestsPerSecond = 1'000'000'000'000;
     static constexpr Duration maxLease{std::chrono::minutes(10)};
     static constexpr Duration maxHoldLeft{std::chrono::hours(24 * 365)};
+    static constexpr Duration maxDocumentAge{std::chrono::hours(24 * 365)};
     static constexpr Duration maxAge{std::chrono::hours(24 * 365)};
     static constexpr std::size_t maxDocumentBytes = std::size_t(1) << 20U;
     static constexpr std::size_t maxEntries = 65536;
--- a/tests/core/documentfollowertest.cpp
+++ b/tests/core/documentfollowertest.cpp
@@ -79,22 +79,23 @@
 Duration lateness(const Outage &outage, Duration putAt)
 {
     constexpr Duration step = 10ms;
-    constexpr Duration callTimeout = 1500ms;
     Setup setup;
     setup.reads();
     setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
     bool calling = false;
     Duration sentAt{0};
     Duration wait{0};
+    Duration timeLimit{0};
     for (Duration at{0}; at < outage.end + 30s; at += step) {
         for (const Effect &effect : setup.tickAfter(step)) {
             calling = true;
             sentAt = at;
             wait = std::get<FollowDocument>(effect).wait;
+            timeLimit = std::get<FollowDocument>(effect).timeLimit;
         }
         const bool isLost = outage.covers(sentAt) || outage.covers(at);
         const bool isPut = at >= putAt;
-        if (calling && isLost && at >= sentAt + wait + callTimeout) {
+        if (calling && isLost && at >= sentAt + timeLimit) {
             calling = false;
             setup.followed({PlatformUnavailable(), RowVersion()});
         } else if (calling && !isLost && isPut) {
@@ -158,7 +159,10 @@
     Setup setup;
     setup.reads();
     setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
-    const auto waitOf = [&](Duration after) { return std::get<FollowDocument>(setup.tickAfter(after).at(0)).wait; };
+    const auto waitOf = [&](Duration after) {
+        setup.context.documentFreshness.confirmedByCoordinator(setup.now + after);
+        return std::get<FollowDocument>(setup.tickAfter(after).at(0)).wait;
+    };
     CHECK(waitOf(0s) >= 1s);
     for (int failure = 0; failure < 3; ++failure) {
         setup.followed({PlatformUnavailable(), RowVersion()});
@@ -169,6 +173,23 @@
     CHECK(waitOf(0s) >= 1s);
 }
 
+TEST_CASE("A call that waits long is replaced once the coordinator no longer confirms the document, and the next one does not wait")
+{
+    Setup setup;
+    setup.reads();
+    setup.read({ServiceName("all"), Setup::document(3), RowVersion(40)});
+    setup.context.documentFreshness.confirmedByCoordinator(setup.now);
+    CHECK(std::get<FollowDocument>(setup.tickAfter(0s).at(0)).wait >= 1s);
+    CHECK(setup.tickAfter(1400ms).empty());
+    setup.context.documentFreshness.confirmedByCoordinator(setup.now);
+    CHECK(setup.tickAfter(1400ms).empty());
+    const Effects replaced = setup.tickAfter(200ms);
+    REQUIRE(replaced.size() == 1);
+    CHECK(std::get<FollowDocument>(replaced.front()).wait == 0s);
+    setup.followed({RowAbsent(), RowVersion(40)});
+    CHECK(std::get<FollowDocument>(setup.tickAfter(0s).at(0)).timeLimit < 1500ms);
+}
+
 TEST_CASE("A silent outage of the platform does not keep documents out of force for longer than three seconds after it")
 {
     for (Duration start = 50ms; start < 9s; start += 470ms) {
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -583,7 +583,7 @@
                        });
                    },
                    [&](const ReadDocument &) { callForDocument(node, std::nullopt, Duration(0), callTimeout); },
-                   [&](const FollowDocument &follow) { callForDocument(node, follow.after, follow.wait, follow.wait + callTimeout); },
+                   [&](const FollowDocument &follow) { callForDocument(node, follow.after, follow.wait, follow.timeLimit); },
                    [&](const AnswerTarget &answer) {
                        if (!answer.grant) {
                            return;
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -152,6 +152,11 @@
                      anyOptional(document)};
 }
 
+Duration documentAge()
+{
+    return Duration(upTo<std::int64_t>(Codec::maxDocumentAge.count()));
+}
+
 PeerMessage heartbeatAnswer()
 {
     return HeartbeatAnswer{Term(counter()),
@@ -162,7 +167,8 @@
                            DocumentRevision(counter()),
                            anyOptional(document),
                            listOf(load),
-                           Duration(upTo<std::int64_t>(Codec::maxHoldLeft.count()))};
+                           Duration(upTo<std::int64_t>(Codec::maxHoldLeft.count())),
+                           anyOptional(documentAge)};
 }
 
 PeerMessage handoverOffer()
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -5,6 +5,7 @@
 #include "httpclient.h"
 #include "rununtil.h"
 #include "scriptedserver.h"
+#include "tcprelay.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -71,7 +72,7 @@
     return row;
 }
 
-const FollowDocument follow{ServiceName("all"), RowVersion(40), std::chrono::milliseconds(10)};
+const FollowDocument follow{ServiceName("all"), RowVersion(40), std::chrono::milliseconds(10), std::chrono::milliseconds(1500)};
 
 } // namespace
 
@@ -117,7 +118,7 @@
 TEST_CASE("FollowDocument applies the last of several changes of the document in one answer")
 {
     Setup setup;
-    const FollowDocument follow{ServiceName("desk"), RowVersion(40), std::chrono::milliseconds(10)};
+    const FollowDocument follow{ServiceName("desk"), RowVersion(40), std::chrono::milliseconds(10), std::chrono::milliseconds(1500)};
     const auto row = [](int revision, bool removed) {
         const std::string value = toBase64(R"({"version":)" + std::to_string(revision) + "}");
         json row = {{"table", "op"}, {"part", ""}, {"key", "config"}, {"value", value}, {"ver", 500 + revision}};
@@ -259,3 +260,25 @@
     CHECK(setup.lastBody()["expect"].size() == 2);
     CHECK(setup.lastBody()["expect"][1] == condition);
 }
+
+TEST_CASE("A call for the document in place of a silent one uses none of the connections that were open, which may be silent too")
+{
+    EventLoop loop;
+    ScriptedServer server(loop);
+    server.setScript([](const HttpRequest &request) {
+        return ScriptedAnswer{200, rowsJson("op", "config", R"({"version":9})", 533), request.path.find("wait_ms=8000") != std::string::npos};
+    });
+    TcpRelay relay(loop, server.endpoint());
+    HttpClient client(loop, 4);
+    std::vector<EventBody> events;
+    StoreClient store(loop, client, relay.endpoint(), [&](EventBody event) { events.push_back(std::move(event)); });
+    store.run(FollowDocument{ServiceName("all"), RowVersion(40), std::chrono::seconds(8), std::chrono::seconds(9)});
+    store.run(ReadMemberRows{ServiceName("all")});
+    REQUIRE(runUntil(loop, [&] { return events.size() == 1 && server.requests().size() == 2; }));
+    relay.stallCurrent();
+    store.run(FollowDocument{ServiceName("all"), RowVersion(40), Duration(0), std::chrono::milliseconds(1500)});
+    REQUIRE(runUntil(loop, [&] { return events.size() == 2; }));
+    const auto &followed = std::get<DocumentFollowed>(events.back());
+    REQUIRE(std::holds_alternative<DocumentCopy>(followed.result));
+    CHECK(std::get<DocumentCopy>(followed.result).revision == DocumentRevision(9));
+}
