--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "soakchecks.h"
 #include "soakrun.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
@@ -19,6 +20,15 @@
     SoakExtras extras;
 };
 
+std::chrono::milliseconds longestDelay(const SoakObservations &observations)
+{
+    std::chrono::milliseconds longest(0);
+    for (const SoakDocumentDelay &observed : observations.documentDelays) {
+        longest = std::max(longest, observed.delay);
+    }
+    return longest;
+}
+
 /** Runs the plan of one seed. Returns whether every check passed. */
 bool runSeed(std::uint64_t seed, const Options &options)
 {
@@ -26,7 +36,8 @@
     const SoakObservations observations = run.run();
     const std::vector<std::string> violations = findViolations(observations);
     std::cout << "seed " << seed << ": " << observations.requests.size() << " requests, " << observations.executions.size() << " executions, "
-              << run.plan().size() << " steps, " << violations.size() << " violations" << std::endl;
+              << run.plan().size() << " steps, document in force after " << longestDelay(observations).count() << " ms, " << violations.size() << " violations"
+              << std::endl;
     for (const std::string &violation : violations) {
         std::cout << "  " << violation << '\n';
     }
@@ -94,6 +105,8 @@
     description.add_options()(
         "restorations", po::value(&options.extras.restorations), "restorations of the platform's table from a copy in each seed; default 0");
     description.add_options()("statements", po::value(&options.extras.statements), "limits and departures that targets state in each seed; default 0");
+    description.add_options()(
+        "silences", po::value(&options.extras.silences), "times at which the open connections to the platform fall silent in each seed; default 0");
     description.add_options()("nodes", po::value(&options.nodes)->default_value(options.nodes), "number of nodes, each with a target");
     description.add_options()("seconds", po::value(&options.seconds)->default_value(options.seconds), "time during which each seed injects faults");
     try {
--- a/tests/soak/soakchecks.cpp
+++ b/tests/soak/soakchecks.cpp
@@ -95,6 +95,17 @@
     }
 }
 
+/** Checks that each node used a new document within seven seconds, the time in which the users expect it in force everywhere. */
+void checkDocumentDelays(const SoakObservations &observations, Violations &violations)
+{
+    constexpr std::chrono::seconds limit(7);
+    for (const SoakDocumentDelay &observed : observations.documentDelays) {
+        if (observed.delay > limit) {
+            violations.push_back(observed.node + " did not use a document until " + std::to_string(observed.delay.count()) + " ms after it was accepted");
+        }
+    }
+}
+
 void checkRecovery(const SoakObservations &observations, Violations &violations)
 {
     for (const std::string &key : observations.unservedKeys) {
@@ -160,7 +171,7 @@
 std::vector<std::string> findViolations(const SoakObservations &observations)
 {
     Violations violations = observations.failures;
-    for (const auto check : {checkOrders, checkAnswers, checkFences, checkPlannedStops, checkDocuments, checkRecovery, checkStatements}) {
+    for (const auto check : {checkOrders, checkAnswers, checkFences, checkPlannedStops, checkDocuments, checkDocumentDelays, checkRecovery, checkStatements}) {
         check(observations, violations);
     }
     return violations;
--- a/tests/soak/soakcheckstest.cpp
+++ b/tests/soak/soakcheckstest.cpp
@@ -105,6 +105,15 @@
     CHECK(reportsOnly(missing, "in force at the end"));
 }
 
+TEST_CASE("The soak checks report a node that did not use a new document in time")
+{
+    SoakObservations late = cleanRun();
+    late.documentDelays = {{"node-a", 7000ms}, {"node-b", 3ms}};
+    CHECK(findViolations(late).empty());
+    late.documentDelays.push_back({"node-c", 7001ms});
+    CHECK(reportsOnly(late, "did not use a document"));
+}
+
 TEST_CASE("The soak checks report a key that is not served after the last fault")
 {
     SoakObservations lost = cleanRun();
--- a/tests/soak/soakobservation.h
+++ b/tests/soak/soakobservation.h
@@ -56,6 +56,12 @@
     std::uint64_t revision = 0;
 };
 
+/** Time that a node took to use a document after it was accepted, without any other fault than silent connections. */
+struct SoakDocumentDelay {
+    std::string node;
+    std::chrono::milliseconds delay{0};
+};
+
 /** Everything that callers, targets and operators observed in one run. */
 struct SoakObservations {
     std::vector<SoakRequest> requests;
@@ -67,6 +73,7 @@
     std::vector<std::size_t> plannedStopsOnly;
     /** Highest revision that any node had in force at the end. */
     std::uint64_t lastDocument = 0;
+    std::vector<SoakDocumentDelay> documentDelays;
     /** Revision that each node had in force at the end. */
     std::vector<std::uint64_t> documentsAtEnd;
     /** Other failures: a node that did not exit or exited with an error after SIGTERM, a cluster that did not start. */
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -36,6 +36,7 @@
     ActionTraits{SoakAction::RestorePlatform, "restore platform from a copy", false, 6000},
     ActionTraits{SoakAction::LimitTarget, "target names a limit", false, 9000},
     ActionTraits{SoakAction::LeaveTarget, "target says that it leaves", false, 6000},
+    ActionTraits{SoakAction::SilencePlatformConnections, "open connections to the platform fall silent", false, 1},
 };
 
 const ActionTraits &traitsOf(SoakAction action)
@@ -85,6 +86,9 @@
     for (std::size_t index = 0; index < extras.statements; ++index) {
         addStep(index % 2 == 0 ? SoakAction::LimitTarget : SoakAction::LeaveTarget, below(vmCount));
     }
+    for (std::size_t index = 0; index < extras.silences; ++index) {
+        addStep(SoakAction::SilencePlatformConnections, 0);
+    }
     std::stable_sort(plan.begin(), plan.end(), [](const SoakStep &left, const SoakStep &right) { return left.at < right.at; });
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -27,6 +27,7 @@
     RestorePlatform,
     LimitTarget,
     LeaveTarget,
+    SilencePlatformConnections,
 };
 
 /** Steps that a plan contains besides those drawn from all other actions. */
@@ -35,6 +36,8 @@
     std::size_t restorations = 0;
     /** Limits and departures that targets state in their answers, in turn. */
     std::size_t statements = 0;
+    /** Times at which all open connections to the platform fall silent for good. */
+    std::size_t silences = 0;
 };
 
 /** Name of the action in printed plans. */
--- a/tests/soak/soakrelay.cpp
+++ b/tests/soak/soakrelay.cpp
@@ -82,6 +82,7 @@
 
 void SoakRelay::relayConnection(int caller)
 {
+    const std::uint64_t silencesBefore = m_silences;
     std::string destination;
     {
         const std::lock_guard lock(m_mutex);
@@ -97,7 +98,7 @@
     bool open = true;
     while (open && !m_stopping) {
         std::array<pollfd, 2> both{{{caller, POLLIN, 0}, {callee, POLLIN, 0}}};
-        if (m_stalled) {
+        if (m_stalled || m_silences != silencesBefore) {
             std::this_thread::sleep_for(std::chrono::milliseconds(pollMilliseconds));
             continue;
         }
--- a/tests/soak/soakrelay.h
+++ b/tests/soak/soakrelay.h
@@ -29,6 +29,8 @@
     void setDelay(std::chrono::milliseconds delay) { m_delayMs = delay.count(); }
     /** While stalled, no bytes are relayed in either direction; connections stay open. */
     void setStalled(bool stalled) { m_stalled = stalled; }
+    /** Open connections relay nothing more, without being closed; new ones work. */
+    void silenceOpen() { ++m_silences; }
     /** Resets all open connections. */
     void resetAll();
 
@@ -45,6 +47,8 @@
     std::vector<std::thread> m_threads;
     std::atomic<std::int64_t> m_delayMs{0};
     std::atomic<bool> m_stalled{false};
+    /** Number of calls of silenceOpen(); a connection is silent if there was one since it was accepted. */
+    std::atomic<std::uint64_t> m_silences{0};
     std::atomic<bool> m_stopping{false};
     int m_listener = -1;
     std::uint16_t m_port = 0;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -229,6 +229,9 @@
     case SoakAction::RestorePlatform:
         TestCluster::control(m_cluster.platform(), {{"restoreAgeMs", step.length.count()}});
         break;
+    case SoakAction::SilencePlatformConnections:
+        silencePlatformConnections();
+        break;
     case SoakAction::LimitTarget:
         beginStatement(vm, namedLimit);
         break;
@@ -412,6 +415,40 @@
     }
 }
 
+void SoakRun::silencePlatformConnections()
+{
+    for (const Vm &vm : m_vms) {
+        vm.platform->silenceOpen();
+    }
+}
+
+void SoakRun::measureDocumentDelays()
+{
+    constexpr std::chrono::seconds longestWait(15);
+    silencePlatformConnections();
+    putDocument();
+    const SoakTime accepted = now();
+    std::set<std::size_t> waiting;
+    for (std::size_t vmIndex = 0; vmIndex < m_vms.size(); ++vmIndex) {
+        waiting.insert(vmIndex);
+    }
+    const auto elapsed = [&] { return std::chrono::duration_cast<milliseconds>(now() - accepted); };
+    const auto usesNewest = [&](std::size_t vmIndex) {
+        if (m_cluster.status(*m_vms[vmIndex].processes).value("document", std::uint64_t(0)) <= m_observations.lastDocument) {
+            return false;
+        }
+        m_observations.documentDelays.push_back({m_vms[vmIndex].processes->name, elapsed()});
+        return true;
+    };
+    while (!waiting.empty() && elapsed() < longestWait) {
+        std::erase_if(waiting, usesNewest);
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    for (const std::size_t vmIndex : waiting) {
+        m_observations.documentDelays.push_back({m_vms[vmIndex].processes->name, elapsed()});
+    }
+}
+
 /** Reads executions from the logs of the targets. A target logs each execution before it starts, so a killed target loses none. */
 void SoakRun::readExecutions()
 {
@@ -454,6 +491,9 @@
     }
     applySteps();
     waitForRecovery();
+    if (m_observations.unservedKeys.empty()) {
+        measureDocumentDelays();
+    }
     m_stopping = true;
     for (std::thread &thread : threads) {
         thread.join();
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -54,6 +54,7 @@
     void waitUntilStopped(Vm &vm);
     void killNode(Vm &vm);
     void putDocument();
+    void silencePlatformConnections();
     /** Makes the VM's target state a limit, or its departure if the limit is 0, in its answers. */
     void beginStatement(Vm &vm, std::uint64_t limit);
     /** Ends the recorded statements of the VM's target; of departures only, if only its node has ended. */
@@ -63,6 +64,8 @@
     void callerLoop(std::uint64_t seed, std::size_t number);
     SoakRequest sendRequest(KeepAliveConnection &connection, std::size_t vmIndex, const std::string &key, const std::string &order) const;
     void waitForRecovery();
+    /** Silences the open connections to the platform, puts a document and records how long each node takes to use it. */
+    void measureDocumentDelays();
     void readExecutions();
     bool isServed(std::size_t vmIndex, const std::string &key) const;
 
