Show when keys come back under the default hold limit after a restoration and the loss of all nodes

On the virtual clock: no key is held before the hour has passed, all are held within the drift of the clocks and 30 s after it, and no key has two holders. That is what OPERATIONS.md states: nothing shorter is safe, since a coordinator that is cut off from the table may act until its hold limit ends, and a copy need not show which nodes belong to its cell. Whoever wants keys back sooner sets leases.holdLimit.

--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -1,3 +1,4 @@
+#include "document.h"
 #include "targetleaseharness.h"
 
 #include <catch2/catch.hpp>
@@ -481,6 +482,25 @@
     }
 }
 
+TEST_CASE("With the default hold limit, keys come back after a restoration of the table and the loss of all nodes, once the hold limit has passed")
+{
+    const Duration holdLimit = Document().holdLimit;
+    TargetLeaseHarness cell(3, 1, 0, Timings::forHeartbeatsOf(TargetLeaseHarness::heartbeat), holdLimit);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        cell.killNode(node);
+    }
+    cell.restorePlatform(4s);
+    cell.run(11s);
+    for (std::size_t node = 0; node < cell.size(); ++node) {
+        cell.startNode(node);
+    }
+    CHECK_FALSE(cell.runUntilAllHeld(holdLimit - 1s));
+    CHECK(cell.runUntilAllHeld(Timings().withDrift(holdLimit) - holdLimit + 30s));
+    CHECK(cell.violation() == "");
+}
+
 TEST_CASE("No key has two holders and fences increase under restorations of the table and random faults")
 {
     const auto holds = rc::check([] {
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -20,10 +20,15 @@
 const ServiceName service{"roster"};
 const ServiceName serviceWithoutKeys{"documents"};
 const ServiceName cellName{"all"};
-const std::string documentText = "service: roster\n"
-                                 "targets: {grants: heartbeat, holdTime: 10s}\n"
-                                 "keys: {header: x-key, placement: range, shards: 32}\n"
-                                 "leases: {holdLimit: 12s}\n";
+
+std::string documentText(Duration holdLimit)
+{
+    return "service: roster\n"
+           "targets: {grants: heartbeat, holdTime: 10s}\n"
+           "keys: {header: x-key, placement: range, shards: 32}\n"
+           "leases: {holdLimit: "
+           + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(holdLimit).count()) + "ms}\n";
+}
 
 /** Adds a service without keys to the one in the text. */
 class TwoServicesFormat : public DocumentFormat
@@ -48,13 +53,13 @@
     return node + m_nodesWithoutKeys < m_nodes.size() ? service : serviceWithoutKeys;
 }
 
-TargetLeaseHarness::TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys, Timings timings)
+TargetLeaseHarness::TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys, Timings timings, Duration holdLimit)
     : m_format(std::make_unique<YamlDocumentFormat>())
     , m_nodesWithoutKeys(nodesWithoutKeys)
     , m_timings(timings)
     , m_nodes(nodes)
     , m_random(seed)
-    , m_documents(documentText)
+    , m_documents(documentText(holdLimit))
 {
     if (nodesWithoutKeys > 0) {
         m_format = std::make_unique<TwoServicesFormat>();
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -27,8 +27,15 @@
     static constexpr std::uint32_t shards = 32;
     static constexpr Duration heartbeat = std::chrono::milliseconds(1000);
 
+    /** Hold limit of the document; as on the users' platform. */
+    static constexpr Duration shortHoldLimit = std::chrono::seconds(12);
+
     /** The last nodes, as many as given, have targets of a service without keys. */
-    TargetLeaseHarness(std::size_t nodes, std::uint64_t seed, std::size_t nodesWithoutKeys = 0, Timings timings = Timings::forHeartbeatsOf(heartbeat));
+    TargetLeaseHarness(std::size_t nodes,
+                       std::uint64_t seed,
+                       std::size_t nodesWithoutKeys = 0,
+                       Timings timings = Timings::forHeartbeatsOf(heartbeat),
+                       Duration holdLimit = shortHoldLimit);
     ~TargetLeaseHarness();
 
     /** Advances the virtual time; stops early at a violation. */
