Give no node the slot of a member whose row a restoration of the table has lost

Cause: a node that takes over a cell from a row of an earlier epoch took the row's next slot for itself, and only then the row's counter was raised by 256 for slots that lost rows may have given.

Change: the counter is raised when the row becomes known as one of an earlier epoch, before anything is built from it. The coordinator's first write of an epoch had the same order and is covered too.

--- a/src/libnutmeghinge/cellrowstore.cpp
+++ b/src/libnutmeghinge/cellrowstore.cpp
@@ -40,10 +40,17 @@
     m_absent = false;
     if (m_known) {
         m_known->version = RowVersion(0);
+        skipLostSlots();
         m_unchangedSince = now;
     }
 }
 
+/** Makes the next members get slots above all that rows may have given which the restoration has lost. */
+void CellRowStore::skipLostSlots()
+{
+    m_known->row.nextSlot = MemberSlot(m_known->row.nextSlot.value() + lostSlotsLimit);
+}
+
 void CellRowStore::read(const ServiceName &service, MonotonicTime now, EffectList &effects)
 {
     if (isBusy() || now < m_retryAt) {
@@ -61,7 +68,6 @@
     }
     if (m_known && !isOfThisEpoch()) {
         row.revision = CellRevision(row.revision.value() + lostRevisionsLimit);
-        row.nextSlot = MemberSlot(row.nextSlot.value() + lostSlotsLimit);
     }
     m_writing = true;
     m_pendingWrite = row;
@@ -107,7 +113,10 @@
     m_pendingWrite.reset();
     const bool changed = read && (!m_known || isNewer(read->row, m_known->row));
     if (changed) {
+        const MemberSlot nextSlot = m_known ? m_known->row.nextSlot : MemberSlot();
         m_known = *read;
+        skipLostSlots();
+        m_known->row.nextSlot = std::max(m_known->row.nextSlot, nextSlot);
         m_unchangedSince = now;
     }
     m_known->version = RowVersion(0);
--- a/src/libnutmeghinge/cellrowstore.h
+++ b/src/libnutmeghinge/cellrowstore.h
@@ -74,6 +74,7 @@
 
 private:
     void setKnown(VersionedCellRow row, MonotonicTime now);
+    void skipLostSlots();
     ReadOutcome keepNewest(const VersionedCellRow *read, MonotonicTime now);
     void recordReachability(bool reachable, MonotonicTime now, EffectList &effects);
 
