Tell each refused caller a time of its own to come back, at the pace at which room arises

What callers saw: all callers that a full queue refused at the same time were told the same Retry-After, came back together, and most of them were refused again.

Change: ReturnSchedule gives out times from the drain time of the queue on, one for each request that the slots or the target's limit let through, no later than a third of the time that the caller has left. If there is no room by then, the caller is told when there is. A request that only moves on to another replica takes no time from the schedule.

--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration minimumRetryAfter = std::chrono::milliseconds(100);
+/** A caller comes back after this part of the time that it has left, at the latest, so that it can be served in the rest. */
+constexpr int returnShare = 3;
 /** A longer sample counts as this multiple of the average, so that one long download does not look like a slow target. */
 constexpr int maximumSampleInAverages = 4;
 /** Ratio of the times of two classes above which requests of the one are short beside those of the other. */
@@ -70,6 +72,17 @@
     return std::max({drained, m_rateLimit.waitBehind(m_queue.size(), now), minimumRetryAfter});
 }
 
+Duration TargetAdmission::takeReturnTime(const Request &request, const Document &document, MonotonicTime now)
+{
+    Duration interval = m_serviceTime / m_health.limit(now, document.slowStart);
+    const std::optional<RequestRate> rate = m_rateLimit.rate();
+    if (rate && rate->value() > 0) {
+        interval = std::max(interval, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate->value())));
+    }
+    const Duration longest = std::max(minimumRetryAfter, std::chrono::duration_cast<Duration>(request.deadline - now) / returnShare);
+    return m_returnSchedule.next(now, retryAfter(document, now), interval, longest);
+}
+
 Duration TargetAdmission::serviceTime(std::uint32_t workClass) const
 {
     const auto known = m_classTimes.find(workClass);
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -2,6 +2,7 @@
 
 #include "ids.h"
 #include "rankedqueue.h"
+#include "returnschedule.h"
 #include "targethealth.h"
 #include "targetpace.h"
 #include "targetratelimit.h"
@@ -41,6 +42,8 @@
     Duration expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const;
     /** Returns the expected time until the present queue is empty and a further request may be sent, after which a refused caller may retry. */
     Duration retryAfter(const Document &document, MonotonicTime now) const;
+    /** Returns the delay after which a caller whose request is refused finally should come back; no two callers are told the same time. */
+    Duration takeReturnTime(const Request &request, const Document &document, MonotonicTime now);
     /** Returns the moving average of the target's time per request of this work class; that of all requests if the class is new. */
     Duration serviceTime(std::uint32_t workClass) const;
     const TargetPace &pace() const { return m_pace; }
@@ -71,6 +74,7 @@
     TargetHealth m_health;
     TargetRateLimit m_rateLimit;
     RankedQueue m_queue;
+    ReturnSchedule m_returnSchedule;
     std::uint32_t m_inFlight = 0;
     /** Number of attempts that block a handover, by shard. */
     std::vector<std::uint32_t> m_blocking;
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -491,9 +491,9 @@
 
 void RequestRouter::Private::handleFullQueue(Request &request, const Context &context)
 {
-    const Duration retryAfter = admission.retryAfter(document(), context.now);
     std::string reason = "the queue for the target is full: " + admission.describe(document(), context.now);
     if (request.sharded || request.hops > 0) {
+        const Duration retryAfter = admission.takeReturnTime(request, document(), context.now);
         refuse(request, {503, NotRunReason::Overloaded, retryAfter, std::move(reason)}, context);
         return;
     }
@@ -503,18 +503,19 @@
     ++request.attempts;
     AttemptNotRun result;
     result.reason = NotRunReason::Overloaded;
-    result.retryAfter = retryAfter;
+    result.retryAfter = admission.retryAfter(document(), context.now);
     result.notSent = true;
     RetryDecision decision = retryPolicy.decideAfterNotRun(request, result, context.now);
     if (auto *end = std::get_if<GiveUp>(&decision)) {
         end->refusal.detail = std::move(reason);
+        end->refusal.retryAfter = admission.takeReturnTime(request, document(), context.now);
     }
     applyDecision(request, decision, context);
 }
 
 void RequestRouter::Private::refuseAsExpired(Request &request, const Context &context)
 {
-    const Duration retryAfter = admission.retryAfter(document(), context.now);
+    const Duration retryAfter = admission.takeReturnTime(request, document(), context.now);
     refuse(request,
            {503, NotRunReason::DeadlineExpired, retryAfter, "no slot of the target became free in time: " + admission.describe(document(), context.now)},
            context);
