Count probes against the limit that a target names

A target that named a limit got its probes, one a second in the native protocol, on top of what the limit allows; a limit of 0 allows five requests in four seconds, which probes alone nearly used up. Probes now take from the same allowance, and under a limit none is sent while requests wait, as their answers tell more. Without a limit nothing changes.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -247,7 +247,7 @@
 void Cell::tick(const Event &event, EffectList &effects)
 {
     m_d->beginEvent(event, effects);
-    m_d->context.target.tick(event.at, effects);
+    m_d->context.target.tick(event.at, m_d->context.activity, effects);
     m_d->handover.tick(event.at, effects);
     m_d->coordinator.tick(event, effects);
     m_d->updateResigned();
--- a/src/libnutmeghinge/decisions/targetadmission.cpp
+++ b/src/libnutmeghinge/decisions/targetadmission.cpp
@@ -49,6 +49,15 @@
     return m_inFlight < m_health.limit(now, document.slowStart) && m_rateLimit.maySend(now);
 }
 
+bool TargetAdmission::takeProbe(MonotonicTime now)
+{
+    if (m_rateLimit.rate() && (!m_queue.isEmpty() || !m_rateLimit.maySend(now))) {
+        return false;
+    }
+    m_rateLimit.sent(now);
+    return true;
+}
+
 std::uint32_t TargetAdmission::usableSlots(MonotonicTime now) const
 {
     const std::optional<RequestRate> rate = m_rateLimit.placingRate(now);
--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -36,6 +36,8 @@
     void announced(const TargetAnnounced &announcement, MonotonicTime now);
     /** Returns whether a slot is free and the target's limit allows a request at this time. */
     bool maySend(const Document &document, MonotonicTime now) const;
+    /** Returns whether a probe may be sent, and counts it if so. Under a limit, queued requests go first: their answers tell more than a probe. */
+    bool takeProbe(MonotonicTime now);
     /** Returns the number of slots that requests may keep busy: those of the target, or fewer if it names a limit. At least 1. */
     std::uint32_t usableSlots(MonotonicTime now) const;
     /** Returns the expected time until a request queued at this rank is sent to the target. */
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -329,6 +329,11 @@
     return m_d->admission.inFlight() + m_d->admission.queue().size();
 }
 
+bool RequestRouter::takeProbe(MonotonicTime now)
+{
+    return m_d->admission.takeProbe(now);
+}
+
 MemberLoad RequestRouter::takeLoad(MonotonicTime now)
 {
     const Duration elapsed = now - m_d->loadSince.value_or(now);
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -91,6 +91,7 @@
     std::uint32_t blockingRequests(ShardIndex shard) const override;
     std::uint32_t runningRequests() const override;
     std::uint32_t targetRequests() const override;
+    bool takeProbe(MonotonicTime now) override;
     MemberLoad takeLoad(MonotonicTime now) override;
     std::vector<DeduplicationEntry> exportDeduplication(ShardIndex shard, MonotonicTime now) const override;
     void importDeduplication(const std::vector<DeduplicationEntry> &entries, MonotonicTime now) override;
--- a/src/libnutmeghinge/shardactivity.h
+++ b/src/libnutmeghinge/shardactivity.h
@@ -28,6 +28,8 @@
     virtual std::uint32_t runningRequests() const = 0;
     /** Returns the number of requests that the local target runs or that wait for its slots, without those forwarded to other nodes. */
     virtual std::uint32_t targetRequests() const { return runningRequests(); }
+    /** Returns whether the target's limit allows a probe now, and counts it as sent if so. */
+    virtual bool takeProbe(MonotonicTime /*now*/) { return true; }
     /** Returns the load since the last call. */
     virtual MemberLoad takeLoad(MonotonicTime now) = 0;
     /** Returns the deduplication memory of the shard, for a handover. */
--- a/src/libnutmeghinge/targetwatch.cpp
+++ b/src/libnutmeghinge/targetwatch.cpp
@@ -2,6 +2,7 @@
 
 #include "effectlist.h"
 #include "ownershipmap.h"
+#include "shardactivity.h"
 
 #include <algorithm>
 
@@ -98,7 +99,7 @@
     m_failedProbes = result.healthy ? 0 : m_failedProbes + 1;
 }
 
-void TargetWatch::tick(MonotonicTime now, EffectList &effects)
+void TargetWatch::tick(MonotonicTime now, ShardActivity &activity, EffectList &effects)
 {
     if (!m_latest) {
         return;
@@ -110,7 +111,7 @@
         record.detail = m_latest->target.value();
         effects.record(std::move(record));
     }
-    if (m_probeInterval > Duration::zero() && now >= m_nextProbe) {
+    if (m_probeInterval > Duration::zero() && now >= m_nextProbe && activity.takeProbe(now)) {
         m_nextProbe = now + m_probeInterval;
         effects.add(ProbeTarget{m_latest->endpoint});
     }
--- a/src/libnutmeghinge/targetwatch.h
+++ b/src/libnutmeghinge/targetwatch.h
@@ -10,6 +10,7 @@
 namespace nutmeghinge {
 
 class EffectList;
+class ShardActivity;
 struct OwnershipMap;
 
 /**
@@ -32,8 +33,8 @@
     bool statedLeaving(const TargetStated &stated, MonotonicTime now, EffectList &effects);
     /** Counts failed probes; a successful one resets the count. */
     void probed(const TargetProbed &result);
-    /** Sends a probe when one is due, and records when the target becomes unresponsive. */
-    void tick(MonotonicTime now, EffectList &effects);
+    /** Sends a probe when one is due and the target's limit allows it, and records when the target becomes unresponsive. */
+    void tick(MonotonicTime now, ShardActivity &activity, EffectList &effects);
 
     /** Returns the latest announcement; empty before the first. */
     const std::optional<TargetAnnounced> &latest() const { return m_latest; }
