--- a/src/libnutmeghinge/decisions/targetadmission.h
+++ b/src/libnutmeghinge/decisions/targetadmission.h
@@ -44,7 +44,7 @@
     Duration expectedWait(const QueueRank &rank, const Document &document, MonotonicTime now) const;
     /** Returns the expected time until the present queue is empty and a further request may be sent, after which a refused caller may retry. */
     Duration retryAfter(const Document &document, MonotonicTime now) const;
-    /** Returns the delay after which a caller whose request is refused finally should come back; no two callers are told the same time. */
+    /** Returns the delay after which a caller whose request is refused finally should come back, and keeps that time free for it. */
     Duration takeReturnTime(const Request &request, const Document &document, MonotonicTime now);
     /** Returns the moving average of the target's time per request of this work class; that of all requests if the class is new. */
     Duration serviceTime(std::uint32_t workClass) const;
