Play a slow and a refusing platform and lost messages in the pairs of faults that documents have to survive

A node is calm only while the platform answers at its normal speed, as in the users' rules; lost messages excuse a node only while they last, which is stricter.

--- a/tests/core/documentspreadtest.cpp
+++ b/tests/core/documentspreadtest.cpp
@@ -69,6 +69,15 @@
     Fault{"the coordinator is killed", [](TargetLeaseHarness &cell, Duration) { cell.killNode(coordinatorOf(cell)); }, restartEnded},
     Fault{"the coordinator is paused", [](TargetLeaseHarness &cell, Duration length) { cell.pauseNode(coordinatorOf(cell), length); }, nothing},
     Fault{"the coordinator is cut from all nodes", [](TargetLeaseHarness &cell, Duration) { cell.setIsolated(coordinatorOf(cell), true); }, endIsolation},
+    Fault{"the platform refuses all calls",
+          [](TargetLeaseHarness &cell, Duration) { cell.setPlatformRefusing(true); },
+          [](TargetLeaseHarness &cell) { cell.setPlatformRefusing(false); }},
+    Fault{"the platform is slow",
+          [](TargetLeaseHarness &cell, Duration) { cell.setPlatformDelay(350ms); },
+          [](TargetLeaseHarness &cell) { cell.setPlatformDelay(TargetLeaseHarness::normalPlatformDelay); }},
+    Fault{"a tenth of the messages between nodes are lost",
+          [](TargetLeaseHarness &cell, Duration) { cell.lossPerMille = 100; },
+          [](TargetLeaseHarness &cell) { cell.lossPerMille = 0; }},
     Fault{"all nodes are killed",
           [](TargetLeaseHarness &cell, Duration) {
               for (std::size_t node = 0; node < cell.size(); ++node) {
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
-/** Time that a call takes to reach the platform, and its answer to come back. */
-constexpr Duration platformDelay = std::chrono::milliseconds(2);
 /** Timeout of the adapter for a call, in addition to the time for which the platform may hold it. */
 constexpr Duration callTimeout = std::chrono::milliseconds(1500);
 /** Time after which connections between nodes that have fallen silent are replaced: a heartbeat and the wait for its answer. */
@@ -367,8 +365,8 @@
         schedule(callTimeout, [this, node, incarnation, access = std::move(access)] { deliver(node, incarnation, access(false)); });
         return;
     }
-    schedule(std::chrono::milliseconds(4), [this, node, incarnation, access = std::move(access)] {
-        const bool reachable = isPlatformReachable(node);
+    schedule(2 * m_platformDelay, [this, node, incarnation, access = std::move(access)] {
+        const bool reachable = isPlatformReachable(node) && !m_platformRefusing;
         EventBody answer = access(reachable);
         if (reachable) {
             showEpoch(node, incarnation);
@@ -412,28 +410,36 @@
 {
     const std::uint64_t incarnation = m_nodes[node].incarnation;
     const DocumentCall call{node, incarnation, ++m_nodes[node].documentCall, after, m_seenEpochs[{node, incarnation}]};
-    schedule(platformDelay, [this, call] {
-        if (isPlatformReachable(call.node)) {
-            m_documentCalls.push_back(call);
-            answerDocumentCalls();
+    schedule(m_platformDelay, [this, call] {
+        if (!isPlatformReachable(call.node)) {
+            return;
+        }
+        if (m_platformRefusing) {
+            schedule(m_platformDelay, [this, call] { failDocumentCall(call); });
+            return;
         }
+        m_documentCalls.push_back(call);
+        answerDocumentCalls();
     });
-    schedule(platformDelay + wait, [this, call] {
+    schedule(m_platformDelay + wait, [this, call] {
         const auto isSame = [&](const DocumentCall &other) { return other.node == call.node && other.number == call.number; };
         if (std::erase_if(m_documentCalls, isSame) > 0) {
             answerDocumentCall(call, DocumentFollowed{RowAbsent(), m_documents.version()});
         }
     });
-    schedule(timeLimit, [this, call] {
-        Node &entry = m_nodes[call.node];
-        if (!entry.reducer || entry.incarnation != call.incarnation || entry.documentCall != call.number) {
-            return;
-        }
-        ++entry.documentCall;
-        const EventBody failed = call.after ? EventBody(DocumentFollowed{PlatformUnavailable(), RowVersion()})
-                                            : EventBody(DocumentRead{cellName, PlatformUnavailable(), RowVersion()});
-        deliver(call.node, call.incarnation, failed);
-    });
+    schedule(timeLimit, [this, call] { failDocumentCall(call); });
+}
+
+void TargetLeaseHarness::failDocumentCall(const DocumentCall &call)
+{
+    Node &entry = m_nodes[call.node];
+    if (!entry.reducer || entry.incarnation != call.incarnation || entry.documentCall != call.number) {
+        return;
+    }
+    ++entry.documentCall;
+    const EventBody failed =
+        call.after ? EventBody(DocumentFollowed{PlatformUnavailable(), RowVersion()}) : EventBody(DocumentRead{cellName, PlatformUnavailable(), RowVersion()});
+    deliver(call.node, call.incarnation, failed);
 }
 
 bool TargetLeaseHarness::isCurrent(const DocumentCall &call) const
@@ -464,7 +470,7 @@
 /** Sends the answer. A node that has seen another epoch since it sent a call to follow takes it as lost history. */
 void TargetLeaseHarness::answerDocumentCall(const DocumentCall &call, EventBody answer)
 {
-    schedule(platformDelay, [this, call, answer = std::move(answer)] {
+    schedule(m_platformDelay, [this, call, answer = std::move(answer)] {
         if (!isPlatformReachable(call.node) || !isCurrent(call)) {
             return;
         }
@@ -497,16 +503,28 @@
         m_documents.rewrite(m_now);
         answerDocumentCalls();
     });
-    m_platformDisturbedUntil = m_now + documentRewrittenAfter;
+    m_platformDisturbedUntil = std::max(m_platformDisturbedUntil, m_now + documentRewrittenAfter);
 }
 
 void TargetLeaseHarness::setPlatformSilent(bool silent)
 {
     m_platformSilent = silent;
-    m_platformDisturbedUntil = silent ? Duration::max() : m_now;
+    m_platformDisturbedUntil = std::max(m_platformDisturbedUntil, m_now);
     m_documentCalls.clear();
 }
 
+void TargetLeaseHarness::setPlatformRefusing(bool refusing)
+{
+    m_platformRefusing = refusing;
+    m_platformDisturbedUntil = std::max(m_platformDisturbedUntil, m_now);
+}
+
+void TargetLeaseHarness::setPlatformDelay(Duration delay)
+{
+    m_platformDelay = delay;
+    m_platformDisturbedUntil = std::max(m_platformDisturbedUntil, m_now);
+}
+
 void TargetLeaseHarness::silenceConnections()
 {
     m_documentCalls.clear();
@@ -532,14 +550,15 @@
 {
     const Node &entry = m_nodes[node];
     const Duration disturbedUntil = std::max({entry.disturbedUntil, entry.pausedUntil, m_platformDisturbedUntil});
-    return isUp(node) && !entry.isolated && !entry.cutFromPlatform && lossPerMille == 0 && m_now - calmFor >= disturbedUntil;
+    const bool isPlatformSound = !m_platformSilent && !m_platformRefusing && m_platformDelay == normalPlatformDelay;
+    return isPlatformSound && isUp(node) && !entry.isolated && !entry.cutFromPlatform && lossPerMille == 0 && m_now - calmFor >= disturbedUntil;
 }
 
 std::optional<Duration> TargetLeaseHarness::longestDocumentDelay(Duration calmFor) const
 {
     std::optional<Duration> longest;
     for (std::size_t node = 0; node < m_nodes.size(); ++node) {
-        if (m_platformDisturbedUntil == Duration::max() || !isCalm(node, calmFor)) {
+        if (!isCalm(node, calmFor)) {
             continue;
         }
         const auto next = m_accepted.upper_bound(documentOf(node));
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -25,6 +25,7 @@
 {
 public:
     static constexpr std::uint32_t shards = 32;
+    static constexpr Duration normalPlatformDelay = std::chrono::milliseconds(2);
     static constexpr Duration heartbeat = std::chrono::milliseconds(1000);
 
     /** Hold limit of the document; as on the users' platform. */
@@ -74,6 +75,10 @@
     void restorePlatform(Duration age, Duration documentRewrittenAfter = Duration(0));
     /** Whether the platform answers nobody; calls sent meanwhile are lost. */
     void setPlatformSilent(bool silent);
+    /** Whether the platform refuses every call, as it does beyond its rates. */
+    void setPlatformRefusing(bool refusing);
+    /** Sets the time that a call takes to reach the platform, and its answer to come back. */
+    void setPlatformDelay(Duration delay);
     /** Open connections of all nodes, to the platform and to each other, transfer nothing more; new ones work. */
     void silenceConnections();
     /** The platform discards its history of changes. */
@@ -179,6 +184,7 @@
     DocumentFollowed followAnswer(const DocumentCall &call) const;
     /** Returns whether the node still waits for the answer to the call, and can receive it. */
     bool isCurrent(const DocumentCall &call) const;
+    void failDocumentCall(const DocumentCall &call);
     bool isPlatformReachable(std::size_t node) const { return !m_platformSilent && !m_nodes[node].cutFromPlatform; }
     bool isCalm(std::size_t node, Duration calmFor) const;
     void showEpoch(std::size_t node, std::uint64_t incarnation);
@@ -205,6 +211,8 @@
     /** Times at which the revisions of the document were accepted. */
     std::map<DocumentRevision, Duration> m_accepted;
     bool m_platformSilent = false;
+    bool m_platformRefusing = false;
+    Duration m_platformDelay = normalPlatformDelay;
     /** End of the last fault of the platform. */
     Duration m_platformDisturbedUntil{0};
     /** Messages between nodes are lost until then, as their connections have fallen silent. */
