--- a/tests/core/documentspreadtest.cpp
+++ b/tests/core/documentspreadtest.cpp
@@ -25,7 +25,7 @@
 
 void nothing(TargetLeaseHarness &) { }
 
-/** Calls the function with the coordinator, or with any node if there is none. */
+/** Returns the coordinator, or the first node if there is none. */
 std::size_t coordinatorOf(const TargetLeaseHarness &cell)
 {
     return cell.coordinator().value_or(0);
