Let the soak's restarted nodes choose their port for the target

Cause: TestCluster started a node again on the port that it had for its target. Change: where a relay stands between target and node, the system chooses the port and the relay follows it, as it did already at the first start. Tests without a relay keep the port, since their targets know no other. Ruled out: a wait or a second try on the same port; the port may stay taken.

--- a/tests/process/testcluster.cpp
+++ b/tests/process/testcluster.cpp
@@ -69,10 +69,12 @@
 {
     const std::string file = m_folder + '/' + vm.name + ".yaml";
     const bool restarted = !vm.announce.empty();
+    // Any socket may take the earlier port in the meantime; a relay follows the node to another one.
+    const bool keepsPort = restarted && vm.announceRelay.empty();
     std::ofstream(file) << "node: node-" << vm.name << "\nzone: " << vm.zone
                         << "\nregion: here\nplatform: " << (vm.platformRelay.empty() ? m_platformEndpoint : vm.platformRelay)
                         << "\nlisten:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  control: 127.0.0.1:0\n  target: "
-                        << (restarted ? vm.announce : "127.0.0.1:0") << "\n  operations: 127.0.0.1:0\nfirstStart: " << (restarted ? "false" : "true") << '\n';
+                        << (keepsPort ? vm.announce : "127.0.0.1:0") << "\n  operations: 127.0.0.1:0\nfirstStart: " << (restarted ? "false" : "true") << '\n';
     vm.node.reset();
     const std::string log = m_folder + '/' + vm.name + '-' + std::to_string(++m_starts) + ".log";
     vm.node = std::make_unique<ChildProcess>(std::vector<std::string>{NODE_BINARY, "--settings", file, "--log-level", "info"}, log);
