Show that a stopping node waits for a request whose caller has left

Seen: with the condition on running requests taken out of Reducer::handleTick, all tests passed, so either the condition was redundant or a test was missing. It is not redundant: a request that must not run twice is not cancelled when its caller leaves, and its caller's connection is closed by then, so 'all connections closed' says nothing about it. Ending the process would close the connection to the target, which drops the work. Evidence: the new test fails with the condition taken out (the node ends 1 s after its connections are closed) and passes with it.

--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -550,3 +550,20 @@
     }));
     CHECK(violationUnderRestorations(nodes, seed, faultCount) == "");
 }
+
+TEST_CASE("A stopping node does not end while its target works at a request that must not run twice and whose caller has left")
+{
+    TargetLeaseHarness cell(3, 41);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    const std::optional<AttemptId> attempt = cell.requestOnce(0, RequestId(1));
+    REQUIRE(attempt);
+    cell.notify(0, RequestCancelled{RequestId(1)});
+    cell.stopNode(0);
+    cell.run(3s);
+    cell.closeConnections(0);
+    cell.run(1s);
+    CHECK_FALSE(cell.hasExited(0));
+    cell.notify(0, AttemptFinished{*attempt, AttemptAnswered{200, std::nullopt}});
+    cell.run(1s);
+    CHECK(cell.hasExited(0));
+}
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -197,6 +197,25 @@
     deliver(node, m_nodes[node].incarnation, arrived);
 }
 
+std::optional<AttemptId> TargetLeaseHarness::requestOnce(std::size_t node, RequestId request)
+{
+    std::uint32_t shard = 0;
+    while (shard < shards && !m_nodes[node].reducer->cell().mayAdmit(ShardIndex(shard), clock(node))) {
+        ++shard;
+    }
+    RequestArrived arrived;
+    arrived.request = request;
+    arrived.host = service.value();
+    arrived.method = "POST";
+    arrived.path = "/";
+    arrived.headers = {{"x-key", std::to_string(shard * keysOfShard)}};
+    arrived.routed = RoutedRequest{service, false};
+    arrived.hops = 1;
+    m_targetAttempt.reset();
+    notify(node, std::move(arrived));
+    return m_targetAttempt;
+}
+
 std::size_t TargetLeaseHarness::shardsAdmittedBy(std::size_t node) const
 {
     std::size_t count = 0;
@@ -616,6 +635,7 @@
                        const SentHeartbeat sent = m_sentHeartbeats.at(answer.announcement - 1);
                        schedule(Duration(200), [this, node, sent, grant = *answer.grant] { applyGrant(node, sent.targetIncarnation, sent.sentAt, grant); });
                    },
+                   [&](const SendToTarget &send) { m_targetAttempt = send.attempt; },
                    [&](const Exit &) {
                        m_exited.insert({node, m_nodes[node].incarnation});
                    },
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -63,6 +63,10 @@
     void answerAsLeaving(std::size_t node);
     /** Delivers a request of another node to the node that repeats for how long the node's target has been known to leave. */
     void forwardKnowingDeparture(std::size_t node, Duration leavingFor);
+    /** Delivers a request that must not run twice, for a key that the node admits; returns its attempt at the node's target, if any. */
+    std::optional<AttemptId> requestOnce(std::size_t node, RequestId request);
+    /** Delivers an event to the node at once. */
+    void notify(std::size_t node, EventBody body) { deliver(node, m_nodes[node].incarnation, std::move(body)); }
     /** Returns the number of shards whose requests the node would send to its target. */
     std::size_t shardsAdmittedBy(std::size_t node) const;
     /** Delays the arrival of the target's heartbeats at its node. */
@@ -224,6 +228,7 @@
     std::vector<std::pair<std::size_t, std::uint64_t>> m_lastHolders{shards};
     Duration m_now{std::chrono::seconds(10)};
     std::uint64_t m_order = 0;
+    std::optional<AttemptId> m_targetAttempt;
     std::size_t m_termsExpired = 0;
     std::uint64_t m_highestSequence = 0;
     /** Epoch of the table that each node has seen; the answers of earlier epochs are dropped. */
