Serve keys again after the loss of all nodes of a large fleet

Cause: members, map and successors lie in one value of the table. 195 members at 287 B are 56 KB alone; with the ranges they exceed the 65,536 bytes that a value may have. The refusal counted as an unavailable platform, so the write was repeated after 0.16 s. Change: the adapter divides a row that doesn't fit into a head and parts (members, map), written in one transaction under the condition on the head; parts that the store is known to have are left out. The limit comes from the settings (tableRowBytes). A write that can never succeed (400, 413, or over the limits of a transaction) is an outcome of its own: recorded as RowRefused, the table still counts as reachable and is read on, and the next write waits for 10 s. A cell and a heartbeat answer take 512 members instead of 256. Why it works: 300 members and 2,048 ranges that all differ make parts below the limit in one transaction (test). All parts of a version are written and read at one moment, so a reader never sees parts of two versions; one that lacks a part isn't used. Ruled out: a more compact text alone, which only moves the size at which it fails. Evidence: the new tests of the adapter and of CellRowStore.

--- a/src/libnutmeghinge/cellrowstore.cpp
+++ b/src/libnutmeghinge/cellrowstore.cpp
@@ -16,6 +16,9 @@
 /** More than the members that such changes admit. */
 constexpr std::uint32_t lostSlotsLimit = 256;
 
+/** Delay of the next write after one that the platform can never accept. The row may have changed by then. */
+constexpr Duration refusedWriteDelay = std::chrono::seconds(10);
+
 /** Returns whether one row of a cell was written after the other, as far as their content tells. */
 bool isNewer(const CellRow &row, const CellRow &other)
 {
@@ -63,7 +66,7 @@
 
 void CellRowStore::write(CellRow row, MonotonicTime now, EffectList &effects)
 {
-    if (isBusy()) {
+    if (isBusy() || now < m_refusedUntil) {
         return;
     }
     if (m_known && !isOfThisEpoch()) {
@@ -146,6 +149,15 @@
         effects.record(std::move(record));
         return WriteOutcome::Written;
     }
+    if (const auto *refused = std::get_if<RowRefused>(&result.result)) {
+        m_pendingWrite.reset();
+        m_refusedUntil = now + refusedWriteDelay;
+        TimelineRecord record;
+        record.kind = TimelineRecord::Kind::RowRefused;
+        record.detail = refused->reason;
+        effects.record(std::move(record));
+        return WriteOutcome::Refused;
+    }
     m_readWanted = true;
     if (!reachable || outdated) {
         return WriteOutcome::Unknown;
--- a/src/libnutmeghinge/cellrowstore.h
+++ b/src/libnutmeghinge/cellrowstore.h
@@ -32,6 +32,8 @@
         Written,
         /** The row was changed by another write and has to be read again. */
         Conflict,
+        /** The platform can never accept the row; another write is started only after some time. */
+        Refused,
         /** The answer was lost; the row has to be read again. */
         Unknown,
     };
@@ -45,7 +47,7 @@
     bool isBusy() const { return m_reading || m_writing; }
     /** Starts a read unless an operation is in progress or the retry delay has not passed. */
     void read(const ServiceName &service, MonotonicTime now, EffectList &effects);
-    /** Starts a conditional write unless an operation is in progress. */
+    /** Starts a conditional write unless an operation is in progress or a write was refused a short time ago. */
     void write(CellRow row, MonotonicTime now, EffectList &effects);
     ReadOutcome readFinished(const CellRowRead &result, MonotonicTime now, EffectList &effects);
     WriteOutcome writeFinished(const CellRowWriteFinished &result, MonotonicTime now, EffectList &effects);
@@ -82,6 +84,8 @@
     Duration m_retryLongest;
     Duration m_retry;
     MonotonicTime m_retryAt;
+    /** End of the delay after a write that the platform can never accept. */
+    MonotonicTime m_refusedUntil;
     TableEpoch m_epoch;
     /** Whether a read has succeeded in this epoch. */
     bool m_wasRead = false;
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -79,10 +79,16 @@
     RowVersion version;
 };
 
+/** The platform can never accept the row, whenever it is written again; nothing was written. */
+struct RowRefused {
+    /** Short human-readable text. */
+    std::string reason;
+};
+
 /** Result of WriteCellRow. PlatformUnavailable: the row may have been written. */
 struct CellRowWriteFinished {
     ServiceName service;
-    std::variant<RowWritten, WriteConflict, PlatformUnavailable> result;
+    std::variant<RowWritten, WriteConflict, RowRefused, PlatformUnavailable> result;
 };
 
 /** Result of ReadMemberRows: every node that announced itself for the service. */
--- a/src/libnutmeghinge/memberadmission.h
+++ b/src/libnutmeghinge/memberadmission.h
@@ -17,7 +17,7 @@
 struct JoinRequest;
 
 /** Maximum number of members of a cell. */
-inline constexpr std::size_t maxCellMembers = 256;
+inline constexpr std::size_t maxCellMembers = 512;
 
 /**
  * Determines the next change of a cell's members, one member at a time, from
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -40,6 +40,8 @@
         MemberRemoved,
         RowWritten,
         RowConflict,
+        /** The platform can never accept the cell row, for instance because it is too large. */
+        RowRefused,
         PlatformDown,
         PlatformUp,
         /** The platform's table came back from an older copy. */
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -21,6 +21,8 @@
     ServiceName cell;
     /** Endpoint of the platform's table service and object store. */
     Endpoint platform;
+    /** Maximum size of a value in the platform's table, in bytes as sent. */
+    std::size_t tableRowBytes = 65536;
     /** Protocol of the platform, targets and callers: "own" for nutmeghinge's native protocol, or another one that the program was built with. */
     std::string protocol = "own";
     /** Default settings of each service whose document has the format of another protocol. */
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr double maximumLinkMegabits = 1e6;
+constexpr std::uint64_t minimumTableRowBytes = 4096;
+constexpr std::uint64_t maximumTableRowBytes = 16777216;
 constexpr std::uint64_t maximumTimelineRecords = 100000;
 
 bool isIpAddress(const std::string &address)
@@ -101,6 +103,7 @@
     readEndpoint(root, "platform", settings.platform, platformError);
     readOptionalName(root, "service", settings.service);
     readOptionalName(root, "cell", settings.cell);
+    root.number("tableRowBytes", settings.tableRowBytes, minimumTableRowBytes, maximumTableRowBytes);
     root.text("protocol", settings.protocol, nameError);
     root.duration("targetHeartbeat", settings.targetHeartbeat, std::chrono::milliseconds(10), std::chrono::minutes(1));
     root.duration("stopLimit", settings.stopLimit, std::chrono::seconds(1), std::chrono::hours(1));
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -31,7 +31,7 @@
     static constexpr std::uint32_t maxSections = 256;
     static constexpr std::size_t maxTokenBytes = 1024;
     /** Limit of the member loads in one message; further ones are ignored. */
-    static constexpr std::uint32_t maxMembers = 256;
+    static constexpr std::uint32_t maxMembers = 512;
     /** Limit of the requests in flight, queued or allowed at one member. */
     static constexpr std::uint32_t maxRequests = 1000000;
     /** Limit of rates, in requests per second times 1000. */
--- a/src/libnutmeghingeio/platformclient.cpp
+++ b/src/libnutmeghingeio/platformclient.cpp
@@ -229,7 +229,8 @@
     }
     using Result = std::variant<RowWritten, WriteConflict, PlatformUnavailable>;
     const auto finished = [service = effect.row.service, epoch = effect.epoch](Private &self, const Result &result) {
-        CellRowWriteFinished event{service, result};
+        CellRowWriteFinished event{service, PlatformUnavailable()};
+        std::visit([&](const auto &outcome) { event.result = outcome; }, result);
         if (epoch != self.table.epoch()) {
             spdlog::warn(
                 "platform: writing the cell row has no effect: sent in epoch {} of the table, answered in epoch {}", epoch.value(), self.table.epoch().value());
--- a/src/libnutmeghingeio/platformport.h
+++ b/src/libnutmeghingeio/platformport.h
@@ -3,6 +3,7 @@
 #include "effects.h"
 #include "events.h"
 
+#include <cstddef>
 #include <functional>
 
 namespace nutmeghinge {
@@ -22,6 +23,9 @@
     virtual void run(const ReadDocument &effect) = 0;
     virtual void run(const FollowDocument &effect) = 0;
     virtual void run(const ReadCells &effect) = 0;
+
+    /** Returns the size of the largest value that was written to the table, in bytes as sent; 0 if it is not counted. */
+    virtual std::size_t largestRowBytes() const { return 0; }
 };
 
 } // namespace nutmeghinge
--- a/tests/core/fakeplatform.h
+++ b/tests/core/fakeplatform.h
@@ -19,7 +19,7 @@
 class FakePlatform
 {
 public:
-    std::variant<RowWritten, WriteConflict, PlatformUnavailable> write(const WriteCellRow &effect)
+    decltype(CellRowWriteFinished::result) write(const WriteCellRow &effect)
     {
         std::optional<VersionedCellRow> &stored = effect.epoch == epoch ? row : rowsOfEarlierEpochs[effect.epoch];
         const RowVersion present = stored ? stored->version : RowVersion(0);
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -16,12 +16,14 @@
 
 namespace {
 
+constexpr std::size_t rowBytes = 65536;
+
 /** A StoreClient connected to a server whose answers the test sets. */
 struct Setup {
     Setup()
         : server(loop)
         , client(loop, 4)
-        , store(loop, client, server.endpoint(), [this](EventBody event) { events.push_back(std::move(event)); })
+        , store(loop, client, server.endpoint(), rowBytes, [this](EventBody event) { events.push_back(std::move(event)); })
     {
     }
 
@@ -72,6 +74,40 @@
     return row;
 }
 
+/** A cell of the given number of members, whose shards all have different owners and fences. */
+CellRow largeCell(std::uint32_t members)
+{
+    CellRow row = someCell();
+    for (std::uint32_t slot = 1; slot <= members; ++slot) {
+        Member member;
+        member.node = NodeName("sidecar-zone-central-a-" + std::to_string(slot));
+        member.slot = MemberSlot(slot);
+        member.service = ServiceName("advice-desk");
+        member.zone = ZoneName("zone-central-a");
+        member.region = RegionName("zone-central");
+        member.controlEndpoint = Endpoint{"10.128.100.100", 12345};
+        member.peerEndpoint = member.controlEndpoint;
+        member.operationsEndpoint = member.controlEndpoint;
+        row.members.push_back(member);
+    }
+    row.map.version = {Term(6553600), 5000};
+    row.map.sections = {{ServiceName("advice-desk"), 0, 2048}};
+    for (std::uint32_t shard = 0; shard < 2048; ++shard) {
+        row.map.shards.push_back({ShardOwnership::State::Releasing, MemberSlot(shard % members + 1), MemberSlot(1), {Term(6553600), shard}});
+    }
+    return row;
+}
+
+/** Returns the answer to a read of the rows that the transaction writes. */
+std::string rowsWrittenBy(const json &transaction, std::uint64_t version)
+{
+    json rows = transaction["writes"];
+    for (json &row : rows) {
+        row["ver"] = version;
+    }
+    return json{{"rows", rows}, {"has_more", false}, {"ver", version}, {"now", 5}}.dump();
+}
+
 const FollowDocument follow{ServiceName("all"), RowVersion(40), std::chrono::milliseconds(10), std::chrono::milliseconds(1500)};
 
 } // namespace
@@ -271,7 +307,7 @@
     TcpRelay relay(loop, server.endpoint());
     HttpClient client(loop, 4);
     std::vector<EventBody> events;
-    StoreClient store(loop, client, relay.endpoint(), [&](EventBody event) { events.push_back(std::move(event)); });
+    StoreClient store(loop, client, relay.endpoint(), rowBytes, [&](EventBody event) { events.push_back(std::move(event)); });
     store.run(FollowDocument{ServiceName("all"), RowVersion(40), std::chrono::seconds(8), std::chrono::seconds(9)});
     store.run(ReadMemberRows{ServiceName("all")});
     REQUIRE(runUntil(loop, [&] { return events.size() == 1 && server.requests().size() == 2; }));
@@ -282,3 +318,67 @@
     REQUIRE(std::holds_alternative<DocumentCopy>(followed.result));
     CHECK(std::get<DocumentCopy>(followed.result).revision == DocumentRevision(9));
 }
+
+TEST_CASE("A cell row of 300 members whose shards lie all apart stays within the limits of the store")
+{
+    Setup setup;
+    const CellRow row = largeCell(300);
+    setup.answerWith(200, R"({"ver":412,"now":1})");
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(0), row});
+    const json body = setup.lastBody();
+    CHECK(setup.server.requests().back().body.size() <= 1'000'000);
+    CHECK(body["writes"].size() > 1);
+    for (const json &write : body["writes"]) {
+        CHECK(write["value"].get<std::string>().size() <= rowBytes);
+    }
+    CHECK(setup.store.largestRowBytes() <= rowBytes);
+    setup.answerWith(200, rowsWrittenBy(body, 412));
+    const auto read = setup.run<CellRowRead>(ReadCellRow{ServiceName("all")});
+    CHECK(std::get<VersionedCellRow>(read.result).row == row);
+    CHECK(std::get<VersionedCellRow>(read.result).version == RowVersion(412));
+}
+
+TEST_CASE("Only the parts of a cell row that changed are written again, and parts that are no longer needed are removed")
+{
+    Setup setup;
+    CellRow row = largeCell(300);
+    setup.answerWith(200, R"({"ver":412,"now":1})");
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(0), row});
+    ++row.mark;
+    setup.answerWith(200, R"({"ver":413,"now":1})");
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(412), row});
+    CHECK(setup.lastBody()["writes"].size() == 1);
+    // A version that this node has not seen written may have other parts.
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(500), row});
+    CHECK(setup.lastBody()["writes"].size() > 1);
+    const std::size_t parts = setup.lastBody()["writes"].size() - 1;
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(413), someCell()});
+    CHECK(setup.lastBody()["writes"].size() == 1);
+    CHECK(setup.lastBody()["remove"].size() == parts);
+}
+
+TEST_CASE("A cell row that lacks a part is not used")
+{
+    Setup setup;
+    setup.answerWith(200, R"({"ver":412,"now":1})");
+    setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(0), largeCell(300)});
+    json body = setup.lastBody();
+    body["writes"].erase(body["writes"].size() - 1);
+    setup.answerWith(200, rowsWrittenBy(body, 412));
+    CHECK(std::holds_alternative<PlatformUnavailable>(setup.run<CellRowRead>(ReadCellRow{ServiceName("all")}).result));
+}
+
+TEST_CASE("A write that the store can never accept is not reported as an unavailable store")
+{
+    Setup setup;
+    for (const std::uint16_t status : {400, 413}) {
+        setup.answerWith(status, "{}");
+        CHECK(std::holds_alternative<RowRefused>(setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(17), someCell()}).result));
+    }
+    const std::size_t calls = setup.server.requests().size();
+    setup.events.clear();
+    setup.store.run(WriteCellRow{RowVersion(17), largeCell(4000)});
+    REQUIRE(setup.events.size() == 1);
+    CHECK(std::holds_alternative<RowRefused>(std::get<CellRowWriteFinished>(setup.events.back()).result));
+    CHECK(setup.server.requests().size() == calls);
+}
