Tell members the changes of the ownership map instead of the whole map

Cause: heartbeat answers and votes carried nothing but complete maps. Change: OwnershipMapHistory remembers in which version each shard last changed, from the base map of the term on. An answer carries the changes since the version that the member reported; they fit any version in between, so that a repeated or overtaken message does no harm, and the complete map is sent where the version is unknown. A vote request names the version of the candidate's map, and a voter sends its own only if that is newer. Loads go out only for members that are chosen by load, which owners of keys are not. Why it is safe: the base is a version that the member itself reported, so changes always fit; where they don't, the member takes no lease from that answer, since it may hold shards that the changes take away.

--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -68,6 +68,11 @@
     return true;
 }
 
+bool CellContext::updateMap(const OwnershipMapChanges &changes)
+{
+    return changes.version > map.version && changes.applyTo(map);
+}
+
 bool CellContext::offerDocument(const DocumentCopy &copy, DocumentSource source, MonotonicTime now, EffectList &effects)
 {
     const DocumentArrival arrival{source, documentFreshness.age(now)};
--- a/src/libnutmeghinge/cellcontext.h
+++ b/src/libnutmeghinge/cellcontext.h
@@ -32,6 +32,8 @@
     void send(MemberSlot to, PeerMessage message, EffectList &effects) const;
     /** Replaces the map by one with a higher version. Returns whether the map was replaced. */
     bool updateMap(const OwnershipMap &newer);
+    /** Applies the changes if they lead to a newer version and fit the known one. Returns whether they did. */
+    bool updateMap(const OwnershipMapChanges &changes);
     /** Puts a newer, valid document in force. Returns whether it came into force. */
     bool offerDocument(const DocumentCopy &copy, DocumentSource source, MonotonicTime now, EffectList &effects);
     /** Returns the number of shards in the map, excluding those of hot keys; 0 without a map. */
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -131,7 +131,7 @@
 void Coordinator::requestVotes(const Event &event, EffectList &effects)
 {
     m_term.scheduleRenewal(event.at);
-    const VoteRequest request{m_term.term(), m_context.members.revision(), event.at};
+    const VoteRequest request{m_term.term(), m_context.members.revision(), event.at, m_context.map.version};
     for (const Member &member : m_context.members.members()) {
         // A candidate does not renew votes, so that they expire soon after a failed election.
         const bool hasVote = !isElected() && m_term.hasVoteFrom(member.slot, event.at);
@@ -198,6 +198,7 @@
     start.renewFences = m_renewFences;
     start.freeAt = now + m_context.executionWait();
     m_ledger.start(start);
+    m_mapHistory.start(*base);
     if (m_context.usesTargetLeases()) {
         m_ledger.confirmHeld(m_context.self, m_context.targetLeases.held(now), m_context.map.version);
     }
@@ -493,9 +494,7 @@
     const bool lostShards = heartbeat.mapVersion < status.revokedVersion;
     const bool mapUnderWay = status.sentVersion >= m_ledger.map().version && now < status.mapSentAt + mapDeliveryHeartbeats * m_context.timings.heartbeat;
     if (heartbeat.mapVersion < m_ledger.map().version && (lostShards || !mapUnderWay)) {
-        answer.map = m_ledger.map();
-        status.sentVersion = m_ledger.map().version;
-        status.mapSentAt = now;
+        addMap(answer, status, now);
     }
     answer.documentAge = m_context.documentFreshness.ageByPlatform(now);
     if (heartbeat.document < answer.document) {
@@ -508,6 +507,17 @@
     m_context.send(to, std::move(answer), effects);
 }
 
+void Coordinator::addMap(HeartbeatAnswer &answer, MemberStatus &status, MonotonicTime now)
+{
+    m_mapHistory.record(m_ledger.map());
+    answer.mapChanges = m_mapHistory.changesSince(status.mapVersion);
+    if (!answer.mapChanges) {
+        answer.map = m_ledger.map();
+    }
+    status.sentVersion = m_ledger.map().version;
+    status.mapSentAt = now;
+}
+
 void Coordinator::pushMap(MonotonicTime now, EffectList &effects)
 {
     const OwnershipMap &map = m_ledger.map();
@@ -515,15 +525,13 @@
         if (slot == m_context.self || status.mapVersion >= map.version || status.sentVersion >= map.version || now >= status.leaseEnd) {
             continue;
         }
-        status.sentVersion = map.version;
-        status.mapSentAt = now;
         HeartbeatAnswer answer;
         answer.term = m_term.term();
         answer.revision = m_context.members.revision();
         answer.sentAt = status.sentAt;
         answer.document = m_context.documents.revision();
         answer.holdLeft = std::max(Duration(0), std::chrono::duration_cast<Duration>(holdLimitEnd() - now));
-        answer.map = map;
+        addMap(answer, status, now);
         m_context.send(slot, std::move(answer), effects);
     }
 }
@@ -606,8 +614,12 @@
 std::vector<MemberLoad> Coordinator::collectLoads() const
 {
     std::vector<MemberLoad> loads;
+    const std::vector<ShardSection> sharded = m_context.spansServices() ? sections() : std::vector<ShardSection>();
     for (const auto &[slot, status] : m_status) {
-        if (!status.leaseExpired && m_context.members.find(slot)) {
+        const Member *member = m_context.members.find(slot);
+        // Only replicas are chosen by load; the owner of a key is given.
+        const bool isReplica = member && std::none_of(sharded.begin(), sharded.end(), [&](const ShardSection &section) { return serves(*member, section); });
+        if (!status.leaseExpired && isReplica) {
             loads.push_back(status.load);
             // Members only compare total loads.
             loads.back().shards.clear();
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -6,6 +6,7 @@
 #include "memberadmission.h"
 #include "memberstatus.h"
 #include "ownershipledger.h"
+#include "ownershipmaphistory.h"
 #include "peermessages.h"
 #include "smoothedloads.h"
 #include "units.h"
@@ -84,6 +85,8 @@
     void updateOwnStatus(const Event &event, EffectList &effects);
     void updateStatus(MemberStatus &status, const Heartbeat &heartbeat, MonotonicTime now);
     void answerHeartbeat(MemberSlot to, const Heartbeat &heartbeat, MemberStatus &status, const Event &event, EffectList &effects);
+    /** Adds the map, or its changes since the version that the member is known to have, to the answer. */
+    void addMap(HeartbeatAnswer &answer, MemberStatus &status, MonotonicTime now);
     void pushMap(MonotonicTime now, EffectList &effects);
     void expireLeases(MonotonicTime now, EffectList &effects);
     void updateEligibility(const Event &event);
@@ -133,6 +136,7 @@
     const ShardHandover &m_handover;
     CoordinatorTerm m_term;
     OwnershipLedger m_ledger;
+    OwnershipMapHistory m_mapHistory;
     MemberAdmission m_admission;
     SmoothedLoads m_smoothedLoads;
     std::map<MemberSlot, MemberStatus> m_status;
--- a/src/libnutmeghinge/coordinatorterm.cpp
+++ b/src/libnutmeghinge/coordinatorterm.cpp
@@ -69,7 +69,7 @@
 
 void CoordinatorTerm::addVote(MemberSlot from, const VoteAnswer &answer)
 {
-    if (!answer.map && !m_voteExpiry.contains(from)) {
+    if (!answer.map && !answer.hasNoNewerMap && !m_voteExpiry.contains(from)) {
         return;
     }
     MonotonicTime &until = m_voteExpiry[from];
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -85,7 +85,8 @@
         voteRecord.postponeElection(event.at);
     }
     answer.highestTerm = answer.granted ? std::max(request.term, voteRecord.fenceTerm()) : voteRecord.highestTerm();
-    if (answer.granted && m_answeredTerm != request.term) {
+    answer.hasNoNewerMap = m_context.map.version <= request.mapVersion;
+    if (answer.granted && m_answeredTerm != request.term && !answer.hasNoNewerMap) {
         answer.map = m_context.map;
     }
     m_heartbeatRequested = m_heartbeatRequested || voteRecord.term() != before;
@@ -100,12 +101,13 @@
     m_answeredTerm = answer.term;
     m_reportHeldShards = m_reportHeldShards && answer.sentAt < m_heldShardsReportedAt;
     m_coordinatorDocument = answer.document;
-    if (answer.lease > Duration(0)) {
+    const bool isMapNewer = (answer.map && m_context.updateMap(*answer.map)) || (answer.mapChanges && m_context.updateMap(*answer.mapChanges));
+    // The map may take shards from this member, so a lease counts only with the map that comes with it.
+    const bool hasMap = !answer.mapChanges || m_context.map.version >= answer.mapChanges->version;
+    if (answer.lease > Duration(0) && hasMap) {
         m_context.lease.extend(answer.sentAt, std::min(answer.lease, m_context.timings.memberLease));
     }
-    if (answer.map && m_context.updateMap(*answer.map)) {
-        m_heartbeatRequested = true;
-    }
+    m_heartbeatRequested = m_heartbeatRequested || isMapNewer;
     if (answer.newerDocument && m_context.offerDocument(*answer.newerDocument, DocumentSource::Coordinator, event.at, effects)) {
         m_heartbeatRequested = true;
     }
--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -5,6 +5,7 @@
 #include "ids.h"
 #include "memberload.h"
 #include "ownershipmap.h"
+#include "ownershipmapchanges.h"
 #include "units.h"
 
 #include <cstdint>
@@ -33,6 +34,8 @@
     CellRevision revision;
     /** Sender's clock when it sent the request; returned in the answer. */
     MonotonicTime sentAt;
+    /** Version of the newest map that the sender has seen. */
+    Fence mapVersion{};
 
     friend bool operator==(const VoteRequest &, const VoteRequest &) = default;
 };
@@ -45,8 +48,10 @@
     MonotonicTime sentAt;
     /** Highest term that the member has seen; a refused candidate uses a higher one next time. */
     Term highestTerm;
-    /** Newest map that the member has seen; sent only with the first vote granted in a term. */
+    /** Newest map that the member has seen; sent only with the first vote granted in a term, and if the sender of the request has an older one. */
     std::optional<OwnershipMap> map;
+    /** True if the map that the request named is as new as the member's. */
+    bool hasNoNewerMap = false;
     DocumentRevision document;
 
     friend bool operator==(const VoteAnswer &, const VoteAnswer &) = default;
@@ -82,8 +87,10 @@
     MonotonicTime sentAt;
     /** Length of the lease, counted by the member from sentAt; zero: no lease is granted. */
     Duration lease{0};
-    /** Complete map; set if the member's version is lower. */
+    /** Complete map; set if the member's version is lower and the changes since then are not known. */
     std::optional<OwnershipMap> map;
+    /** Changes of the map since the member's version; set if that is lower. */
+    std::optional<OwnershipMapChanges> mapChanges;
     DocumentRevision document;
     /** Coordinator's document; set if the member's revision is lower. */
     std::optional<DocumentCopy> newerDocument;
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -87,6 +87,20 @@
     }
 }
 
+void writeChanges(wire::OwnershipMapChanges::Builder to, const OwnershipMapChanges &changes)
+{
+    writeFence(to.initBase(), changes.base);
+    writeFence(to.initVersion(), changes.version);
+    auto firsts = to.initFirsts(changes.runs.size());
+    auto counts = to.initCounts(changes.runs.size());
+    auto shards = to.initShards(changes.runs.size());
+    for (std::size_t i = 0; i < changes.runs.size(); ++i) {
+        firsts.set(i, changes.runs[i].first.value());
+        counts.set(i, changes.runs[i].count);
+        writeShard(shards[i], changes.runs[i].ownership);
+    }
+}
+
 void writeLoad(wire::MemberLoad::Builder to, const MemberLoad &load)
 {
     to.setSlot(load.slot.value());
@@ -144,6 +158,7 @@
         to.setTerm(message.term.value());
         to.setRevision(message.revision.value());
         to.setSentAt(microsecondsOf(message.sentAt));
+        writeFence(to.initMapVersion(), message.mapVersion);
     }
 
     void operator()(const VoteAnswer &message)
@@ -157,6 +172,7 @@
         if (message.map) {
             writeMap(to.initMap(), *message.map);
         }
+        to.setHasNoNewerMap(message.hasNoNewerMap);
         to.setDocument(message.document.value());
     }
 
@@ -198,6 +214,9 @@
         if (message.map) {
             writeMap(to.initMap(), *message.map);
         }
+        if (message.mapChanges) {
+            writeChanges(to.initMapChanges(), *message.mapChanges);
+        }
         to.setDocument(message.document.value());
         if (message.newerDocument) {
             writeDocument(to.initNewerDocument(), *message.newerDocument);
@@ -368,6 +387,19 @@
         return map;
     }
 
+    OwnershipMapChanges changes(wire::OwnershipMapChanges::Reader from)
+    {
+        OwnershipMapChanges changes{fence(from.getBase()), fence(from.getVersion()), {}};
+        const std::uint32_t runs = listSize(from.getShards().size(), Codec::maxShards, "number of changed shards");
+        check(from.getFirsts().size() == runs && from.getCounts().size() == runs, "number of runs");
+        for (std::uint32_t i = 0; i < runs && !m_error; ++i) {
+            const ShardIndex first = shard(from.getFirsts()[i]);
+            check(from.getCounts()[i] <= Codec::maxShards - first.value(), "number of shards");
+            changes.runs.push_back({first, from.getCounts()[i], ownership(from.getShards()[i])});
+        }
+        return changes;
+    }
+
     MemberLoad load(wire::MemberLoad::Reader from)
     {
         MemberLoad load;
@@ -417,7 +449,10 @@
         return entry;
     }
 
-    VoteRequest voteRequest(wire::PromiseRequest::Reader from) { return {term(from.getTerm()), cellRevision(from.getRevision()), time(from.getSentAt())}; }
+    VoteRequest voteRequest(wire::PromiseRequest::Reader from)
+    {
+        return {term(from.getTerm()), cellRevision(from.getRevision()), time(from.getSentAt()), fence(from.getMapVersion())};
+    }
 
     VoteAnswer voteAnswer(wire::PromiseAnswer::Reader from)
     {
@@ -430,6 +465,7 @@
         if (from.hasMap()) {
             message.map = map(from.getMap());
         }
+        message.hasNoNewerMap = from.getHasNoNewerMap();
         message.document = documentRevision(from.getDocument());
         return message;
     }
@@ -475,6 +511,9 @@
         if (from.hasMap()) {
             message.map = map(from.getMap());
         }
+        if (from.hasMapChanges()) {
+            message.mapChanges = changes(from.getMapChanges());
+        }
         message.document = documentRevision(from.getDocument());
         if (from.hasNewerDocument()) {
             message.newerDocument = document(from.getNewerDocument());
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -567,3 +567,24 @@
     cell.run(1s);
     CHECK(cell.hasExited(0));
 }
+
+TEST_CASE("A key that moves, or a lost coordinator, does not send the complete map to all members")
+{
+    TargetLeaseHarness cell(24, 51);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(3s);
+    const std::size_t atStart = cell.wholeMapsSent();
+    const std::size_t coordinator = cell.coordinator().value();
+    for (std::size_t step = 1; step <= 4; ++step) {
+        cell.killTarget((coordinator + step) % cell.size());
+        cell.run(5s);
+    }
+    CHECK(cell.wholeMapsSent() == atStart);
+    cell.killNode(coordinator);
+    cell.killTarget(coordinator);
+    CHECK(cell.runUntilAllHeld(10s));
+    cell.run(3s);
+    // Members that lost the last change before the end of the term get the complete map.
+    CHECK(cell.wholeMapsSent() <= atStart + 2);
+    CHECK(cell.violation().empty());
+}
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -28,6 +28,13 @@
            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(holdLimit).count()) + "ms}\n";
 }
 
+bool carriesWholeMap(const PeerMessage &message)
+{
+    const auto *answer = std::get_if<HeartbeatAnswer>(&message);
+    const auto *vote = std::get_if<VoteAnswer>(&message);
+    return (answer && answer->map) || (vote && vote->map);
+}
+
 /** Adds a service without keys to the one in the text. */
 class TwoServicesFormat : public DocumentFormat
 {
@@ -593,6 +600,7 @@
     std::visit(Overloaded{
                    [&](const SendPeerMessage &send) {
                        const std::size_t to = send.to.port;
+                       m_wholeMapsSent += carriesWholeMap(send.message) ? 1 : 0;
                        if (m_nodes[node].isolated || m_nodes[to].isolated || m_now < m_messagesLostUntil || random(1000) < lossPerMille) {
                            return;
                        }
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -84,6 +84,17 @@
     return {fence(), listOf(ownership), listOf(hash)};
 }
 
+ShardRun shardRun()
+{
+    const ShardIndex first = shard();
+    return {first, upTo(Codec::maxShards - first.value()), ownership()};
+}
+
+OwnershipMapChanges mapChanges()
+{
+    return {fence(), fence(), listOf(shardRun)};
+}
+
 ShardLoad shardLoad()
 {
     return {shard(), upTo(Codec::maxMilliRequestsPerSecond)};
@@ -128,13 +139,19 @@
 
 PeerMessage voteRequest()
 {
-    return VoteRequest{Term(counter()), CellRevision(counter()), time()};
+    return VoteRequest{Term(counter()), CellRevision(counter()), time(), fence()};
 }
 
 PeerMessage voteAnswer()
 {
-    return VoteAnswer{
-        Term(counter()), *rc::gen::arbitrary<bool>(), CellRevision(counter()), time(), Term(counter()), anyOptional(map), DocumentRevision(counter())};
+    return VoteAnswer{Term(counter()),
+                      *rc::gen::arbitrary<bool>(),
+                      CellRevision(counter()),
+                      time(),
+                      Term(counter()),
+                      anyOptional(map),
+                      *rc::gen::arbitrary<bool>(),
+                      DocumentRevision(counter())};
 }
 
 PeerMessage heartbeat()
@@ -164,6 +181,7 @@
                            time(),
                            Duration(upTo<std::int64_t>(Codec::maxLease.count())),
                            anyOptional(map),
+                           anyOptional(mapChanges),
                            DocumentRevision(counter()),
                            anyOptional(document),
                            listOf(load),
