--- a/src/libnutmeghingeio/nodemetrics.h
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -18,6 +18,8 @@
     std::uint64_t controlBytes = 0;
     std::uint64_t refusedInputs = 0;
     std::size_t callerConnections = 0;
+    /** Size of the largest value written to the platform's table, in bytes as sent; 0 if it is not counted. */
+    std::size_t largestRowBytes = 0;
 };
 
 /** State of the document in force when the metrics are read. */
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -326,6 +326,7 @@
     adapters.controlBytes = m_peerLink.bytesSent();
     adapters.refusedInputs = m_callerServer->refusedInputs() + m_peerServer.refusedInputs();
     adapters.callerConnections = m_callerServer->openConnections();
+    adapters.largestRowBytes = m_platform->largestRowBytes();
     return m_metrics.toText(m_reducer->router().counters(), {cell.documentRevision(), cell.documentAge(m_loop.now())}, adapters);
 }
 
--- a/tests/io/nodesettingstest.cpp
+++ b/tests/io/nodesettingstest.cpp
@@ -25,6 +25,7 @@
     {"  peers: 127.0.0.1:0\n", "", {5, "listen.peers", "is missing"}},
     {"::1:0\n", "::1:0\nlog: {level: loud}\n", {11, "log.level", "must be trace or debug or info or warning or error or critical or off, not \"loud\""}},
     {"::1:0\n", "::1:0\ntimeline: {records: 0}\n", {11, "timeline.records", "must be from 1 to 100000"}},
+    {"::1:0\n", "::1:0\ntableRowBytes: 10\n", {11, "tableRowBytes", "must be from 4096 to 16777216"}},
     {"::1:0\n", "::1:0\nsecret: x\n", {11, "secret", "is not a known field"}},
 };
 
