Log one line for the member list that a starting node reads

Cause: the first row that a node reads was compared with an empty list. Change: the first list is one record with the number of members and the revision; later changes are recorded one by one.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -110,6 +110,14 @@
         change.detail = member.node.value();
         effects.record(std::move(change));
     };
+    if (context.members.members().empty()) {
+        // One record for all, since every node that starts reads the whole list.
+        TimelineRecord first;
+        first.kind = TimelineRecord::Kind::MemberAdded;
+        first.detail = std::to_string(row.members.size()) + " members in revision " + std::to_string(row.revision.value());
+        effects.record(std::move(first));
+        return;
+    }
     MemberList after;
     after.assign(row);
     for (const Member &member : context.members.members()) {
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -588,3 +588,10 @@
     CHECK(cell.wholeMapsSent() <= atStart + 2);
     CHECK(cell.violation().empty());
 }
+
+TEST_CASE("The start of a cell does not write a log line for each pair of its nodes")
+{
+    TargetLeaseHarness cell(60, 52);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    CHECK(cell.membersAddedRecords() <= 2 * cell.size());
+}
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -647,7 +647,10 @@
                    [&](const Exit &) {
                        m_exited.insert({node, m_nodes[node].incarnation});
                    },
-                   [&](const Record &record) { m_termsExpired += record.record.detail == "majority lapsed" ? 1 : 0; },
+                   [&](const Record &record) {
+                       m_termsExpired += record.record.detail == "majority lapsed" ? 1 : 0;
+                       m_membersAddedRecords += record.record.kind == TimelineRecord::Kind::MemberAdded ? 1 : 0;
+                   },
                    [](const auto &) {},
                },
                effect);
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -110,6 +110,8 @@
     std::size_t termsExpired() const { return m_termsExpired; }
     /** Returns the number of complete maps that were sent to members. */
     std::size_t wholeMapsSent() const { return m_wholeMapsSent; }
+    /** Returns the number of records of added members at all nodes. */
+    std::size_t membersAddedRecords() const { return m_membersAddedRecords; }
     /** Returns the highest sequence number of a fence that a target was granted. */
     std::uint64_t highestSequence() const { return m_highestSequence; }
     /** Returns the first violation of an invariant; empty if there was none. */
@@ -232,6 +234,7 @@
     std::uint64_t m_order = 0;
     std::optional<AttemptId> m_targetAttempt;
     std::size_t m_wholeMapsSent = 0;
+    std::size_t m_membersAddedRecords = 0;
     std::size_t m_termsExpired = 0;
     std::uint64_t m_highestSequence = 0;
     /** Epoch of the table that each node has seen; the answers of earlier epochs are dropped. */
