--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -90,6 +90,9 @@
         member.operationsEndpoint = member.controlEndpoint;
         row.members.push_back(member);
     }
+    for (std::uint32_t slot = 1; slot <= members; ++slot) {
+        row.former.emplace_back(members + slot, "sidecar-zone-central-b-" + std::to_string(slot));
+    }
     row.map.version = {Term(6553600), 5000};
     row.map.sections = {{ServiceName("advice-desk"), 0, 2048}};
     for (std::uint32_t shard = 0; shard < 2048; ++shard) {
