Review: show requests to a leaving backend after a restart and a late report

Cause: that a backend leaves is forgotten with the node's process, and the next process takes a late report for a new one.

--- a/review/standins/backend.cpp
+++ b/review/standins/backend.cpp
@@ -65,7 +65,7 @@
 
 void Backend::reportLoop()
 {
-    for (;;) {
+    while (!m_leaving) {
         const Clock::time_point next = Clock::now() + m_options.heartbeat;
         bool releasing = report();
         while (releasing && Clock::now() + releaseInterval < next) {
@@ -76,14 +76,46 @@
     }
 }
 
-bool Backend::report()
+std::vector<Clock::time_point> Backend::runTimes()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runTimes;
+}
+
+Message Backend::delayedReport()
+{
+    return reportRequest();
+}
+
+bool Backend::leave()
+{
+    m_leaving = true;
+    Message request;
+    request.method = "DELETE";
+    request.path = "/v1/instances/" + m_options.id;
+    request.headers = {{"Host", m_options.control.text()}};
+    Connection connection = Connection::open(m_options.control, reportTimeout);
+    if (!connection.isOpen() || !connection.write(requestText(request))) {
+        return false;
+    }
+    const std::optional<Message> answer = connection.read(Clock::now() + reportTimeout);
+    return answer && answer->status == 200;
+}
+
+Message Backend::reportRequest()
 {
     Message request;
     request.method = "PUT";
     request.path = "/v1/instances/" + m_options.id;
     request.headers = {{"Host", m_options.control.text()}, {"Content-Type", "application/json"}};
     request.body = statusReport().dump();
+    return request;
+}
+
+bool Backend::report()
+{
     const Clock::time_point sentAt = Clock::now();
+    const Message request = reportRequest();
     Connection connection = Connection::open(m_options.control, reportTimeout);
     if (!connection.isOpen() || !connection.write(requestText(request))) {
         return false;
@@ -223,6 +255,10 @@
         ++m_running;
         ++m_runningOnKey[index];
     }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_runTimes.push_back(Clock::now());
+    }
     m_record.add("run      " + m_options.id + " began " + attempt + ' ' + request.method + ' ' + request.path + (key.empty() ? "" : " key " + key));
     const Clock::time_point doneAt = Clock::now() + Milliseconds(numberInQuery(request.path, "work", 20));
     bool dropped = false;
--- a/review/standins/backend.h
+++ b/review/standins/backend.h
@@ -44,6 +44,12 @@
     /** Fences of the keys held now; 0 for a key that is not held. */
     std::vector<std::uint64_t> held();
     std::size_t heldCount();
+    /** Times at which requests began to run. */
+    std::vector<Clock::time_point> runTimes();
+    /** Makes the next status report without sending it, as one that is delayed on its way. */
+    Message delayedReport();
+    /** Says by DELETE that the backend leaves, and reports no more. Returns whether the node has acknowledged it. */
+    bool leave();
 
 private:
     struct Range {
@@ -55,6 +61,7 @@
     void reportLoop();
     /** Sends a status report and applies the answer. Returns whether keys are still to be released. */
     bool report();
+    Message reportRequest();
     nlohmann::json statusReport();
     bool applyAnswer(const Message &answer, Clock::time_point sentAt);
     void dropExpired();
@@ -69,6 +76,8 @@
     std::mutex m_mutex;
     std::condition_variable m_slotFree;
     unsigned m_running = 0;
+    std::atomic<bool> m_leaving = false;
+    std::vector<Clock::time_point> m_runTimes;
     std::uint64_t m_born = 0;
     std::uint64_t m_sequence = 0;
     std::vector<std::uint64_t> m_held = std::vector<std::uint64_t>(keyCount, 0);
