--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // A status report of another writer, with fields missing, arrives at one node. It names no backend to use.
 // Seen: the node takes it for its backend, and its keys are granted to other backends while their holder still holds them.
 
-#include "../standins/deployment.h"
+#include "../deployment.h"
 
 #include <algorithm>
 #include <thread>
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,7 +1,7 @@
 // Three clients at a time send a request whose body is within the limit of the configuration (64 MB) to one machine, three times at each of two machines.
 // Seen: the nodes keep several copies of each body, exceed the memory that the platform gives a process, and are killed.
 
-#include "../standins/deployment.h"
+#include "../deployment.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -2,7 +2,7 @@
 // started again, and a status report that the backend sent before the DELETE arrives some seconds late.
 // Seen: the node takes the report for that of a ready backend, and requests reach the leaving backend long after `drain`.
 
-#include "../standins/deployment.h"
+#include "../deployment.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,9 +4,9 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
-flags=(-std=c++20 -O2 -Wall -Wextra -pthread -Ireview/standins)
+flags=(-std=c++20 -O2 -Wall -Wextra -pthread -Ireview)
 objects=()
-for source in review/standins/*.cpp; do
+for source in review/*.cpp; do
     object=$out/$(basename "$source" .cpp).o
     g++ "${flags[@]}" -c "$source" -o "$object"
     objects+=("$object")
