Apply an announcement everywhere or nowhere

Cause: the reducer passed each announcement to the request router, also those that the cell had just rejected, because of another service or as overtaken. So requests went to the endpoint in a rejected report until the next one.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -394,7 +394,7 @@
     }
 }
 
-void Cell::targetAnnounced(const Event &event, EffectList &effects)
+bool Cell::targetAnnounced(const Event &event, EffectList &effects)
 {
     m_d->beginEvent(event, effects);
     const auto &announcement = std::get<TargetAnnounced>(event.body);
@@ -405,6 +405,7 @@
     if (accepted) {
         m_d->polling.announce(event.at, effects);
     }
+    return accepted;
 }
 
 void Cell::targetLeaving(const Event &event, EffectList &effects)
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -39,7 +39,8 @@
     void documentFollowed(const Event &event, EffectList &effects);
     void cellsRead(const Event &event, EffectList &effects);
     void peerMessageArrived(const Event &event, EffectList &effects);
-    void targetAnnounced(const Event &event, EffectList &effects);
+    /** Returns whether the announcement was applied. If not, it must have no effect elsewhere either. */
+    bool targetAnnounced(const Event &event, EffectList &effects);
     void targetLeaving(const Event &event, EffectList &effects);
     void targetProbed(const Event &event, EffectList &effects);
     /** Returns whether the target is now known to leave and was not before. */
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -145,8 +145,11 @@
 
 void Reducer::handleTargetAnnounced(const Event &event, EffectList &effects)
 {
-    m_cell.targetAnnounced(event, effects);
-    m_router.targetAnnounced(event, effects);
+    if (m_cell.targetAnnounced(event, effects)) {
+        m_router.targetAnnounced(event, effects);
+    } else {
+        m_router.ownershipChanged(event, effects);
+    }
 }
 
 void Reducer::handleTargetProbed(const Event &event, EffectList &effects)
--- a/tests/core/tablerestorationtest.cpp
+++ b/tests/core/tablerestorationtest.cpp
@@ -57,7 +57,8 @@
         return result;
     }
 
-    Effects apply(void (Cell::*handler)(const Event &, EffectList &), EventBody body)
+    template <typename Result>
+    Effects apply(Result (Cell::*handler)(const Event &, EffectList &), EventBody body)
     {
         EffectList effects{HybridTime{}};
         (m_cell.*handler)(Event{m_now, WallTime(1s), std::move(body)}, effects);
@@ -69,7 +70,7 @@
         if (std::holds_alternative<ReadCellRow>(effect)) {
             apply(&Cell::cellRowRead, CellRowRead{service, VersionedCellRow{left, RowVersion(0), TableEpoch(2)}});
         } else if (std::holds_alternative<ReadMemberRows>(effect)) {
-            apply(&Cell::memberRowsRead, MemberRowsRead{service, std::vector<Member>()});
+            apply(&Cell::memberRowsRead, MemberRowsRead{service, std::vector<VersionedMemberRow>()});
         } else if (std::holds_alternative<WriteMemberRow>(effect)) {
             apply(&Cell::memberRowWriteFinished, MemberRowWriteFinished{RowWritten{RowVersion(1)}});
         } else if (std::holds_alternative<ReadDocument>(effect)) {
