Use another incarnation of a target only when the one in use has ended

Cause: one message was the proof that an earlier life had ended, though nobody had asked the process that holds the keys.

Change: TargetSuccession decides which incarnation is in use. A later one follows if the target's own side shows the end of the former (its connections broke and connecting is refused, or a request was answered under the name of the new one), or if the former holds no keys and is silent or leaves. An earlier one, as of a target whose clock was set back, follows after two heartbeats in order. So a mistake ends after the silence limit and two heartbeats. A new process takes what its target holds from the second heartbeat on, and keys that an earlier process was granted and that are not reported are free when its lease has expired, not at once.

Ruled out: health checks as the only proof. They are priced, may lie, and a target may restart under its old name.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -31,6 +31,8 @@
     void recordMemberChanges(const CellRow &row, EffectList &effects) const;
     void applyKnownRow(const Event &event, EffectList &effects);
     bool hasAuthority(MonotonicTime now) const;
+    /** Returns what is known of the target's incarnation in use when the named target announces itself. */
+    TargetSuccession::Evidence evidenceFor(const TargetName &announced, MonotonicTime now) const;
     bool acceptAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
     std::optional<TargetLeaseGrant> targetLeaseGrant(MonotonicTime now);
     /** Returns whether this process knows the requests under which targets crashed, or cannot wait for them any longer. */
@@ -170,24 +172,34 @@
     return byTerm ? coordinator.isActive(now) : context.lease.isValid(now);
 }
 
-/** Applies the target's announcement. Returns false and ignores it if it is for another service or older than one already accepted. */
+TargetSuccession::Evidence Cell::Private::evidenceFor(const TargetName &announced, MonotonicTime now) const
+{
+    TargetSuccession::Evidence evidence;
+    if (const std::optional<TargetAnnounced> &latest = context.target.latest()) {
+        evidence.hasEnded = context.activity.hasTargetEnded({latest->target, latest->targetIncarnation}, announced);
+        evidence.holdsKeys = !context.targetLeases.held(now).empty();
+        evidence.leaves = context.target.isDraining();
+    }
+    return evidence;
+}
+
+/** Applies the target's announcement. Returns false and ignores it if it is for another service or not from the incarnation in use. */
 bool Cell::Private::acceptAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
 {
     const ServiceName &expected = context.targetService();
     if (!expected.value().empty() && expected != announcement.service) {
         return false;
     }
+    if (!context.target.announced(announcement, evidenceFor(announcement.target, now), now, effects)) {
+        return false;
+    }
     if (context.service.value().empty()) {
         context.service = announcement.service;
     }
-    if (!context.target.announced(announcement, now, effects)) {
-        return false;
-    }
     const Document *document = context.documents.document();
     const ShardSection *section = context.ownSection();
-    if (document && document->grantsByHeartbeat && section) {
-        const Duration bound = context.timings.maxTargetLease;
-        context.targetLeases.setHoldTime(bound == Duration::zero() ? document->holdTime : std::min(bound, document->holdTime));
+    if (document && document->grantsByHeartbeat && section && context.target.isConfirmed()) {
+        context.targetLeases.setHoldTime(context.targetLeaseLimit());
         context.targetLeases.announced(announcement, *section, context.map.version, now);
         for (const HeldRange &range : announcement.targetLeases ? announcement.targetLeases->held : std::vector<HeldRange>()) {
             context.voteRecord.recordFenceTerm(range.fence.term);
--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -90,6 +90,16 @@
     return document && document->grantsByHeartbeat;
 }
 
+Duration CellContext::targetLeaseLimit() const
+{
+    const Document *document = documents.document();
+    if (!document || !document->grantsByHeartbeat) {
+        return Duration(0);
+    }
+    const Duration bound = timings.maxTargetLease;
+    return bound == Duration::zero() ? document->holdTime : std::min(bound, document->holdTime);
+}
+
 bool CellContext::isTargetLeaving(WallTime now) const
 {
     const Document *document = documents.document();
--- a/src/libnutmeghinge/cellcontext.h
+++ b/src/libnutmeghinge/cellcontext.h
@@ -44,6 +44,8 @@
     const ServiceName &targetService() const { return identity.service.value().empty() ? service : identity.service; }
     /** Returns whether this node's target gets its shards by target leases, granted in the answers to its heartbeats. */
     bool usesTargetLeases() const;
+    /** Returns the longest time for which a target may hold shards after its node's last answer; zero without target leases. */
+    Duration targetLeaseLimit() const;
     /** Returns the section of the map whose shards the target beside this node may own; null if there is none. */
     const ShardSection *ownSection() const { return map.section(targetService()); }
     /** Returns whether the target should receive no new requests, because it drains or the document marks it as leaving. */
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -386,8 +386,9 @@
 }
 
 /**
- * Updates the ledger when the member's target reports a new incarnation. The report tells which shards the target holds; an
- * earlier incarnation of the target, or of its node, holds none any more.
+ * Updates the ledger when the member's target reports a new incarnation. The report tells which shards the target holds. If the
+ * same process of the node has reported an earlier incarnation, that one has ended. A new process does not know the earlier ones,
+ * so shards that an earlier process was granted, and that are not reported, are free only when its lease has expired.
  */
 void Coordinator::updateTargetIncarnation(MemberSlot from,
                                           MemberStatus &status,
@@ -413,11 +414,18 @@
     for (const auto &[slot, name] : m_nodes) {
         if (slot != from && node != m_nodes.end() && name == node->second) {
             m_ledger.transfer(slot, from, held, now, effects);
-            m_ledger.revokeShards(slot, now, effects);
+            m_ledger.revokeShards(slot, leaseEndOf(slot, now), effects);
         }
     }
 }
 
+/** Returns the time after which no target holds shards granted by the member in the slot; now if its lease has expired or it has had none in this term. */
+MonotonicTime Coordinator::leaseEndOf(MemberSlot slot, MonotonicTime now) const
+{
+    const auto status = m_status.find(slot);
+    return status == m_status.end() || status->second.leaseExpired ? now : std::max(now, status->second.leaseEnd);
+}
+
 void Coordinator::recordNodes(const CellRow &row)
 {
     for (const auto &[slot, node] : row.former) {
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -116,6 +116,7 @@
                                  const Fence &mapVersion,
                                  MonotonicTime now,
                                  EffectList &effects);
+    MonotonicTime leaseEndOf(MemberSlot slot, MonotonicTime now) const;
     void recordNodes(const CellRow &row);
     std::vector<std::pair<MemberSlot, NodeName>> formerNodes(const CellRow &row) const;
     bool areHeldShardsReported() const;
--- a/src/libnutmeghinge/decisions/targetcrashdetector.cpp
+++ b/src/libnutmeghinge/decisions/targetcrashdetector.cpp
@@ -34,6 +34,14 @@
     return true;
 }
 
+void TargetCrashDetector::answered(const TargetInstance &target, const TargetName &by)
+{
+    if (!by.value().empty() && by != target.name) {
+        m_replaced = target;
+        m_replacedBy = by;
+    }
+}
+
 bool TargetCrashDetector::checked(const TargetChecked &result)
 {
     m_checking = false;
--- a/src/libnutmeghinge/decisions/targetcrashdetector.h
+++ b/src/libnutmeghinge/decisions/targetcrashdetector.h
@@ -33,6 +33,10 @@
     bool isChecking() const { return m_checking; }
     /** Returns whether this incarnation of the target is known to have crashed. */
     bool hasCrashed(const TargetInstance &target) const { return m_crashed && *m_crashed == target; }
+    /** Records the name under which the process at the target's endpoint has answered; empty if it gave none. */
+    void answered(const TargetInstance &target, const TargetName &by);
+    /** Returns whether the named target has answered at the endpoint of this incarnation, which has thus ended. */
+    bool isReplaced(const TargetInstance &target, const TargetName &by) const { return m_replaced && *m_replaced == target && m_replacedBy == by; }
     /** Applies the result of the check. Returns whether it shows a crash that was not known. */
     bool checked(const TargetChecked &result);
     /** Applies an announcement of the target that was beside the node before. Returns whether it shows a crash that was not known. */
@@ -45,6 +49,9 @@
 private:
     bool m_checking = false;
     std::optional<TargetInstance> m_crashed;
+    /** Incarnation at whose endpoint another target has answered last, and that target. */
+    std::optional<TargetInstance> m_replaced;
+    TargetName m_replacedBy;
     /** Latest lost attempts, oldest first. */
     std::vector<LostAttempt> m_lost;
     /** Lost attempts since the check in progress began. */
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -271,6 +271,9 @@
     if (stated.target != m_d->admission.health().instance()) {
         return;
     }
+    if (stated.source == TargetStated::Source::Answer) {
+        m_d->crashDetector.answered(stated.target, stated.statement.answeredBy);
+    }
     TargetRateLimit &limit = m_d->admission.rateLimit();
     const std::optional<RequestRate> before = limit.rate();
     auto change = TargetRateLimit::Change::None;
@@ -400,6 +403,11 @@
     return m_d->admission.takeProbe(now);
 }
 
+bool RequestRouter::hasTargetEnded(const TargetInstance &target, const TargetName &successor) const
+{
+    return m_d->crashDetector.hasCrashed(target) || m_d->crashDetector.isReplaced(target, successor);
+}
+
 CrashSuspects &RequestRouter::crashSuspects()
 {
     return m_d->suspects;
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -99,6 +99,7 @@
     std::uint32_t runningRequests() const override;
     std::uint32_t targetRequests() const override;
     bool takeProbe(MonotonicTime now) override;
+    bool hasTargetEnded(const TargetInstance &target, const TargetName &successor) const override;
     CrashSuspects &crashSuspects() override;
     const CrashSuspects &crashSuspects() const;
     MemberLoad takeLoad(MonotonicTime now) override;
--- a/src/libnutmeghinge/shardactivity.h
+++ b/src/libnutmeghinge/shardactivity.h
@@ -3,6 +3,7 @@
 #include "deduplicationentry.h"
 #include "ids.h"
 #include "memberload.h"
+#include "targetstatement.h"
 #include "units.h"
 
 #include <cstdint>
@@ -32,6 +33,11 @@
     virtual std::uint32_t targetRequests() const { return runningRequests(); }
     /** Returns whether the target's limit allows a probe now, and counts it as sent if so. */
     virtual bool takeProbe(MonotonicTime /*now*/) { return true; }
+    /**
+     * Returns whether the target's own side shows that its incarnation has ended: its connections broke and nothing listens at its
+     * endpoint, or the named successor answers there.
+     */
+    virtual bool hasTargetEnded(const TargetInstance & /*target*/, const TargetName & /*successor*/) const { return false; }
     /** Returns what is known of requests under which targets crashed. */
     virtual CrashSuspects &crashSuspects() = 0;
     /** Returns the load since the last call. */
--- a/src/libnutmeghinge/targetstatement.h
+++ b/src/libnutmeghinge/targetstatement.h
@@ -25,6 +25,8 @@
     std::optional<RequestRate> limit;
     /** The target is about to stop and wants no new requests. */
     bool leaving = false;
+    /** Name of the target that has answered, if the answer states it. It differs if another target has taken over the endpoint. */
+    TargetName answeredBy;
     /** Why a part of the statement could not be read; empty if all was. An unreadable part changes nothing. */
     std::string problem;
 
--- a/src/libnutmeghinge/targetwatch.cpp
+++ b/src/libnutmeghinge/targetwatch.cpp
@@ -12,25 +12,30 @@
 
 /** Number of consecutive failed probes after which the target counts as unhealthy. */
 constexpr std::uint32_t unhealthyProbes = 3;
+/** Minimum interval between records of announcements that are not applied. */
+constexpr Duration unprovenRecordInterval = std::chrono::seconds(1);
 
 } // namespace
 
 TargetWatch::TargetWatch(const Timings &timings)
-    : m_announcementTimeout(timings.targetTimeout)
+    : m_succession(timings.targetTimeout)
+    , m_announcementTimeout(timings.targetTimeout)
     , m_probeInterval(timings.targetProbe)
     , m_grantRetry(2 * timings.heartbeat)
 {
 }
 
-bool TargetWatch::isStale(const TargetAnnounced &announcement) const
+/** Records that an announcement names another incarnation than the one in use. */
+void TargetWatch::recordUnproven(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
 {
-    if (!m_latest || announcement.sequence == 0) {
-        return false;
-    }
-    if (announcement.targetIncarnation != m_latest->targetIncarnation) {
-        return announcement.targetIncarnation < m_latest->targetIncarnation;
+    if (now < m_nextUnprovenRecord) {
+        return;
     }
-    return announcement.sequence <= m_latest->sequence;
+    m_nextUnprovenRecord = now + unprovenRecordInterval;
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::TargetUnproven;
+    record.detail = announcement.target.value() + " announces itself, but " + m_latest->target.value() + " has not ended as far as known";
+    effects.record(std::move(record));
 }
 
 void TargetWatch::recordLeaving(const TargetName &target, const char *source, EffectList &effects)
@@ -41,12 +46,16 @@
     effects.record(std::move(record));
 }
 
-bool TargetWatch::announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+bool TargetWatch::announced(const TargetAnnounced &announcement, const TargetSuccession::Evidence &evidence, MonotonicTime now, EffectList &effects)
 {
-    if (isStale(announcement)) {
+    const TargetSuccession::Decision decision = m_succession.decide(announcement, evidence, now);
+    if (decision == TargetSuccession::Decision::Unproven) {
+        recordUnproven(announcement, now, effects);
+    }
+    if (decision == TargetSuccession::Decision::Stale || decision == TargetSuccession::Decision::Unproven) {
         return false;
     }
-    const bool restarted = !m_latest || m_latest->targetIncarnation != announcement.targetIncarnation;
+    const bool restarted = decision == TargetSuccession::Decision::Successor;
     if (restarted) {
         m_grants.clear();
         m_failedProbes = 0;
--- a/src/libnutmeghinge/targetwatch.h
+++ b/src/libnutmeghinge/targetwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "events.h"
+#include "targetsuccession.h"
 #include "timings.h"
 #include "units.h"
 
@@ -22,8 +23,8 @@
 public:
     explicit TargetWatch(const Timings &timings);
 
-    /** Applies an announcement. Returns false, and ignores it, if it was sent before one already applied. */
-    bool announced(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
+    /** Applies an announcement. Returns false, and ignores it, if it is not from the incarnation in use or was overtaken by a later one. */
+    bool announced(const TargetAnnounced &announcement, const TargetSuccession::Evidence &evidence, MonotonicTime now, EffectList &effects);
     /** Marks the target as draining if the notice names it: it ends without another announcement. */
     void leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects);
     /**
@@ -38,6 +39,8 @@
 
     /** Returns the latest announcement; empty before the first. */
     const std::optional<TargetAnnounced> &latest() const { return m_latest; }
+    /** Returns whether the target is known to run, because it has announced itself to this process more than once. */
+    bool isConfirmed() const { return m_succession.isConfirmed(); }
     /** Returns whether the latest announcement arrived within the timeout. */
     bool isFresh(MonotonicTime now) const { return m_latest && now < m_announcedAt + m_announcementTimeout; }
     /** Returns whether the target is draining: it is about to stop and wants no new requests. Ends only with its incarnation. */
@@ -56,13 +59,14 @@
 
 private:
     static void recordLeaving(const TargetName &target, const char *source, EffectList &effects);
-    bool isStale(const TargetAnnounced &announcement) const;
+    void recordUnproven(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
 
     struct Grant {
         bool accepted = false;
         MonotonicTime retryAt;
     };
 
+    TargetSuccession m_succession;
     Duration m_announcementTimeout;
     Duration m_probeInterval;
     Duration m_grantRetry;
@@ -70,6 +74,7 @@
     MonotonicTime m_announcedAt;
     MonotonicTime m_drainingSince;
     MonotonicTime m_nextProbe;
+    MonotonicTime m_nextUnprovenRecord;
     std::uint32_t m_failedProbes = 0;
     bool m_unresponsive = false;
     std::map<Fence, Grant> m_grants;
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -20,6 +20,8 @@
         NodeStopped,
         TargetAnnounced,
         TargetSilent,
+        /** Another incarnation of the target announced itself, and nothing shows that the one in use has ended. */
+        TargetUnproven,
         /** The target named a limit on its requests, or another one than before. */
         TargetLimitNamed,
         TargetLimitEnded,
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -296,6 +296,60 @@
     CHECK(cell.violation().empty());
 }
 
+TEST_CASE("A heartbeat of another writer takes no key from the target that holds it, and the target stays in use")
+{
+    for (const bool draining : {false, true}) {
+        for (std::size_t node = 0; node < 4; ++node) {
+            TargetLeaseHarness cell(5, 61);
+            REQUIRE(cell.runUntilAllHeld(5s));
+            cell.run(2s);
+            const std::size_t before = cell.shardsOf(node);
+            REQUIRE(before > 0);
+            cell.deliverForeignHeartbeat(node, draining);
+            cell.run(8s);
+            INFO("node " << node << ", draining " << draining);
+            CHECK(cell.violation() == "");
+            CHECK(cell.shardsOf(node) == before);
+            CHECK(cell.shardsAdmittedBy(node) == before);
+        }
+    }
+}
+
+TEST_CASE("A heartbeat of another writer that a restarted node gets first takes no key from the target")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        TargetLeaseHarness cell(5, seed);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(2s);
+        const std::size_t before = cell.shardsOf(2);
+        REQUIRE(before > 0);
+        cell.killNode(2);
+        cell.startNode(2);
+        cell.deliverForeignHeartbeat(2, false);
+        cell.run(8s);
+        INFO("seed " << seed);
+        CHECK(cell.violation() == "");
+        CHECK(cell.shardsOf(2) == before);
+    }
+}
+
+TEST_CASE("A late first heartbeat at a restarted node, from before its target got a key, does not free that key")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        TargetLeaseHarness cell(5, seed);
+        cell.sendHeartbeatLate(2, 9s);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(8900ms - cell.now() + 10s);
+        REQUIRE(cell.shardsOf(2) > 0);
+        cell.killNode(2);
+        cell.startNode(2);
+        cell.run(8s);
+        INFO("seed " << seed);
+        CHECK(cell.violation() == "");
+        CHECK(cell.heldShards() == TargetLeaseHarness::shards);
+    }
+}
+
 TEST_CASE("Keys of a target that ends, restarts or drains are held again within the limit")
 {
     TargetLeaseHarness cell(5, 11);
@@ -514,6 +568,35 @@
     CHECK(holds);
 }
 
+TEST_CASE("No key has two holders under late heartbeats, those of another writer, and random faults")
+{
+    const auto holds = rc::check([] {
+        TargetLeaseHarness cell(*rc::gen::inRange<std::size_t>(2, 8), *rc::gen::arbitrary<std::uint32_t>());
+        const int faults = *rc::gen::inRange(3, 14);
+        cell.run(5s);
+        for (int fault = 0; fault < faults && cell.violation().empty(); ++fault) {
+            const std::size_t node = cell.random(cell.size());
+            switch (cell.random(3)) {
+            case 0:
+                cell.sendHeartbeatLate(node, std::chrono::milliseconds(cell.random(8000)));
+                break;
+            case 1:
+                cell.deliverForeignHeartbeat(node, cell.random(2) == 0);
+                break;
+            default:
+                injectRandomFault(cell);
+            }
+            cell.run(std::chrono::milliseconds(50 + cell.random(2000)));
+        }
+        cell.healAll();
+        const bool recovered = cell.runUntilAllHeld(40s).has_value();
+        if (!cell.violation().empty() || !recovered) {
+            RC_FAIL(cell.violation().empty() ? "not all keys are held again" : cell.violation());
+        }
+    });
+    CHECK(holds);
+}
+
 TEST_CASE("Seeds that once failed cause no violation")
 {
     // Each comment names the failure that the seed below it reproduces.
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -329,7 +329,7 @@
     schedule(heartbeat, [this, node, targetIncarnation] { heartbeatLoop(node, targetIncarnation); });
 }
 
-void TargetLeaseHarness::sendHeartbeat(std::size_t node)
+TargetAnnounced TargetLeaseHarness::nextHeartbeat(std::size_t node)
 {
     Target &target = m_nodes[node].target;
     TargetAnnounced announced;
@@ -349,8 +349,34 @@
             announced.targetLeases->held.push_back({shard * keysOfShard, (shard + 1) * keysOfShard - 1, target.heldShards[shard].fence});
         }
     }
-    schedule(Duration(200) + target.heartbeatDelay,
-             [this, node, incarnation = m_nodes[node].incarnation, announced] { deliver(node, incarnation, announced); });
+    return announced;
+}
+
+void TargetLeaseHarness::sendHeartbeat(std::size_t node)
+{
+    schedule(Duration(200) + m_nodes[node].target.heartbeatDelay,
+             [this, node, incarnation = m_nodes[node].incarnation, announced = nextHeartbeat(node)] { deliver(node, incarnation, announced); });
+}
+
+void TargetLeaseHarness::sendHeartbeatLate(std::size_t node, Duration delay)
+{
+    schedule(delay, [this, node, announced = nextHeartbeat(node)] { notify(node, announced); });
+}
+
+void TargetLeaseHarness::deliverForeignHeartbeat(std::size_t node, bool draining)
+{
+    TargetAnnounced announced;
+    announced.service = serviceOf(node);
+    announced.target = TargetName("another-writer");
+    announced.endpoint = Endpoint{"10.0.0.2", 9};
+    announced.slots = 9;
+    announced.targetIncarnation = m_nodes[node].target.incarnation + 1000;
+    announced.draining = draining;
+    announced.sequence = 1;
+    announced.targetLeases.emplace();
+    m_sentHeartbeats.push_back({m_now, announced.targetIncarnation});
+    announced.announcement = m_sentHeartbeats.size();
+    notify(node, announced);
 }
 
 void TargetLeaseHarness::applyGrant(std::size_t node, std::uint64_t targetIncarnation, Duration sentAt, const TargetLeaseGrant &grant)
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -80,6 +80,10 @@
     void notify(std::size_t node, EventBody body) { deliver(node, m_nodes[node].incarnation, std::move(body)); }
     /** Returns the number of shards whose requests the node would send to its target. */
     std::size_t shardsAdmittedBy(std::size_t node) const;
+    /** Sends a heartbeat of the target that arrives after the given time, at the process of the node that runs then. */
+    void sendHeartbeatLate(std::size_t node, Duration delay);
+    /** Delivers a well-formed heartbeat of another writer, in the name of a target that seems to have started just now. */
+    void deliverForeignHeartbeat(std::size_t node, bool draining);
     /** Delays the arrival of the target's heartbeats at its node. */
     void setHeartbeatDelay(std::size_t node, Duration delay) { m_nodes[node].target.heartbeatDelay = delay; }
     /** Delays all events of the node, as if its process were paused. */
@@ -212,6 +216,7 @@
     void replyFromPlatform(std::size_t node, std::function<EventBody(bool reachable)> access);
     void tickLoop(std::size_t node, std::uint64_t incarnation);
     void heartbeatLoop(std::size_t node, std::uint64_t targetIncarnation);
+    TargetAnnounced nextHeartbeat(std::size_t node);
     void sendHeartbeat(std::size_t node);
     void applyGrant(std::size_t node, std::uint64_t targetIncarnation, Duration sentAt, const TargetLeaseGrant &grant);
     TargetInstance targetInstance(std::size_t node) const;
