Write a node's member row only if it has the version that the node knows

Cause: a node wrote its row without a condition. A write that the platform performs seconds late, after its process has ended, put back the row of that process; the new one took its own row for written and was not admitted to the cell.

Change: the write states the version of the row that the process has read, or 0 at the first start of the system. A conflict reports the row as it is, so that the node writes again without another read.

--- a/benchmarks/capacitybenchmark.cpp
+++ b/benchmarks/capacitybenchmark.cpp
@@ -241,15 +241,16 @@
             writeRow(node, std::move(*write));
         } else if (std::holds_alternative<ReadMemberRows>(effect)) {
             ++reads;
-            std::vector<Member> rows;
-            for (const auto &[name, member] : m_members) {
-                rows.push_back(member);
+            std::vector<VersionedMemberRow> rows;
+            for (const auto &[name, row] : m_members) {
+                rows.push_back(row);
             }
             m_events.emplace_back(node, MemberRowsRead{service, std::move(rows)});
         } else if (auto *own = std::get_if<WriteMemberRow>(&effect)) {
             ++writes;
-            m_members[own->member.node] = own->member;
-            m_events.emplace_back(node, MemberRowWriteFinished{RowWritten{RowVersion(1)}});
+            const RowVersion written(++m_memberVersion);
+            m_members[own->row.member.node] = {own->row, written};
+            m_events.emplace_back(node, MemberRowWriteFinished{RowWritten{written}});
         } else if (auto *read = std::get_if<ReadDocument>(&effect)) {
             ++reads;
             const bool isKnown = read->known >= DocumentRevision(1);
@@ -294,7 +295,8 @@
     std::vector<std::unique_ptr<Reducer>> m_reducers;
     std::deque<std::pair<std::size_t, EventBody>> m_events;
     std::optional<VersionedCellRow> m_row;
-    std::map<NodeName, Member> m_members;
+    std::map<NodeName, VersionedMemberRow> m_members;
+    std::uint64_t m_memberVersion = 0;
 };
 
 /**
@@ -421,7 +423,7 @@
     const auto copy = std::make_unique<CellRow>(row);
     state.counters["memory_B"] = static_cast<double>(liveBytes - before);
     state.counters["text_B"] = static_cast<double>(text.size());
-    state.counters["memberText_B"] = static_cast<double>(MemberCodec::toText(row.members.back()).size());
+    state.counters["memberText_B"] = static_cast<double>(MemberCodec::rowToText({row.members.back()}).size());
 }
 BENCHMARK(capacityRow)
     ->ArgNames({"members", "shards"})
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -6,7 +6,7 @@
 #include "fence.h"
 #include "hybridtime.h"
 #include "ids.h"
-#include "member.h"
+#include "memberrow.h"
 #include "notrunreason.h"
 #include "outcome.h"
 #include "peermessages.h"
@@ -48,10 +48,12 @@
     ServiceName service;
 };
 
-/** Writes this node's own member row unconditionally. */
+/** Writes this node's own member row if it has the expected version. */
 struct WriteMemberRow {
     ServiceName service;
-    Member member;
+    MemberRow row;
+    /** Version that the row must have for the write to succeed; 0: the row must not exist. */
+    RowVersion expected;
 };
 
 /**
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -5,7 +5,7 @@
 #include "fence.h"
 #include "hybridtime.h"
 #include "ids.h"
-#include "member.h"
+#include "memberrow.h"
 #include "notrunreason.h"
 #include "outcome.h"
 #include "peermessages.h"
@@ -95,12 +95,18 @@
 /** Result of ReadMemberRows: every node that announced itself for the service. */
 struct MemberRowsRead {
     ServiceName service;
-    std::variant<std::vector<Member>, PlatformUnavailable> result;
+    std::variant<std::vector<VersionedMemberRow>, PlatformUnavailable> result;
 };
 
-/** Result of WriteMemberRow. */
+/** The member row's version differed from the expected one; nothing was written. */
+struct MemberRowConflict {
+    /** The row as the table has it; empty if there is none. */
+    std::optional<VersionedMemberRow> present;
+};
+
+/** Result of WriteMemberRow. PlatformUnavailable: the row may have been written, or may be written later if it still has the expected version. */
 struct MemberRowWriteFinished {
-    std::variant<RowWritten, PlatformUnavailable> result;
+    std::variant<RowWritten, MemberRowConflict, PlatformUnavailable> result;
 };
 
 /** Result of ReadDocument. RowAbsent: the service has no document. */
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -34,6 +34,10 @@
     , m_writeRetry(firstWriteRetry)
     , m_random(context.identity.seed)
 {
+    if (context.identity.firstStart) {
+        // No earlier process of the node has written its row.
+        m_ownVersion = RowVersion(0);
+    }
 }
 
 void TablePolling::tick(Role role, const Event &event, EffectList &effects)
@@ -73,13 +77,23 @@
     }
 }
 
-Member TablePolling::ownRow() const
+MemberRow TablePolling::ownRow() const
 {
-    Member own = m_context.announcement();
-    own.slot = m_lostSlot;
+    MemberRow own{m_context.announcement()};
+    own.member.slot = m_lostSlot;
     return own;
 }
 
+/** Records this node's own row as the table has it; empty if there is none. */
+void TablePolling::adoptOwnRow(const std::optional<VersionedMemberRow> &present)
+{
+    m_ownVersion = present ? present->version : RowVersion(0);
+    if (present && present->row == m_writing) {
+        // An earlier write whose result did not arrive.
+        m_written = m_writing;
+    }
+}
+
 bool TablePolling::hasAnnounced() const
 {
     return m_written == ownRow();
@@ -87,12 +101,12 @@
 
 void TablePolling::announce(MonotonicTime now, EffectList &effects)
 {
-    Member own = ownRow();
-    if (m_context.service.value().empty() || m_writing || m_written == own || now < m_writeAt) {
+    MemberRow own = ownRow();
+    if (m_context.service.value().empty() || !m_ownVersion || m_writing || m_written == own || now < m_writeAt) {
         return;
     }
     m_writing = own;
-    effects.add(WriteMemberRow{m_context.service, std::move(own)});
+    effects.add(WriteMemberRow{m_context.service, std::move(own), *m_ownVersion});
 }
 
 void TablePolling::tableRestored(MonotonicTime now)
@@ -110,9 +124,13 @@
     const auto &result = std::get<MemberRowWriteFinished>(event.body).result;
     if (std::exchange(m_writeOutdated, false)) {
         m_writeRetry = firstWriteRetry;
-    } else if (std::holds_alternative<RowWritten>(result)) {
+    } else if (const auto *written = std::get_if<RowWritten>(&result)) {
+        m_ownVersion = written->version;
         m_written = m_writing;
         m_writeRetry = firstWriteRetry;
+    } else if (const auto *conflict = std::get_if<MemberRowConflict>(&result)) {
+        adoptOwnRow(conflict->present);
+        m_writeRetry = firstWriteRetry;
     } else {
         m_writeAt = event.at + m_writeRetry;
         m_writeRetry = std::min(2 * m_writeRetry, longestWriteRetry);
@@ -295,8 +313,18 @@
 {
     m_readingMembers = false;
     const auto &result = std::get<MemberRowsRead>(event.body).result;
-    if (const auto *rows = std::get_if<std::vector<Member>>(&result)) {
-        m_announced = *rows;
+    if (const auto *rows = std::get_if<std::vector<VersionedMemberRow>>(&result)) {
+        m_announced.clear();
+        std::optional<VersionedMemberRow> own;
+        for (const VersionedMemberRow &row : *rows) {
+            m_announced.push_back(row.row.member);
+            if (row.row.member.node == m_context.identity.node) {
+                own = row;
+            }
+        }
+        if (!m_ownVersion) {
+            adoptOwnRow(own);
+        }
         m_announcedRequestedAt = m_membersRequestedAt;
         m_context.members.recordAnnouncements(m_announced, event.at + m_context.timings.withDrift(m_context.timings.voteDuration));
     }
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -3,7 +3,7 @@
 #include "cellrow.h"
 #include "documentfollower.h"
 #include "ids.h"
-#include "member.h"
+#include "memberrow.h"
 #include "units.h"
 
 #include <optional>
@@ -40,7 +40,7 @@
     explicit TablePolling(CellContext &context);
 
     void tick(Role role, const Event &event, EffectList &effects);
-    /** Writes this node's own row if it has changed. */
+    /** Writes this node's own row if it has changed and the version of the row in the table is known. */
     void announce(MonotonicTime now, EffectList &effects);
     /** Writes this node's row again and reads the document again, since the table may have lost the row and changes of the document. */
     void tableRestored(MonotonicTime now);
@@ -62,7 +62,8 @@
     void setLostSlot(MemberSlot slot) { m_lostSlot = slot; }
 
 private:
-    Member ownRow() const;
+    MemberRow ownRow() const;
+    void adoptOwnRow(const std::optional<VersionedMemberRow> &present);
     void readDueRows(Role role, MonotonicTime now, EffectList &effects);
     void requestToJoin(MonotonicTime now, EffectList &effects);
     void createOrTakeOverCell(MonotonicTime now, EffectList &effects);
@@ -84,8 +85,10 @@
     std::vector<Member> m_announced;
     std::vector<CellRow> m_cells;
     MemberSlot m_lostSlot;
-    std::optional<Member> m_written;
-    std::optional<Member> m_writing;
+    /** Version of this node's own row in the table; empty while this process has not learned it. */
+    std::optional<RowVersion> m_ownVersion;
+    std::optional<MemberRow> m_written;
+    std::optional<MemberRow> m_writing;
     /** The write in progress was sent before the table was restored. */
     bool m_writeOutdated = false;
     MonotonicTime m_writeAt;
--- a/src/libnutmeghingeio/membercodec.cpp
+++ b/src/libnutmeghingeio/membercodec.cpp
@@ -53,20 +53,21 @@
     return member;
 }
 
-std::string MemberCodec::toText(const Member &member)
+std::string MemberCodec::rowToText(const MemberRow &row)
 {
-    return jsonToText(toJson(member));
+    return jsonToText(toJson(row.member));
 }
 
-std::variant<Member, JsonError> MemberCodec::fromText(std::string_view text)
+std::variant<MemberRow, JsonError> MemberCodec::rowFromText(std::string_view text)
 {
     JsonReader reader;
     const nlohmann::json json = reader.parse(text);
-    Member member = fromJson(reader, json);
+    MemberRow row;
+    row.member = fromJson(reader, json);
     if (reader.error()) {
         return JsonError{*reader.error()};
     }
-    return member;
+    return row;
 }
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/membercodec.h
+++ b/src/libnutmeghingeio/membercodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "jsonreader.h"
-#include "member.h"
+#include "memberrow.h"
 
 #include <string>
 #include <string_view>
@@ -17,8 +17,8 @@
     /** Reads a member. Errors are recorded in the reader. */
     static Member fromJson(JsonReader &reader, const nlohmann::json &json);
 
-    static std::string toText(const Member &member);
-    static std::variant<Member, JsonError> fromText(std::string_view text);
+    static std::string rowToText(const MemberRow &row);
+    static std::variant<MemberRow, JsonError> rowFromText(std::string_view text);
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/platformclient.cpp
+++ b/src/libnutmeghingeio/platformclient.cpp
@@ -48,6 +48,20 @@
     return values;
 }
 
+std::vector<VersionedMemberRow> memberRowsOf(const std::vector<TableRow> &rows)
+{
+    std::vector<VersionedMemberRow> members;
+    for (const TableRow &row : rows) {
+        auto member = MemberCodec::rowFromText(row.value);
+        if (const auto *error = std::get_if<JsonError>(&member)) {
+            spdlog::error("platform: skipped invalid row {}: {}", row.key, error->reason);
+            continue;
+        }
+        members.push_back({std::get<MemberRow>(std::move(member)), row.version});
+    }
+    return members;
+}
+
 PlatformUnavailable invalidRow(const std::string &key, const JsonError &error)
 {
     spdlog::error("platform: row {} is invalid: {}", key, error.reason);
@@ -159,6 +173,26 @@
         return cellRowOf(*newest, writtenIn, table.epoch());
     }
 
+    /** Reads the member row that a conditional write has found in another version, and reports it. */
+    void reportMemberConflict(const std::string &key)
+    {
+        const auto finished = [](Private &self, const std::variant<TableRow, RowAbsent, PlatformUnavailable> &result) {
+            MemberRowWriteFinished event{PlatformUnavailable()};
+            if (std::holds_alternative<RowAbsent>(result)) {
+                event.result = MemberRowConflict{};
+            } else if (const auto *row = std::get_if<TableRow>(&result)) {
+                auto present = MemberCodec::rowFromText(row->value);
+                if (const auto *error = std::get_if<JsonError>(&present)) {
+                    spdlog::error("platform: row {} is invalid and will be replaced: {}", row->key, error->reason);
+                }
+                auto *readable = std::get_if<MemberRow>(&present);
+                event.result = MemberRowConflict{VersionedMemberRow{readable ? std::move(*readable) : MemberRow(), row->version}};
+            }
+            self.events(std::move(event));
+        };
+        table.readRow(key, whileAlive(finished));
+    }
+
     void readDocument(const ServiceName &service, DocumentRevision known, const TableRow &row)
     {
         const auto read = documentPointerOf(row.value);
@@ -245,7 +279,7 @@
 {
     const auto finished = [service = effect.service](Private &self, const std::variant<std::vector<TableRow>, PlatformUnavailable> &result) {
         if (const auto *rows = std::get_if<std::vector<TableRow>>(&result)) {
-            self.events(MemberRowsRead{service, valuesOf<Member>(*rows, MemberCodec::fromText)});
+            self.events(MemberRowsRead{service, memberRowsOf(*rows)});
             return;
         }
         self.events(MemberRowsRead{service, PlatformUnavailable()});
@@ -255,15 +289,17 @@
 
 void PlatformClient::run(const WriteMemberRow &effect)
 {
-    const auto finished = [](Private &self, const std::variant<RowWritten, WriteConflict, PlatformUnavailable> &result) {
+    const std::string key = platformkeys::memberRow(effect.service, effect.row.member.node);
+    const auto finished = [key](Private &self, const std::variant<RowWritten, WriteConflict, PlatformUnavailable> &result) {
         if (const auto *written = std::get_if<RowWritten>(&result)) {
             self.events(MemberRowWriteFinished{*written});
-            return;
+        } else if (std::holds_alternative<WriteConflict>(result)) {
+            self.reportMemberConflict(key);
+        } else {
+            self.events(MemberRowWriteFinished{PlatformUnavailable()});
         }
-        self.events(MemberRowWriteFinished{PlatformUnavailable()});
     };
-    const std::string key = platformkeys::memberRow(effect.service, effect.member.node);
-    m_d->table.write({}, {key, MemberCodec::toText(effect.member)}, m_d->whileAlive(finished));
+    m_d->table.write({{key, effect.expected}}, {key, MemberCodec::rowToText(effect.row)}, m_d->whileAlive(finished));
 }
 
 void PlatformClient::run(const ReadDocument &effect)
--- a/tests/core/cellharness.cpp
+++ b/tests/core/cellharness.cpp
@@ -269,8 +269,7 @@
             if (down) {
                 return MemberRowWriteFinished{PlatformUnavailable{}};
             }
-            platform.members[own.member.node] = own.member;
-            return MemberRowWriteFinished{RowWritten{RowVersion(1)}};
+            return MemberRowWriteFinished{platform.write(own)};
         });
     } else if (const auto *read = std::get_if<ReadDocument>(&effect)) {
         answerAfterDelay(node, [this, known = read->known](bool down) -> EventBody {
--- a/tests/core/fakeplatform.h
+++ b/tests/core/fakeplatform.h
@@ -54,11 +54,22 @@
         }
         return document.revision > known ? document : DocumentCopy{document.revision, ""};
     }
-    std::vector<Member> memberRows() const
+    decltype(MemberRowWriteFinished::result) write(const WriteMemberRow &effect)
     {
-        std::vector<Member> rows;
-        for (const auto &[node, member] : members) {
-            rows.push_back(member);
+        const auto present = members.find(effect.row.member.node);
+        const RowVersion presentVersion = present == members.end() ? RowVersion(0) : present->second.version;
+        if (effect.expected != presentVersion) {
+            return MemberRowConflict{present == members.end() ? std::nullopt : std::optional(present->second)};
+        }
+        const RowVersion written(++version);
+        members[effect.row.member.node] = {effect.row, written};
+        return RowWritten{written};
+    }
+    std::vector<VersionedMemberRow> memberRows() const
+    {
+        std::vector<VersionedMemberRow> rows;
+        for (const auto &[node, row] : members) {
+            rows.push_back(row);
         }
         return rows;
     }
@@ -87,7 +98,7 @@
     Duration delay = std::chrono::milliseconds(3);
     std::optional<VersionedCellRow> row;
     std::map<TableEpoch, std::optional<VersionedCellRow>> rowsOfEarlierEpochs;
-    std::map<NodeName, Member> members;
+    std::map<NodeName, VersionedMemberRow> members;
     DocumentCopy document;
     TableEpoch epoch;
     /** Version of the latest write; taken back by a restoration. */
@@ -99,7 +110,7 @@
         std::uint64_t version = 0;
         std::optional<VersionedCellRow> row;
         std::map<TableEpoch, std::optional<VersionedCellRow>> rowsOfEarlierEpochs;
-        std::map<NodeName, Member> members;
+        std::map<NodeName, VersionedMemberRow> members;
         TableEpoch epoch;
     };
 
--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -429,6 +429,26 @@
     CHECK(cell.shardsAdmittedBy(1) > 0);
 }
 
+TEST_CASE("A member row that the platform writes seconds late, for an ended process, does not shut out the node's new process")
+{
+    for (const Duration after : {500ms, 1500ms, 3000ms}) {
+        TargetLeaseHarness cell(5, 71);
+        REQUIRE(cell.runUntilAllHeld(5s));
+        cell.run(2s);
+        // A planned stop announces itself; the process is killed before the write takes effect.
+        cell.delayMemberWrite(1, after);
+        cell.stopNode(1);
+        cell.run(100ms);
+        cell.killNode(1);
+        cell.run(100ms);
+        cell.startNode(1);
+        cell.run(12s);
+        INFO("late by " << after.count() << " us");
+        CHECK(cell.shardsOf(1) > 0);
+        CHECK(cell.violation() == "");
+    }
+}
+
 TEST_CASE("All keys stay held during a platform outage")
 {
     TargetLeaseHarness cell(5, 12);
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -681,13 +681,18 @@
                        });
                    },
                    [&](const WriteMemberRow &write) {
-                       replyFromPlatform(node, [this, write](bool reachable) -> EventBody {
-                           if (!reachable) {
-                               return MemberRowWriteFinished{PlatformUnavailable()};
+                       const bool isLate = m_lateMemberWrite && m_lateMemberWrite->first == node;
+                       if (isLate) {
+                           schedule(m_lateMemberWrite->second, [this, write] { m_platform.write(write); });
+                           m_lateMemberWrite.reset();
+                       }
+                       replyFromPlatform(node, [this, write, isLate](bool reachable) -> EventBody {
+                           MemberRowWriteFinished finished{PlatformUnavailable()};
+                           if (reachable && !isLate) {
+                               finished.result = m_platform.write(write);
+                               m_platform.keepCopy(m_now);
                            }
-                           m_platform.members[write.member.node] = write.member;
-                           m_platform.keepCopy(m_now);
-                           return MemberRowWriteFinished{RowWritten{RowVersion(1)}};
+                           return finished;
                        });
                    },
                    [&](const ReadDocument &) { callForDocument(node, std::nullopt, Duration(0), callTimeout); },
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -100,6 +100,8 @@
     void setPlatformDelay(Duration delay);
     /** Open connections of all nodes, to the platform and to each other, transfer nothing more; new ones work. */
     void silenceConnections();
+    /** The node's next write of its member row fails, but takes effect after the given time if its condition holds then. */
+    void delayMemberWrite(std::size_t node, Duration delay) { m_lateMemberWrite = {node, delay}; }
     /** The platform discards its history of changes. */
     void dropHistory();
 
@@ -236,6 +238,7 @@
     std::vector<DocumentCall> m_documentCalls;
     /** Times at which the revisions of the document were accepted. */
     std::map<DocumentRevision, Duration> m_accepted;
+    std::optional<std::pair<std::size_t, Duration>> m_lateMemberWrite;
     bool m_platformSilent = false;
     bool m_platformRefusing = false;
     Duration m_platformDelay = normalPlatformDelay;
--- a/tests/io/cellrowcodectest.cpp
+++ b/tests/io/cellrowcodectest.cpp
@@ -20,10 +20,10 @@
 TEST_CASE("A member row survives a round trip through its text")
 {
     const bool held = rc::check([] {
-        const Member member = *anyMember();
-        const auto result = MemberCodec::fromText(MemberCodec::toText(member));
-        RC_ASSERT(std::holds_alternative<Member>(result));
-        RC_ASSERT(std::get<Member>(result) == member);
+        const MemberRow row{*anyMember()};
+        const auto result = MemberCodec::rowFromText(MemberCodec::rowToText(row));
+        RC_ASSERT(std::holds_alternative<MemberRow>(result));
+        RC_ASSERT(std::get<MemberRow>(result) == row);
     });
     CHECK(held);
 }
--- a/tests/io/platformclienttest.cpp
+++ b/tests/io/platformclienttest.cpp
@@ -122,24 +122,35 @@
     CHECK(isUnavailable(fixture.run<CellRowWriteFinished>(WriteCellRow{RowVersion(17), someCell()}).result));
 }
 
-TEST_CASE("Invalid member rows are skipped when read, and member rows are written without a condition")
+TEST_CASE("Invalid member rows are skipped when read, and member rows are written if they have the expected version")
 {
     Fixture fixture;
     const Member member = someCell().members.front();
-    const json rows = {rowJson("member/roster/n0", 1, "broken"), rowJson("member/roster/n1", 2, MemberCodec::toText(member))};
+    const json rows = {rowJson("member/roster/n0", 1, "broken"), rowJson("member/roster/n1", 2, MemberCodec::rowToText({member}))};
     fixture.answerWith(200, json{{"rows", rows}}.dump());
     const auto read = fixture.run<MemberRowsRead>(ReadMemberRows{roster});
-    CHECK(std::get<std::vector<Member>>(read.result) == std::vector<Member>{member});
+    const auto &valid = std::get<std::vector<VersionedMemberRow>>(read.result);
+    REQUIRE(valid.size() == 1);
+    CHECK(valid[0].row.member == member);
+    CHECK(valid[0].version == RowVersion(2));
     CHECK(fixture.lastRequest().path == "/table/rows?prefix=member/roster/");
     fixture.answerWith(200, R"({"rows":[{}]})");
     CHECK(isUnavailable(fixture.run<MemberRowsRead>(ReadMemberRows{roster}).result));
 
     fixture.answerWith(200, R"({"versions":{"member/roster/n1":3}})");
-    const auto written = fixture.run<MemberRowWriteFinished>(WriteMemberRow{roster, member});
+    const auto written = fixture.run<MemberRowWriteFinished>(WriteMemberRow{roster, {member}, RowVersion(2)});
     CHECK(std::get<RowWritten>(written.result).version == RowVersion(3));
-    CHECK(json::parse(fixture.lastRequest().body).at("conditions").empty());
-    fixture.answerWith(409, "{}");
-    CHECK(isUnavailable(fixture.run<MemberRowWriteFinished>(WriteMemberRow{roster, member}).result));
+    const std::string key = "member/roster/" + member.node.value();
+    CHECK(json::parse(fixture.lastRequest().body).at("conditions") == json{{{"key", key}, {"version", 2}}});
+    fixture.server.setScript([&](const HttpRequest &request) {
+        const bool isWrite = request.method == "POST";
+        return isWrite ? ScriptedAnswer{409, "{}"} : ScriptedAnswer{200, rowJson(key, 7, MemberCodec::rowToText({member})).dump()};
+    });
+    const auto conflict = fixture.run<MemberRowWriteFinished>(WriteMemberRow{roster, {member}, RowVersion(2)});
+    const auto &present = std::get<MemberRowConflict>(conflict.result).present;
+    REQUIRE(present);
+    CHECK(present->row.member == member);
+    CHECK(present->version == RowVersion(7));
 }
 
 TEST_CASE("The cells of all services are read")
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -3,6 +3,7 @@
 #include "cellrowcodec.h"
 #include "eventloop.h"
 #include "httpclient.h"
+#include "membercodec.h"
 #include "rununtil.h"
 #include "scriptedserver.h"
 #include "tcprelay.h"
@@ -207,7 +208,30 @@
 {
     Setup setup;
     setup.answerWith(200, rowsJson("members", "n-1", "broken", 530));
-    CHECK(std::get<std::vector<Member>>(setup.run<MemberRowsRead>(ReadMemberRows{ServiceName("all")}).result).empty());
+    CHECK(std::get<std::vector<VersionedMemberRow>>(setup.run<MemberRowsRead>(ReadMemberRows{ServiceName("all")}).result).empty());
+}
+
+TEST_CASE("WriteMemberRow states the expected version, and a conflict reports the row as the store has it")
+{
+    Setup setup;
+    const std::string node = "n-1";
+    MemberRow row;
+    row.member.node = NodeName(node);
+    setup.answerWith(200, R"({"ver":531,"now":1})");
+    const auto written = setup.run<MemberRowWriteFinished>(WriteMemberRow{ServiceName("all"), row, RowVersion(12)});
+    CHECK(std::get<RowWritten>(written.result).version == RowVersion(531));
+    CHECK(setup.lastBody().at("expect") == json::parse(R"([{"table":"members","part":"","key":"n-1","ver":12}])"));
+
+    setup.answerWith(412, rowsJson("members", node, MemberCodec::rowToText(row), 532));
+    const auto conflict = setup.run<MemberRowWriteFinished>(WriteMemberRow{ServiceName("all"), row, RowVersion(531)});
+    const auto &present = std::get<MemberRowConflict>(conflict.result).present;
+    REQUIRE(present);
+    CHECK(present->row == row);
+    CHECK(present->version == RowVersion(12));
+    setup.answerWith(412, R"({"rows":[],"ver":533,"now":1})");
+    CHECK_FALSE(std::get<MemberRowConflict>(setup.run<MemberRowWriteFinished>(WriteMemberRow{ServiceName("all"), row, RowVersion(531)}).result).present);
+    setup.answerWith(412, "broken");
+    CHECK(std::holds_alternative<PlatformUnavailable>(setup.run<MemberRowWriteFinished>(WriteMemberRow{ServiceName("all"), row, RowVersion(531)}).result));
 }
 
 TEST_CASE("An answer that states one more restoration of the tables is reported as a new epoch before its result")
--- a/tests/standins/platformstandintest.cpp
+++ b/tests/standins/platformstandintest.cpp
@@ -161,10 +161,12 @@
     CHECK(std::get<std::vector<CellRow>>(std::get<CellsRead>(next()).result).size() == 1);
     Member member;
     member.node = NodeName("node-1");
-    client.run(WriteMemberRow{service, member});
+    client.run(WriteMemberRow{service, {member}, RowVersion(0)});
     CHECK(std::holds_alternative<RowWritten>(std::get<MemberRowWriteFinished>(next()).result));
     client.run(ReadMemberRows{service});
-    CHECK(std::get<std::vector<Member>>(std::get<MemberRowsRead>(next()).result) == std::vector<Member>{member});
+    const auto rows = std::get<std::vector<VersionedMemberRow>>(std::get<MemberRowsRead>(next()).result);
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0].row.member == member);
     client.run(ReadDocument{service, DocumentRevision(0)});
     CHECK(std::holds_alternative<RowAbsent>(std::get<DocumentRead>(next()).result));
     fixture.caller.call("PUT", "/objects/documents/1", {}, "text");
