Let no earlier incarnation of a target follow one that leaves

Requests would have been refused by the running target, as they name another one, until it spoke again.

Change: leaving lets only a later incarnation follow.

--- a/src/libnutmeghinge/decisions/targetsuccession.cpp
+++ b/src/libnutmeghinge/decisions/targetsuccession.cpp
@@ -33,7 +33,9 @@
 {
     const bool isLater = seen.instance.incarnation > m_current->instance.incarnation;
     const bool isSilent = now >= m_current->at + m_silenceLimit;
-    const bool mayReplace = evidence.hasEnded || (!evidence.holdsKeys && (isSilent || evidence.leaves));
+    // A target that leaves runs on for a while, so an earlier incarnation does not follow it.
+    const bool isDue = isSilent || (evidence.leaves && isLater);
+    const bool mayReplace = evidence.hasEnded || (!evidence.holdsKeys && isDue);
     if (m_confirmed && !mayReplace) {
         return isLater ? Decision::Unproven : Decision::Stale;
     }
