Acknowledge a departure only when later processes of the node will know it

Cause: that a target leaves was known to one process only.

Change: departures, by heartbeat, notice or answer, stand in the node's member row. The answer to a heartbeat that says so waits for 0.3 s at most, as the target repeats it with the next one. A new process reads its row before it sends a request to its target. Without the table it waits for three seconds, and then needs a heartbeat that arrives after them, and a second one. A departure belongs to an incarnation: a later one is used at once. The departure of a target that is not in use is not acknowledged, so that other writers cause no writes. An announcement of another service is refused and recorded instead of answered with success.

Ruled out: only a second heartbeat before the target is used. It needs no memory, but several heartbeats may be late, and each restart would cost an interval. Telling other nodes: they may be away when the process is restarted, and all may be lost at once.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -18,8 +18,14 @@
 constexpr Duration removalTimeout = std::chrono::seconds(2);
 /** A draining target still receives requests for this long while its shards move; targets accept them for two seconds. */
 constexpr Duration drainGrace = std::chrono::milliseconds(1500);
-/** Longest time after its start for which a node sends no request to its target while it has not read the cell row. */
-constexpr Duration suspectsWaitLimit = std::chrono::seconds(3);
+/** Longest time after its start for which a node sends no request to its target while it has not read its rows in the platform's table. */
+constexpr Duration rowsWaitLimit = std::chrono::seconds(3);
+/** A target regards a call as failed if no answer arrives within a second. */
+constexpr Duration noticeAnswerLimit = std::chrono::milliseconds(800);
+/** A target that drains says so again with each heartbeat, so its keys need not wait long for the table. */
+constexpr Duration drainAnswerLimit = std::chrono::milliseconds(300);
+/** Minimum interval between records of refused announcements. */
+constexpr Duration refusalRecordInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -33,10 +39,21 @@
     bool hasAuthority(MonotonicTime now) const;
     /** Returns what is known of the target's incarnation in use when the named target announces itself. */
     TargetSuccession::Evidence evidenceFor(const TargetName &announced, MonotonicTime now) const;
+    bool isOfOwnService(const TargetAnnounced &announcement) const;
+    void refuseAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
     bool acceptAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
     std::optional<TargetLeaseGrant> targetLeaseGrant(MonotonicTime now);
     /** Returns whether this process knows the requests under which targets crashed, or cannot wait for them any longer. */
     bool knowsSuspects(MonotonicTime now) const;
+    /**
+     * Returns whether this process knows which targets have left, as earlier processes of the node acknowledged. If it cannot read
+     * its row, only an announcement that is too new to come from a target that had left counts.
+     */
+    bool knowsDepartures(MonotonicTime now) const;
+    /** Answers the announcement; if it says that the target leaves, only once the platform has recorded that. */
+    void answerAnnouncement(const TargetAnnounced &announcement, bool accepted, MonotonicTime now, EffectList &effects);
+    /** Answers the targets whose departures the platform has recorded, or that can wait no longer. */
+    void answerDepartures(MonotonicTime now, EffectList &effects);
     bool isInDrainGrace(MonotonicTime now) const;
     bool mayRunUnderTargetLease(ShardIndex shard, const ShardOwnership &entry, MonotonicTime now) const;
     void updateStopped(MonotonicTime now);
@@ -53,6 +70,17 @@
     TablePolling polling;
     MonotonicTime lastEventAt;
     WallTime lastWallTime;
+    /** Answer to a target that waits until the platform has recorded the target's departure. */
+    struct PendingAnswer {
+        std::uint64_t announcement = 0;
+        TargetInstance departed;
+        /** Status of the answer if the departure is not recorded in time. */
+        AnswerTarget::Status otherwise = AnswerTarget::Status::NotRecorded;
+        MonotonicTime until;
+    };
+
+    std::vector<PendingAnswer> pendingAnswers;
+    MonotonicTime nextRefusalRecord;
     MonotonicTime noShardsSince = MonotonicTime::max();
     bool stopped = false;
 };
@@ -183,13 +211,31 @@
     return evidence;
 }
 
-/** Applies the target's announcement. Returns false and ignores it if it is for another service or not from the incarnation in use. */
-bool Cell::Private::acceptAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+bool Cell::Private::isOfOwnService(const TargetAnnounced &announcement) const
 {
     const ServiceName &expected = context.targetService();
-    if (!expected.value().empty() && expected != announcement.service) {
-        return false;
+    return expected.value().empty() || expected == announcement.service;
+}
+
+/** Answers an announcement that names no target of this node's service. */
+void Cell::Private::refuseAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+{
+    if (announcement.announcement != 0) {
+        effects.add(AnswerTarget{announcement.announcement, std::nullopt, AnswerTarget::Status::Refused});
+    }
+    if (now < nextRefusalRecord) {
+        return;
     }
+    nextRefusalRecord = now + refusalRecordInterval;
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::BadInput;
+    record.detail = "announcement of a target of another service than that of this node";
+    effects.record(std::move(record));
+}
+
+/** Applies the target's announcement. Returns false and ignores it if it is not from the incarnation in use. */
+bool Cell::Private::acceptAnnouncement(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+{
     if (!context.target.announced(announcement, evidenceFor(announcement.target, now), now, effects)) {
         return false;
     }
@@ -224,7 +270,40 @@
 
 bool Cell::Private::knowsSuspects(MonotonicTime now) const
 {
-    return context.row.known() || context.row.isAbsent() || now >= context.identity.startedAt + suspectsWaitLimit;
+    return context.row.known() || context.row.isAbsent() || now >= context.identity.startedAt + rowsWaitLimit;
+}
+
+bool Cell::Private::knowsDepartures(MonotonicTime now) const
+{
+    const MonotonicTime limit = context.identity.startedAt + rowsWaitLimit;
+    return polling.knowsOwnRow() || (now >= limit && context.target.isConfirmed() && context.target.announcedAt() >= limit);
+}
+
+void Cell::Private::answerAnnouncement(const TargetAnnounced &announcement, bool accepted, MonotonicTime now, EffectList &effects)
+{
+    const TargetInstance announced{announcement.target, announcement.targetIncarnation};
+    if (!announcement.draining || polling.hasRecorded(announced)) {
+        effects.add(AnswerTarget{announcement.announcement, accepted ? targetLeaseGrant(now) : std::nullopt});
+    } else if (context.target.departures().covers(announced)) {
+        pendingAnswers.push_back({announcement.announcement, announced, AnswerTarget::Status::Acknowledged, now + drainAnswerLimit});
+    } else {
+        // It is not the target in use, so its departure is not remembered.
+        effects.add(AnswerTarget{announcement.announcement, std::nullopt, AnswerTarget::Status::NotRecorded});
+    }
+}
+
+void Cell::Private::answerDepartures(MonotonicTime now, EffectList &effects)
+{
+    std::erase_if(pendingAnswers, [&](const PendingAnswer &pending) {
+        const bool recorded = polling.hasRecorded(pending.departed);
+        if (!recorded && now < pending.until) {
+            return false;
+        }
+        const AnswerTarget::Status status = recorded ? AnswerTarget::Status::Acknowledged : pending.otherwise;
+        const bool grants = status == AnswerTarget::Status::Acknowledged && context.target.isConfirmed();
+        effects.add(AnswerTarget{pending.announcement, grants ? targetLeaseGrant(now) : std::nullopt, status});
+        return true;
+    });
 }
 
 /** Returns whether the target began to drain so recently that it still accepts requests. */
@@ -289,6 +368,7 @@
     m_d->updateResigned();
     m_d->follower.tick(event, effects);
     m_d->polling.tick(m_d->pollingRole(event.at), event, effects);
+    m_d->answerDepartures(event.at, effects);
     const Document *inForce = document();
     if (inForce && inForce->targetsCheckFence && m_d->hasAuthority(event.at)) {
         m_d->context.target.sendGrants(m_d->context.map, m_d->context.self, event.at, effects);
@@ -350,6 +430,8 @@
 {
     m_d->beginEvent(event, effects);
     m_d->polling.memberRowWriteFinished(event);
+    m_d->polling.announce(event.at, effects);
+    m_d->answerDepartures(event.at, effects);
 }
 
 void Cell::documentRead(const Event &event, EffectList &effects)
@@ -410,12 +492,14 @@
 {
     m_d->beginEvent(event, effects);
     const auto &announcement = std::get<TargetAnnounced>(event.body);
+    if (!m_d->isOfOwnService(announcement)) {
+        m_d->refuseAnnouncement(announcement, event.at, effects);
+        return false;
+    }
     const bool accepted = m_d->acceptAnnouncement(announcement, event.at, effects);
+    m_d->polling.announce(event.at, effects);
     if (announcement.announcement != 0) {
-        effects.add(AnswerTarget{announcement.announcement, accepted ? m_d->targetLeaseGrant(event.at) : std::nullopt});
-    }
-    if (accepted) {
-        m_d->polling.announce(event.at, effects);
+        m_d->answerAnnouncement(announcement, accepted, event.at, effects);
     }
     return accepted;
 }
@@ -423,8 +507,15 @@
 void Cell::targetLeaving(const Event &event, EffectList &effects)
 {
     m_d->beginEvent(event, effects);
-    m_d->context.target.leaving(std::get<TargetLeaving>(event.body), event.at, effects);
+    const auto &notice = std::get<TargetLeaving>(event.body);
+    const std::optional<TargetInstance> departed = m_d->context.target.leaving(notice, event.at, effects);
+    if (!departed) {
+        effects.add(AnswerTarget{notice.announcement, std::nullopt, AnswerTarget::Status::NotRecorded});
+        return;
+    }
     m_d->polling.announce(event.at, effects);
+    m_d->pendingAnswers.push_back({notice.announcement, *departed, AnswerTarget::Status::NotRecorded, event.at + noticeAnswerLimit});
+    m_d->answerDepartures(event.at, effects);
 }
 
 void Cell::targetProbed(const Event &event, EffectList &effects)
@@ -508,7 +599,7 @@
         return false;
     }
     if (!inForce->isSharded()) {
-        return context.target.isFresh(now) && !context.stopping && m_d->knowsSuspects(now);
+        return context.target.isFresh(now) && !context.stopping && m_d->knowsSuspects(now) && m_d->knowsDepartures(now);
     }
     if (shard.value() >= context.map.shards.size() || !m_d->hasAuthority(now)) {
         return false;
@@ -597,6 +688,12 @@
     return m_d->coordinator.nodesWithoutRoom(now);
 }
 
+std::optional<TargetInstance> Cell::target() const
+{
+    const std::optional<TargetAnnounced> &latest = m_d->context.target.latest();
+    return latest ? std::optional(TargetInstance{latest->target, latest->targetIncarnation}) : std::nullopt;
+}
+
 MonotonicTime Cell::leaseEnd() const
 {
     const bool byTerm = m_d->coordinator.isElected() && !m_d->context.usesTargetLeases();
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -78,6 +78,8 @@
     MemberSlot coordinator() const;
     /** Returns the number of nodes that the cell does not admit because it is full; 0 if this node is not the coordinator. */
     std::size_t nodesWithoutRoom(MonotonicTime now) const;
+    /** Returns the incarnation of the target beside this node that is in use; empty before the first announcement. */
+    std::optional<TargetInstance> target() const;
     /** Returns the time at which this node's member lease, or its term as coordinator, expires. */
     MonotonicTime leaseEnd() const;
     /** Returns whether this node, after a stop request, owns no shards and need not wait for its removal from the member list. */
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -116,11 +116,20 @@
     std::vector<ShardIndex> shards;
 };
 
-/** Answers an announcement of the target. */
+/** Answers an announcement or a notice of the target. */
 struct AnswerTarget {
+    enum class Status : std::uint8_t {
+        Acknowledged,
+        /** It names no target to use. */
+        Refused,
+        /** That the target leaves could not be recorded, so a later process of the node may not know it. The target calls again. */
+        NotRecorded,
+    };
+
     std::uint64_t announcement = 0;
     /** Keys granted to the target; if empty, the target lease is not renewed. */
-    std::optional<TargetLeaseGrant> grant;
+    std::optional<TargetLeaseGrant> grant{};
+    Status status = Status::Acknowledged;
 };
 
 // Requests.
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -171,6 +171,12 @@
 /** The target is stopping and will not announce itself again. */
 struct TargetLeaving {
     TargetName target;
+    /** Incarnation that leaves; empty if the notice does not name it. */
+    std::optional<std::uint64_t> targetIncarnation;
+    /** Highest incarnation that a target which has started by now can have. */
+    std::uint64_t newestIncarnation = 0;
+    /** Number by which AnswerTarget refers to this notice. */
+    std::uint64_t announcement = 0;
 };
 
 /** Result of ProbeTarget. Both fields are hints: they may be outdated or wrong. */
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -79,7 +79,7 @@
 
 MemberRow TablePolling::ownRow() const
 {
-    MemberRow own{m_context.announcement()};
+    MemberRow own{m_context.announcement(), m_context.target.departures().all()};
     own.member.slot = m_lostSlot;
     return own;
 }
@@ -88,12 +88,22 @@
 void TablePolling::adoptOwnRow(const std::optional<VersionedMemberRow> &present)
 {
     m_ownVersion = present ? present->version : RowVersion(0);
+    if (present) {
+        m_context.target.addDepartures(present->row.departed);
+    }
     if (present && present->row == m_writing) {
         // An earlier write whose result did not arrive.
         m_written = m_writing;
     }
 }
 
+bool TablePolling::hasRecorded(const TargetInstance &departed) const
+{
+    return m_written && std::any_of(m_written->departed.begin(), m_written->departed.end(), [&](const TargetInstance &recorded) {
+               return recorded.name == departed.name && departed.incarnation <= recorded.incarnation;
+           });
+}
+
 bool TablePolling::hasAnnounced() const
 {
     return m_written == ownRow();
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -54,6 +54,10 @@
     bool hasUsedTable() const { return m_written.has_value() || m_documentFollower.isFollowing(); }
     /** Returns whether the platform has acknowledged this node's row as it is now. */
     bool hasAnnounced() const;
+    /** Returns whether the table has this node's own row, or has none, as far as this process knows. */
+    bool knowsOwnRow() const { return m_ownVersion.has_value(); }
+    /** Returns whether the platform has acknowledged a row of this node that states the target's departure. */
+    bool hasRecorded(const TargetInstance &departed) const;
     /** Returns the member rows as last read: the nodes that have announced themselves. */
     const std::vector<Member> &announced() const { return m_announced; }
     /** Returns the rows of all cells as last read; empty in a cell of several services. */
--- a/src/libnutmeghinge/targetwatch.cpp
+++ b/src/libnutmeghinge/targetwatch.cpp
@@ -53,6 +53,8 @@
         recordUnproven(announcement, now, effects);
     }
     if (decision == TargetSuccession::Decision::Stale || decision == TargetSuccession::Decision::Unproven) {
+        // An overtaken message of the target in use still says that it leaves.
+        addDeparture(announcement, now, effects);
         return false;
     }
     const bool restarted = decision == TargetSuccession::Decision::Successor;
@@ -67,29 +69,60 @@
         effects.record(std::move(record));
     }
     const bool wasDraining = !restarted && m_latest->draining;
-    if (announcement.draining && !wasDraining) {
-        m_drainingSince = now;
-        recordLeaving(announcement.target, "heartbeat", effects);
-    }
     m_unresponsive = false;
     m_latest = announcement;
-    m_latest->draining = announcement.draining || wasDraining;
+    m_latest->draining = wasDraining;
     m_announcedAt = now;
+    // An earlier process of the node may have known the departure for long.
+    applyDepartures(MonotonicTime());
+    addDeparture(announcement, now, effects);
     return true;
 }
 
-void TargetWatch::leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects)
+/** Records the departure that an announcement of the target in use states, if it does. */
+void TargetWatch::addDeparture(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects)
+{
+    const TargetInstance announced{announcement.target, announcement.targetIncarnation};
+    if (announcement.draining && isInUse(announced) && m_departures.add(announced)) {
+        recordLeaving(announcement.target, "heartbeat", effects);
+        applyDepartures(now);
+    }
+}
+
+void TargetWatch::applyDepartures(MonotonicTime since)
 {
-    if (m_latest && m_latest->target == notice.target && !m_latest->draining) {
+    if (m_latest && !m_latest->draining && m_departures.covers({m_latest->target, m_latest->targetIncarnation})) {
         m_latest->draining = true;
-        m_drainingSince = now;
+        m_drainingSince = since;
+    }
+}
+
+std::optional<TargetInstance> TargetWatch::leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects)
+{
+    const bool isNameInUse = m_latest && m_latest->target == notice.target;
+    const std::uint64_t newest = isNameInUse ? m_latest->targetIncarnation : notice.newestIncarnation;
+    const TargetInstance departed{notice.target, notice.targetIncarnation.value_or(newest)};
+    if (isConfirmed() && !isInUse(departed) && !m_departures.covers(departed)) {
+        return std::nullopt;
+    }
+    if (m_departures.add(departed)) {
         recordLeaving(notice.target, "its notice of leaving", effects);
     }
+    applyDepartures(now);
+    return departed;
+}
+
+void TargetWatch::addDepartures(const std::vector<TargetInstance> &departed)
+{
+    for (const TargetInstance &target : departed) {
+        m_departures.add(target);
+    }
+    applyDepartures(MonotonicTime());
 }
 
 bool TargetWatch::statedLeaving(const TargetStated &stated, MonotonicTime now, EffectList &effects)
 {
-    if (!m_latest || TargetInstance{m_latest->target, m_latest->targetIncarnation} != stated.target) {
+    if (!isInUse(stated.target)) {
         return false;
     }
     const MonotonicTime since = now - stated.leavingFor;
@@ -97,8 +130,8 @@
         m_drainingSince = std::min(m_drainingSince, since);
         return false;
     }
-    m_latest->draining = true;
-    m_drainingSince = since;
+    m_departures.add(stated.target);
+    applyDepartures(since);
     recordLeaving(m_latest->target, stated.source == TargetStated::Source::Answer ? "its answer" : "another node", effects);
     return true;
 }
--- a/src/libnutmeghinge/targetwatch.h
+++ b/src/libnutmeghinge/targetwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "events.h"
+#include "targetdepartures.h"
 #include "targetsuccession.h"
 #include "timings.h"
 #include "units.h"
@@ -25,8 +26,15 @@
 
     /** Applies an announcement. Returns false, and ignores it, if it is not from the incarnation in use or was overtaken by a later one. */
     bool announced(const TargetAnnounced &announcement, const TargetSuccession::Evidence &evidence, MonotonicTime now, EffectList &effects);
-    /** Marks the target as draining if the notice names it: it ends without another announcement. */
-    void leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects);
+    /**
+     * Records that the target which the notice names leaves: it ends without another announcement. Returns the incarnation that
+     * leaves; empty if another one is in use, so that the notice may be from another writer.
+     */
+    std::optional<TargetInstance> leaving(const TargetLeaving &notice, MonotonicTime now, EffectList &effects);
+    /** Adds departures that an earlier process of the node recorded. */
+    void addDepartures(const std::vector<TargetInstance> &departed);
+    /** Returns the targets beside this node that have said that they leave. */
+    const TargetDepartures &departures() const { return m_departures; }
     /**
      * Marks the target as draining, from when it was first known to leave, if the statement is about its present incarnation. Returns
      * whether that was not known before.
@@ -41,6 +49,8 @@
     const std::optional<TargetAnnounced> &latest() const { return m_latest; }
     /** Returns whether the target is known to run, because it has announced itself to this process more than once. */
     bool isConfirmed() const { return m_succession.isConfirmed(); }
+    /** Returns when the latest announcement arrived. */
+    MonotonicTime announcedAt() const { return m_announcedAt; }
     /** Returns whether the latest announcement arrived within the timeout. */
     bool isFresh(MonotonicTime now) const { return m_latest && now < m_announcedAt + m_announcementTimeout; }
     /** Returns whether the target is draining: it is about to stop and wants no new requests. Ends only with its incarnation. */
@@ -59,6 +69,10 @@
 
 private:
     static void recordLeaving(const TargetName &target, const char *source, EffectList &effects);
+    bool isInUse(const TargetInstance &target) const { return m_latest && TargetInstance{m_latest->target, m_latest->targetIncarnation} == target; }
+    void addDeparture(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
+    /** Marks the target in use as draining since the given time if its departure is known. */
+    void applyDepartures(MonotonicTime since);
     void recordUnproven(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
 
     struct Grant {
@@ -67,6 +81,7 @@
     };
 
     TargetSuccession m_succession;
+    TargetDepartures m_departures;
     Duration m_announcementTimeout;
     Duration m_probeInterval;
     Duration m_grantRetry;
--- a/src/libnutmeghingeio/membercodec.cpp
+++ b/src/libnutmeghingeio/membercodec.cpp
@@ -55,7 +55,12 @@
 
 std::string MemberCodec::rowToText(const MemberRow &row)
 {
-    return jsonToText(toJson(row.member));
+    nlohmann::json json = toJson(row.member);
+    json["departed"] = nlohmann::json::array();
+    for (const TargetInstance &target : row.departed) {
+        json["departed"].push_back({{"target", target.name.value()}, {"incarnation", target.incarnation}});
+    }
+    return jsonToText(json);
 }
 
 std::variant<MemberRow, JsonError> MemberCodec::rowFromText(std::string_view text)
@@ -64,6 +69,12 @@
     const nlohmann::json json = reader.parse(text);
     MemberRow row;
     row.member = fromJson(reader, json);
+    // Nodes of earlier versions write no departures.
+    if (json.is_object() && json.contains("departed")) {
+        for (const nlohmann::json &target : reader.list(json, "departed")) {
+            row.departed.push_back({TargetName(reader.text(target, "target")), reader.number(target, "incarnation")});
+        }
+    }
     if (reader.error()) {
         return JsonError{*reader.error()};
     }
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -357,6 +357,7 @@
     const MonotonicTime now = m_loop.now();
     const OwnershipMap &map = cell.map();
     const std::optional<Duration> documentAge = cell.documentAge(now);
+    const TargetInstance target = cell.target().value_or(TargetInstance());
     const nlohmann::json status{
         {"node", m_identity.node.value()},
         {"incarnation", m_identity.incarnation.value()},
@@ -370,6 +371,7 @@
           {"control", endpointToText(m_identity.controlEndpoint)},
           {"target", endpointToText(m_targetEndpoint)},
           {"operations", endpointToText(m_identity.operationsEndpoint)}}},
+        {"target", {{"name", target.name.value()}, {"incarnation", target.incarnation}, {"leaving", cell.isTargetDraining()}}},
         {"slot", cell.self().value()},
         {"coordinator", cell.coordinator().value()},
         {"isCoordinator", cell.isCoordinator(now)},
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -59,6 +59,15 @@
     /** Starts a new incarnation of the target, without leases. */
     void startTarget(std::size_t node);
     void drainTarget(std::size_t node);
+    /** The target sends its notice of leaving, again each second until it is acknowledged, and no more heartbeats, but runs on. */
+    void leaveTarget(std::size_t node);
+    /** Returns whether the node admits requests to its target; with keys, for at least one that the target holds. */
+    bool admitsRequests(std::size_t node) const;
+    /**
+     * Returns a node that still admits requests to its target although the target's departure was acknowledged longer ago than the
+     * limit and the node was free of faults of its own for the given time; empty if there is none.
+     */
+    std::optional<std::size_t> nodeUsingDepartedTarget(Duration limit, Duration calmFor) const;
     /** Delivers an answer of the target that says that it leaves; its heartbeats do not say so. */
     void answerAsLeaving(std::size_t node);
     /** Delivers a request of another node to the node that repeats for how long the node's target has been known to leave. */
@@ -152,6 +161,10 @@
     struct Target {
         bool up = false;
         bool draining = false;
+        /** It has sent its notice of leaving. */
+        bool left = false;
+        /** Time at which a node acknowledged that it leaves. */
+        std::optional<Duration> departedAt;
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         std::vector<HeldShard> heldShards{shards};
@@ -191,6 +204,8 @@
     struct SentHeartbeat {
         Duration sentAt;
         std::uint64_t targetIncarnation = 0;
+        /** It says that the target leaves. */
+        bool leaves = false;
     };
     struct Timer {
         Duration at;
@@ -220,6 +235,7 @@
     void heartbeatLoop(std::size_t node, std::uint64_t targetIncarnation);
     TargetAnnounced nextHeartbeat(std::size_t node);
     void sendHeartbeat(std::size_t node);
+    void sendNotice(std::size_t node, std::uint64_t targetIncarnation);
     void applyGrant(std::size_t node, std::uint64_t targetIncarnation, Duration sentAt, const TargetLeaseGrant &grant);
     TargetInstance targetInstance(std::size_t node) const;
     bool holdsShard(const Target &target, std::uint32_t shard) const;
