Answer a request whose answer broke off with 502 if others are before it on its connection

Cause: PipelinedExchange::reset() reset the connection whatever was before the exchange. Nothing of its answer can have been sent then.

Change: an exchange that is not the first one gets a 502 of the node's own in place of the answer; an answer of which bytes may have been sent is reset as before.

--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -80,6 +80,8 @@
         phr_chunked_decoder decoder{};
     };
 
+    /** Returns whether the exchange's answer is the one being sent. */
+    bool isFirst(const PipelinedExchange &exchange) const { return !m_exchanges.empty() && m_exchanges.front().get() == &exchange; }
     bool begin(bool opened);
     void handleInput(ssize_t size, const char *data);
     void parse();
--- a/src/libnutmeghingeio/pipelinedexchange.cpp
+++ b/src/libnutmeghingeio/pipelinedexchange.cpp
@@ -15,6 +15,9 @@
 /** Headers that the server generates itself; those of the answer are dropped. */
 constexpr std::array<std::string_view, 4> serverHeaders{"connection", "content-length", "keep-alive", "transfer-encoding"};
 
+/** Status of an answer that promises nothing about the request. */
+constexpr std::uint16_t badGateway = 502;
+
 bool hasNoBody(std::uint16_t status)
 {
     return status == 204 || status == 304;
@@ -112,10 +115,19 @@
 
 void PipelinedExchange::reset()
 {
-    if (m_connection != nullptr && !m_finished) {
-        m_closedFunction = nullptr;
+    if (m_connection == nullptr || m_finished) {
+        return;
+    }
+    m_closedFunction = nullptr;
+    if (m_connection->isFirst(*this)) {
         m_connection->reset();
+        return;
     }
+    // Nothing of this answer has been sent, and the answers before it are still to come on this connection.
+    m_output.clear();
+    m_answerBegun = false;
+    m_bodyLeft.reset();
+    answer(badGateway, {{"content-type", "text/plain"}}, "the answer of the server broke off\n");
 }
 
 } // namespace nutmeghinge
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -164,3 +164,23 @@
     CHECK_FALSE(accepts);
     CHECK(parts < 1000);
 }
+
+TEST_CASE("Pipelining: an answer that breaks off does not take the requests before it with it")
+{
+    Setup setup;
+    setup.send(get + get + get, 3);
+    const bool begun = GENERATE(false, true);
+    if (begun) {
+        setup.exchanges[1]->beginAnswer({.status = 200, .headers = {}, .contentLength = 100});
+        setup.exchanges[1]->write("the first part");
+    }
+    setup.exchanges[1]->reset();
+    setup.exchanges[2]->answer(200, {}, "third");
+    CHECK(setup.closed == 0);
+    setup.exchanges[0]->answer(200, {}, "first");
+    REQUIRE(setup.receives("third"));
+    const std::string &received = setup.client.received();
+    CHECK(received.find("first") < received.find("HTTP/1.1 502"));
+    CHECK(received.find("HTTP/1.1 502") < received.find("third"));
+    CHECK(received.find("the first part") == std::string::npos);
+}
