Close a connection only after its last answer is written

Cause: the second for which a connection lingers began when the last answer was handed to the event loop; at its end, what was still queued was dropped.

Change: the linger time begins when all is written. Until then the connection may be without progress for the idle timeout.

--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -366,6 +366,9 @@
 
 void PipelinedConnection::handleWritten()
 {
+    if (m_state == State::Lingering) {
+        armTimer(m_limits.idleTimeout);
+    }
     if (m_state == State::Open && !m_exchanges.empty() && !isWriteQueueFull() && m_exchanges.front()->m_writableFunction) {
         m_exchanges.front()->m_writableFunction();
     }
@@ -434,12 +437,20 @@
             closed();
         }
     }
+    // The last answer may still be queued; a slow client gets all of it.
+    armTimer(m_limits.idleTimeout);
     auto *request = new uv_shutdown_t;
-    const auto onShutdown = [](uv_shutdown_t *done, int) { delete done; };
+    const auto onShutdown = [](uv_shutdown_t *done, int) {
+        auto *connection = static_cast<PipelinedConnection *>(done->handle->data);
+        delete done;
+        if (connection->m_state == State::Lingering) {
+            connection->armTimer(lingerTime);
+        }
+    };
     if (uv_shutdown(request, reinterpret_cast<uv_stream_t *>(&m_socket), onShutdown) != 0) {
         delete request;
+        armTimer(lingerTime);
     }
-    armTimer(lingerTime);
 }
 
 void PipelinedConnection::close()
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -184,3 +184,20 @@
     CHECK(received.find("HTTP/1.1 502") < received.find("third"));
     CHECK(received.find("the first part") == std::string::npos);
 }
+
+TEST_CASE("Pipelining: the last answer of a connection reaches a client that reads slowly, also during a shutdown")
+{
+    Setup setup;
+    const bool shutsDown = GENERATE(false, true);
+    setup.send(shutsDown ? get : "GET /a HTTP/1.1\r\nHost: desk\r\nConnection: close\r\n\r\n", 1);
+    setup.client.pause();
+    if (shutsDown) {
+        setup.server.shutDown([] {});
+    }
+    const std::string body(std::size_t(24) << 20U, 'x');
+    setup.exchanges[0]->answer(200, {}, body);
+    setup.loop.callLater(1500ms, [&] { setup.client.resume(); });
+    setup.client.discardReceived();
+    REQUIRE(setup.ends());
+    CHECK(setup.client.receivedBytes() > body.size());
+}
