Send announcements of other writers and late ones in the soak

The soak speaks the native protocol, which has no notice of leaving; that one is played on the virtual clock (tests/core/targetdeparturetest.cpp).

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -115,6 +115,9 @@
         "silences", po::value(&options.extras.silences), "times at which the open connections to the platform fall silent in each seed; default 0");
     description.add_options()(
         "crashes", po::value(&options.extras.crashes), "requests under which targets crash, sent again and again, in each seed; default 0");
+    description.add_options()("announcements",
+                              po::value(&options.extras.announcements),
+                              "announcements of other writers, and ones held back over a restart of the node, in each seed; default 0");
     description.add_options()("nodes", po::value(&options.nodes)->default_value(options.nodes), "number of nodes, each with a target");
     description.add_options()("seconds", po::value(&options.seconds)->default_value(options.seconds), "time during which each seed injects faults");
     try {
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -38,6 +38,8 @@
     ActionTraits{SoakAction::LeaveTarget, "target says that it leaves", false, 6000},
     ActionTraits{SoakAction::SilencePlatformConnections, "open connections to the platform fall silent", false, 1},
     ActionTraits{SoakAction::SendCrashingRequest, "send a request that crashes targets", false, 12000},
+    ActionTraits{SoakAction::SendForeignAnnouncements, "send announcements of another writer", false, 1},
+    ActionTraits{SoakAction::DelayAnnouncementOverRestart, "hold back an announcement over a restart of the node", true, 2500},
 };
 
 const ActionTraits &traitsOf(SoakAction action)
@@ -93,6 +95,9 @@
     for (std::size_t index = 0; index < extras.crashes; ++index) {
         addStep(SoakAction::SendCrashingRequest, index);
     }
+    for (std::size_t index = 0; index < extras.announcements; ++index) {
+        addStep(index % 2 == 0 ? SoakAction::SendForeignAnnouncements : SoakAction::DelayAnnouncementOverRestart, below(vmCount));
+    }
     std::stable_sort(plan.begin(), plan.end(), [](const SoakStep &left, const SoakStep &right) { return left.at < right.at; });
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -30,6 +30,10 @@
     SilencePlatformConnections,
     /** A caller sends a request again and again under which each target crashes. */
     SendCrashingRequest,
+    /** Another writer sends announcements that name no target of the service. */
+    SendForeignAnnouncements,
+    /** An announcement of the target is held back until the node has been killed and started again. */
+    DelayAnnouncementOverRestart,
 };
 
 /** Steps that a plan contains besides those drawn from all other actions. */
@@ -42,6 +46,8 @@
     std::size_t silences = 0;
     /** Requests under which targets crash. */
     std::size_t crashes = 0;
+    /** Announcements of another writer, and ones that are held back over a restart of the node, in turn. */
+    std::size_t announcements = 0;
 };
 
 /** Name of the action in printed plans. */
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds callerDelay(60);
 /** Requests per second that a target names; its share of the load is far more. */
 constexpr std::uint64_t namedLimit = 30;
+/** Capacity of the target stand-in. */
+constexpr unsigned announcedSlots = 20;
+constexpr unsigned announcedConnections = 130;
 
 const std::string service = "advice-desk";
 
@@ -137,6 +140,37 @@
     }
 }
 
+nlohmann::json SoakRun::announcementOf(const Vm &vm)
+{
+    const std::string &endpoint = vm.processes->targetEndpoint;
+    const std::size_t colon = endpoint.rfind(':');
+    return {{"service", service},
+            {"target", vm.processes->name},
+            {"address", endpoint.substr(0, colon)},
+            {"port", std::stoul(endpoint.substr(colon + 1))},
+            {"slots", announcedSlots},
+            {"connections", announcedConnections},
+            {"incarnation", vm.targetStarts}};
+}
+
+/** Sends announcements with a field missing or of another type, and a well-formed one of another service, which must change nothing. */
+void SoakRun::sendForeignAnnouncements(const Vm &vm)
+{
+    if (!vm.processes->node || vm.nodePaused) {
+        return;
+    }
+    nlohmann::json foreign = announcementOf(vm);
+    foreign["target"] = "another-writer";
+    foreign["port"] = 9;
+    foreign["incarnation"] = vm.targetStarts + 1000;
+    for (const auto &[field, value] : std::initializer_list<std::pair<const char *, nlohmann::json>>{
+             {"slots", nullptr}, {"connections", "many"}, {"incarnation", -1}, {"service", 7}, {"service", "another-desk"}}) {
+        nlohmann::json body = foreign;
+        body[field] = value;
+        sendBlocking(vm.processes->announce, {"POST", "/announce", {{"content-type", "application/json"}}, body.dump(), 1});
+    }
+}
+
 void SoakRun::stopNode(Vm &vm)
 {
     if (vm.processes->node && !vm.nodePaused) {
@@ -236,6 +270,13 @@
     case SoakAction::SendCrashingRequest:
         // Sent by a thread of its own.
         break;
+    case SoakAction::SendForeignAnnouncements:
+        sendForeignAnnouncements(vm);
+        break;
+    case SoakAction::DelayAnnouncementOverRestart:
+        vm.delayedAnnouncement = announcementOf(vm);
+        killNode(vm);
+        break;
     case SoakAction::LimitTarget:
         beginStatement(vm, namedLimit);
         break;
@@ -262,6 +303,12 @@
     case SoakAction::KillBoth:
         startEndedProcesses(vm);
         break;
+    case SoakAction::DelayAnnouncementOverRestart:
+        startEndedProcesses(vm);
+        if (!vm.nodePaused) {
+            sendBlocking(vm.processes->announce, {"POST", "/announce", {{"content-type", "application/json"}}, vm.delayedAnnouncement.dump(), 1});
+        }
+        break;
     case SoakAction::KillAllNodes:
         std::for_each(m_vms.begin(), m_vms.end(), startEndedProcesses);
         break;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -45,6 +45,8 @@
         std::optional<SoakTime> targetRestartAt;
         /** True between SIGSTOP and SIGCONT. */
         bool nodePaused = false;
+        /** Announcement that is held back while the node is down. */
+        nlohmann::json delayedAnnouncement;
     };
     using Time = std::chrono::milliseconds;
 
@@ -58,6 +60,9 @@
     void killNode(Vm &vm);
     void putDocument();
     void silencePlatformConnections();
+    /** Returns the announcement that the VM's target sends. */
+    static nlohmann::json announcementOf(const Vm &vm);
+    void sendForeignAnnouncements(const Vm &vm);
     /** Makes the VM's target state a limit, or its departure if the limit is 0, in its answers. */
     void beginStatement(Vm &vm, std::uint64_t limit);
     /** Ends the recorded statements of the VM's target; of departures only, if only its node has ended. */
