--- a/tests/core/targetleasecelltest.cpp
+++ b/tests/core/targetleasecelltest.cpp
@@ -671,6 +671,28 @@
     CHECK(cell.hasExited(0));
 }
 
+TEST_CASE("A second stop request gives running requests the whole stop limit again")
+{
+    Timings timings = Timings::forHeartbeatsOf(TargetLeaseHarness::heartbeat);
+    timings.stopLimit = 6s;
+    TargetLeaseHarness cell(3, 41, 0, timings);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    const std::optional<AttemptId> attempt = cell.requestOnce(0, RequestId(1));
+    REQUIRE(attempt);
+    bool cancelled = false;
+    cell.requestEffects = [&](std::size_t, const Effect &effect) {
+        const auto *cancel = std::get_if<CancelAttempt>(&effect);
+        cancelled = cancelled || (cancel && cancel->attempt == *attempt);
+    };
+    cell.stopNode(0);
+    cell.run(2s);
+    cell.stopNode(0);
+    cell.run(4800ms);
+    CHECK_FALSE(cancelled);
+    cell.run(1s);
+    CHECK(cancelled);
+}
+
 TEST_CASE("A key that moves, or a lost coordinator, does not send the complete map to all members")
 {
     TargetLeaseHarness cell(24, 51);
