Renew a target's lease with a delayed answer only if it is still the target in use

An answer that waits until a departure is recorded granted the keys of the target in use, also to a target that another one had replaced meanwhile, and in answers to notices of leaving. A process that has not read its row took it for known if the system was starting for the first time.

Change: the waiting answer notes whether its message was applied, and grants only to the target that is in use when it is sent; the row counts as known once it was read or written.

Evidence: "The answer to a notice of leaving grants no keys" fails if the answer renews the lease, as it did before, and passes now.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -74,6 +74,8 @@
     struct PendingAnswer {
         std::uint64_t announcement = 0;
         TargetInstance departed;
+        /** The target's lease is renewed with the answer. */
+        bool renews = false;
         /** Status of the answer if the departure is not recorded in time. */
         AnswerTarget::Status otherwise = AnswerTarget::Status::NotRecorded;
         MonotonicTime until;
@@ -285,7 +287,7 @@
     if (!announcement.draining || polling.hasRecorded(announced)) {
         effects.add(AnswerTarget{announcement.announcement, accepted ? targetLeaseGrant(now) : std::nullopt});
     } else if (context.target.departures().covers(announced)) {
-        pendingAnswers.push_back({announcement.announcement, announced, AnswerTarget::Status::Acknowledged, now + drainAnswerLimit});
+        pendingAnswers.push_back({announcement.announcement, announced, accepted, AnswerTarget::Status::Acknowledged, now + drainAnswerLimit});
     } else {
         // It is not the target in use, so its departure is not remembered.
         effects.add(AnswerTarget{announcement.announcement, std::nullopt, AnswerTarget::Status::NotRecorded});
@@ -300,8 +302,8 @@
             return false;
         }
         const AnswerTarget::Status status = recorded ? AnswerTarget::Status::Acknowledged : pending.otherwise;
-        const bool grants = status == AnswerTarget::Status::Acknowledged && context.target.isConfirmed();
-        effects.add(AnswerTarget{pending.announcement, grants ? targetLeaseGrant(now) : std::nullopt, status});
+        const bool renews = pending.renews && context.target.isInUse(pending.departed);
+        effects.add(AnswerTarget{pending.announcement, renews ? targetLeaseGrant(now) : std::nullopt, status});
         return true;
     });
 }
@@ -514,7 +516,7 @@
         return;
     }
     m_d->polling.announce(event.at, effects);
-    m_d->pendingAnswers.push_back({notice.announcement, *departed, AnswerTarget::Status::NotRecorded, event.at + noticeAnswerLimit});
+    m_d->pendingAnswers.push_back({notice.announcement, *departed, false, AnswerTarget::Status::NotRecorded, event.at + noticeAnswerLimit});
     m_d->answerDepartures(event.at, effects);
 }
 
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -88,6 +88,7 @@
 void TablePolling::adoptOwnRow(const std::optional<VersionedMemberRow> &present)
 {
     m_ownVersion = present ? present->version : RowVersion(0);
+    m_ownRowKnown = true;
     if (present) {
         m_context.target.addDepartures(present->row.departed);
     }
@@ -136,6 +137,7 @@
         m_writeRetry = firstWriteRetry;
     } else if (const auto *written = std::get_if<RowWritten>(&result)) {
         m_ownVersion = written->version;
+        m_ownRowKnown = true;
         m_written = m_writing;
         m_writeRetry = firstWriteRetry;
     } else if (const auto *conflict = std::get_if<MemberRowConflict>(&result)) {
--- a/src/libnutmeghinge/tablepolling.h
+++ b/src/libnutmeghinge/tablepolling.h
@@ -55,7 +55,7 @@
     /** Returns whether the platform has acknowledged this node's row as it is now. */
     bool hasAnnounced() const;
     /** Returns whether the table has this node's own row, or has none, as far as this process knows. */
-    bool knowsOwnRow() const { return m_ownVersion.has_value(); }
+    bool knowsOwnRow() const { return m_ownRowKnown; }
     /** Returns whether the platform has acknowledged a row of this node that states the target's departure. */
     bool hasRecorded(const TargetInstance &departed) const;
     /** Returns the member rows as last read: the nodes that have announced themselves. */
@@ -91,6 +91,8 @@
     MemberSlot m_lostSlot;
     /** Version of this node's own row in the table; empty while this process has not learned it. */
     std::optional<RowVersion> m_ownVersion;
+    /** This process has read its row, or has written it under a condition. */
+    bool m_ownRowKnown = false;
     std::optional<MemberRow> m_written;
     std::optional<MemberRow> m_writing;
     /** The write in progress was sent before the table was restored. */
--- a/src/libnutmeghinge/targetwatch.h
+++ b/src/libnutmeghinge/targetwatch.h
@@ -45,6 +45,8 @@
     /** Sends a probe when one is due and the target's limit allows it, and records when the target becomes unresponsive. */
     void tick(MonotonicTime now, ShardActivity &activity, EffectList &effects);
 
+    /** Returns whether this incarnation is the one in use. */
+    bool isInUse(const TargetInstance &target) const { return m_latest && TargetInstance{m_latest->target, m_latest->targetIncarnation} == target; }
     /** Returns the latest announcement; empty before the first. */
     const std::optional<TargetAnnounced> &latest() const { return m_latest; }
     /** Returns whether the target is known to run, because it has announced itself to this process more than once. */
@@ -69,7 +71,6 @@
 
 private:
     static void recordLeaving(const TargetName &target, const char *source, EffectList &effects);
-    bool isInUse(const TargetInstance &target) const { return m_latest && TargetInstance{m_latest->target, m_latest->targetIncarnation} == target; }
     void addDeparture(const TargetAnnounced &announcement, MonotonicTime now, EffectList &effects);
     /** Marks the target in use as draining since the given time if its departure is known. */
     void applyDepartures(MonotonicTime since);
--- a/tests/core/targetdeparturetest.cpp
+++ b/tests/core/targetdeparturetest.cpp
@@ -77,6 +77,26 @@
     CHECK(answers.back() == AnswerTarget::Status::Acknowledged);
 }
 
+TEST_CASE("The answer to a notice of leaving grants no keys")
+{
+    TargetLeaseHarness cell(nodes, 82, nodesWithoutKeys);
+    REQUIRE(cell.runUntilAllHeld(5s));
+    cell.run(2s);
+    std::size_t answers = 0;
+    bool granted = false;
+    cell.requestEffects = [&](std::size_t node, const Effect &effect) {
+        const auto *answer = std::get_if<AnswerTarget>(&effect);
+        if (answer && node == 1) {
+            ++answers;
+            granted = granted || answer->grant.has_value();
+        }
+    };
+    cell.leaveTarget(1);
+    cell.run(50ms);
+    CHECK(answers == 1);
+    CHECK_FALSE(granted);
+}
+
 TEST_CASE("A target that starts after the departure of the one before is used, also with the same name and after the loss of all nodes")
 {
     TargetLeaseHarness cell(nodes, 83, nodesWithoutKeys);
