--- a/src/libnutmeghinge/decisions/targetsuccession.h
+++ b/src/libnutmeghinge/decisions/targetsuccession.h
@@ -14,7 +14,8 @@
  * Decides which incarnation of the target beside this node is in use. An announcement
  * is only a claim: another writer may have sent it, or it may arrive after its sender
  * has ended. It replaces the incarnation in use only if that one has ended according to
- * the target's own side, or holds no keys and is silent, or leaves and is an earlier one.
+ * the target's own side, or holds no keys and is silent. One that leaves is followed at
+ * once by a later incarnation, if it holds no keys.
  */
 class TargetSuccession
 {
--- a/tests/platform/heartbeattest.cpp
+++ b/tests/platform/heartbeattest.cpp
@@ -142,6 +142,21 @@
     }
 }
 
+TEST_CASE("parseNotice takes a notice without a body or with the target's start, and rejects every other form")
+{
+    const auto notice = std::get<TargetLeaving>(parseNotice("i-1", "", 5000));
+    CHECK(notice.target == TargetName("i-1"));
+    CHECK_FALSE(notice.targetIncarnation);
+    CHECK(notice.newestIncarnation == 5000);
+    CHECK(std::get<TargetLeaving>(parseNotice("i-1", R"({"born":4000,"rack":7})", 5000)).targetIncarnation == 4000);
+    for (const std::string text : {R"({"born":"4000"})", R"({"born":0})", R"({"born":-1})", R"({"born":1.5})", R"({"born":null})", "[]", "{", "\xff"}) {
+        INFO(text);
+        CHECK(std::holds_alternative<TargetReportError>(parseNotice("i-1", text, 5000)));
+    }
+    CHECK(std::holds_alternative<TargetReportError>(parseNotice("", "", 5000)));
+    CHECK(std::holds_alternative<TargetReportError>(parseNotice("a/b", "", 5000)));
+}
+
 TEST_CASE("The answer to a heartbeat lists all granted ranges and the lease time, or is empty without a grant")
 {
     CHECK(heartbeatAnswerBody({1, std::nullopt}) == "{}");
