Count the stop limit from the first stop request again

What callers saw: nothing on the users' platform, where no node got two stop requests. With a second one, a node kept requests running beyond the time at which its process is ended from outside, and their callers got no answer at all.

Cause: counted the limit from the latest stop request, on the inference that the platform does so.

--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -103,7 +103,7 @@
     if (!m_stopping || m_exited) {
         return;
     }
-    if (!m_requestsEnded && m_stopLimit > Duration::zero() && event.at >= m_latestStopRequestAt + m_stopLimit - m_stopLimit / answerTimeDivisor) {
+    if (!m_requestsEnded && m_stopLimit > Duration::zero() && event.at >= m_stopRequestedAt + m_stopLimit - m_stopLimit / answerTimeDivisor) {
         m_requestsEnded = true;
         m_router.endRequests(event, effects);
     }
@@ -126,10 +126,8 @@
 {
     TimelineRecord record;
     record.kind = TimelineRecord::Kind::StopRequested;
-    record.detail = m_stopping ? "again, the stop limit counts from now on" : "";
+    record.detail = m_stopping ? "again, the stop limit still counts from the first request" : "";
     effects.record(std::move(record));
-    // The platform ends the process only when its limit has passed since the latest request.
-    m_latestStopRequestAt = event.at;
     if (m_stopping) {
         return;
     }
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -56,7 +56,6 @@
     /** Time after a stop request at which the platform ends the process; zero: no limit. */
     Duration m_stopLimit;
     MonotonicTime m_stopRequestedAt;
-    MonotonicTime m_latestStopRequestAt;
     bool m_stopping = false;
     bool m_listenersClosed = false;
     bool m_requestsEnded = false;
