Begin no request that may outlast the planned stop of its node

Cause: a stopping node went on passing requests to targets, and requests that it had passed on before the stop were begun during it after a wait in another node's queue, each with the caller's whole time limit. What still ran when the time for its own answers came was given up.

Change: StopSchedule is the one place that decides what may still be begun and when running requests are ended. A request is begun only if its time limit ends before its node breaks it off; else it is refused at once, as not run, with the shortest time to come again, because any other node can take it. A node that is told to stop tells all members when it breaks off requests, and requests carry the member that received them, so that other nodes refuse what still waits there. A request with time enough may now also be sent again by a stopping node: it got 502 or 503 before.

Ruled out: two stop requests (each process gets one signal); two nodes that stop at once as the cause of the answers "did not arrive completely" (traced: the entry's own end of requests, 5.14 s after its stop request, with the retry budget spent). A longer limit: the process is killed 6.0 s after its only signal.

The harness's requests may now run for up to 60 s, as on the users' platform; with the default of 2 s no long request ran long.

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -553,6 +553,20 @@
     m_d->suspectSpread.sendChanges(effects);
 }
 
+void Cell::announceStop(Duration requestsEndIn, EffectList &effects)
+{
+    for (const Member &member : m_d->context.members.members()) {
+        if (member.slot != m_d->context.self) {
+            m_d->context.send(member.slot, StopNotice{requestsEndIn}, effects);
+        }
+    }
+}
+
+bool Cell::isFromMember(const PeerMessageArrived &arrived) const
+{
+    return arrived.service == m_d->context.service && self() != noMember && m_d->context.members.find(arrived.from);
+}
+
 void Cell::handleNewerFence(Fence newer, const Event &event, EffectList &effects)
 {
     TimelineRecord record;
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -48,6 +48,8 @@
     void targetGrantFinished(const Event &event, EffectList &effects);
     /** Tells the other members what this node has found out about requests under which targets crash. */
     void spreadCrashSuspects(EffectList &effects);
+    /** Tells the other members that this node breaks off the requests of its callers after the given time. */
+    void announceStop(Duration requestsEndIn, EffectList &effects);
     /** Handles a newer fence that the target has reported. */
     void handleNewerFence(Fence newer, const Event &event, EffectList &effects);
 
@@ -64,6 +66,8 @@
     const std::vector<MemberLoad> &loads() const override;
     const CellRow *otherCell(const std::string &host) const override;
 
+    /** Returns whether the sender of the message is a member of this cell, and this node is. */
+    bool isFromMember(const PeerMessageArrived &arrived) const;
     /** Returns the revision of the document in force at this node. */
     DocumentRevision documentRevision() const;
     /** Returns the time since that document was last known to be the newest; empty if it never was. */
--- a/src/libnutmeghinge/decisions/admissionpolicy.cpp
+++ b/src/libnutmeghinge/decisions/admissionpolicy.cpp
@@ -11,7 +11,7 @@
 
 /** A late request is queued only if, after its expected wait, the time left until it must be sent is at least that wait times this factor. */
 constexpr int lateSlackFactor = 3;
-/** Maximum time of a routed request in a queue, so that a stopping node can answer all its requests within its stop limit. */
+/** Maximum time of a routed request in a queue, so that the node of its caller can still answer it if it is told to stop meanwhile. */
 constexpr Duration maximumQueueTime = std::chrono::seconds(4);
 
 bool hasObjective(const Request &request)
--- /dev/null
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "ids.h"
+#include "units.h"
+
+#include <map>
+#include <optional>
+
+namespace nutmeghinge {
+
+struct Request;
+
+/**
+ * Decides what a node that was told to stop may still begin, and when it ends what
+ * is running. Answers a planned stop under load: the process is ended from outside
+ * after a fixed time, and a request that is at work then is lost. The node therefore
+ * begins only requests whose time limit ends before; any other node can take the rest
+ * at once. Without a limit it decides nothing.
+ */
+class StopSchedule
+{
+public:
+    /** Sets the time after a stop request at which the process is ended from outside; zero: never. */
+    void setLimit(Duration limit) { m_limit = limit; }
+    /** Counts the limit from this time. A later request has no effect: it does not prolong the life of the process. */
+    void stopRequested(MonotonicTime at);
+
+    /** Records that the member breaks off the requests of its callers at the given time. */
+    void memberStops(MemberSlot member, MonotonicTime requestsEnd, MonotonicTime now);
+
+    /** Returns whether an attempt of the request may begin: its time limit ends before this node, or the one that received it from its caller, breaks it off.
+     */
+    bool mayBegin(const Request &request) const;
+
+    /** Returns the time at which the node answers the requests of its callers itself; MonotonicTime::max() if never. */
+    MonotonicTime ownRequestsEnd() const;
+    /** Returns whether the node answers the requests of its callers itself from now on, because the process is about to be ended. */
+    bool endsOwnRequests(MonotonicTime now) const { return now >= ownRequestsEnd(); }
+    /** Returns whether the node ends the requests of other nodes. They answer their callers themselves, so theirs may run longer. */
+    bool endsPeerRequests(MonotonicTime now) const { return now >= peerRequestsEnd(); }
+
+private:
+    MonotonicTime peerRequestsEnd() const;
+
+    Duration m_limit{0};
+    std::optional<MonotonicTime> m_requestedAt;
+    /** Times at which other members break off the requests of their callers. */
+    std::map<MemberSlot, MonotonicTime> m_members;
+};
+
+} // namespace nutmeghinge
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -162,6 +162,8 @@
     Endpoint peer;
     MonotonicTime deadline;
     std::uint32_t hops = 0;
+    /** Member that received the request from its caller; noMember if it is in another cell, or not a member yet. */
+    MemberSlot entry = noMember;
     bool deadlineForHeadOnly = false;
     bool mayBeIdle = false;
     /** Set if the sender's document has routes. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -253,6 +253,8 @@
     std::optional<Duration> timeout;
     /** Number of times the request was forwarded between nodes. */
     std::uint32_t hops = 0;
+    /** Member that received the request from its caller, if another node forwarded it and stated that; else noMember. */
+    MemberSlot entry = noMember;
     /** Set by the node that forwarded the request, if its document has routes. */
     std::optional<RoutedRequest> routed;
     /** Id that the caller gave the request; empty if none. */
--- a/src/libnutmeghinge/peermessages.h
+++ b/src/libnutmeghinge/peermessages.h
@@ -147,6 +147,17 @@
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
-using PeerMessage = std::variant<VoteRequest, VoteAnswer, Heartbeat, HeartbeatAnswer, HandoverOffer, HandoverAccepted, JoinRequest, CrashReport>;
+/**
+ * The sender was told to stop. Requests of its callers that wait at other nodes should
+ * be begun only if their time limit ends before the sender breaks them off.
+ */
+struct StopNotice {
+    /** Time after which the sender breaks off requests of its callers. */
+    Duration requestsEndIn{0};
+
+    friend bool operator==(const StopNotice &, const StopNotice &) = default;
+};
+
+using PeerMessage = std::variant<VoteRequest, VoteAnswer, Heartbeat, HeartbeatAnswer, HandoverOffer, HandoverAccepted, JoinRequest, CrashReport, StopNotice>;
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -1,6 +1,7 @@
 #include "reducer.h"
 
 #include "effectlist.h"
+#include "stopschedule.h"
 
 #include <algorithm>
 #include <array>
@@ -11,8 +12,6 @@
 
 /** A peer's clock that is further ahead than this is ignored. */
 constexpr Duration clockSkewLimit = std::chrono::minutes(1);
-/** The last seventh of the stop limit is reserved for the node's own answers; running targets may use all but the last sixth. */
-constexpr int answerTimeDivisor = 7;
 /** Maximum time for which a stopping node waits for the platform to acknowledge its resignation. */
 constexpr Duration resignationLimit = std::chrono::milliseconds(300);
 
@@ -22,10 +21,10 @@
     : m_router(identity.seed)
     , m_cell(std::move(identity), timings, m_router, format)
     , m_handoverTimeout(timings.stopHandoverLimit)
-    , m_stopLimit(timings.stopLimit)
 {
     m_router.setOwnership(m_cell);
     m_router.setTargetTimeout(timings.targetTimeout);
+    m_router.setStopLimit(timings.stopLimit);
 }
 
 Effects Reducer::apply(const Event &event)
@@ -43,7 +42,7 @@
         &Reducer::handleInCell<&Cell::documentRead>,
         &Reducer::handleInCell<&Cell::documentFollowed>,
         &Reducer::handleInCell<&Cell::cellsRead>,
-        &Reducer::handleInCell<&Cell::peerMessageArrived>,
+        &Reducer::handlePeerMessage,
         &Reducer::handleTargetAnnounced,
         &Reducer::handleInCell<&Cell::targetLeaving>,
         &Reducer::handleTargetProbed,
@@ -103,10 +102,14 @@
     if (!m_stopping || m_exited) {
         return;
     }
-    if (!m_requestsEnded && m_stopLimit > Duration::zero() && event.at >= m_stopRequestedAt + m_stopLimit - m_stopLimit / answerTimeDivisor) {
+    if (!m_requestsEnded && m_router.stopSchedule().endsOwnRequests(event.at)) {
         m_requestsEnded = true;
         m_router.endRequests(event, effects);
     }
+    if (!m_peerRequestsEnded && m_router.stopSchedule().endsPeerRequests(event.at)) {
+        m_peerRequestsEnded = true;
+        m_router.endPeerRequests(event, effects);
+    }
     const bool handoverTimedOut = m_handoverTimeout > Duration::zero() && event.at >= m_stopRequestedAt + m_handoverTimeout;
     if ((m_cell.isStopped() || handoverTimedOut) && !m_listenersClosed) {
         m_listenersClosed = true;
@@ -135,6 +138,9 @@
     m_stopRequestedAt = event.at;
     m_cell.stop(event, effects);
     m_router.stop(event, effects);
+    if (m_router.stopSchedule().ownRequestsEnd() != MonotonicTime::max()) {
+        m_cell.announceStop(m_router.stopSchedule().ownRequestsEnd() - event.at, effects);
+    }
 }
 
 void Reducer::handleConnectionsClosed(const Event &event, EffectList &effects)
@@ -144,6 +150,17 @@
     m_cell.resign(event, effects);
 }
 
+void Reducer::handlePeerMessage(const Event &event, EffectList &effects)
+{
+    const auto &arrived = std::get<PeerMessageArrived>(event.body);
+    const auto *notice = std::get_if<StopNotice>(&arrived.message);
+    if (!notice) {
+        handleInCell<&Cell::peerMessageArrived>(event, effects);
+    } else if (m_cell.isFromMember(arrived)) {
+        m_router.memberStops(arrived.from, notice->requestsEndIn, event, effects);
+    }
+}
+
 void Reducer::handleTargetAnnounced(const Event &event, EffectList &effects)
 {
     if (m_cell.targetAnnounced(event, effects)) {
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -34,6 +34,7 @@
     void handleTick(const Event &event, EffectList &effects);
     void handleStopRequested(const Event &event, EffectList &effects);
     void handleConnectionsClosed(const Event &event, EffectList &effects);
+    void handlePeerMessage(const Event &event, EffectList &effects);
     void handleTargetAnnounced(const Event &event, EffectList &effects);
     void handleTargetProbed(const Event &event, EffectList &effects);
     void handleTargetStated(const Event &event, EffectList &effects);
@@ -53,12 +54,11 @@
     HybridTime m_clock;
     /** Time after a stop request at which the node closes its listeners even if its cell has not stopped; zero: no limit. */
     Duration m_handoverTimeout;
-    /** Time after a stop request at which the platform ends the process; zero: no limit. */
-    Duration m_stopLimit;
     MonotonicTime m_stopRequestedAt;
     bool m_stopping = false;
     bool m_listenersClosed = false;
     bool m_requestsEnded = false;
+    bool m_peerRequestsEnded = false;
     bool m_connectionsClosed = false;
     MonotonicTime m_connectionsClosedAt;
     bool m_exited = false;
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -66,6 +66,8 @@
     /** Time at which the caller itself stops waiting; empty if it stated no time limit or the request came from another node. */
     std::optional<MonotonicTime> callerWaitsUntil;
     std::uint32_t hops = 0;
+    /** Member that received the request from its caller, if that is another one and known; else noMember. */
+    MemberSlot entry = noMember;
     bool safe = false;
     bool idempotent = false;
     /** Service that runs the request; empty if the request is for another service's host, see otherHost. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -72,7 +72,7 @@
     effects.add(std::move(effect));
 }
 
-void RequestAttempts::forward(Request &request, const RouteToMember &to, MonotonicTime now, EffectList &effects)
+void RequestAttempts::forward(Request &request, const RouteToMember &to, MemberSlot self, MonotonicTime now, EffectList &effects)
 {
     const auto destination = request.otherHost.empty() ? Request::Destination::Member : Request::Destination::OtherCell;
     begin(request, destination, to.member->slot, to.fence, now, effects);
@@ -83,6 +83,9 @@
     effect.peer = to.member->peerEndpoint;
     effect.deadline = request.deadline;
     effect.hops = request.hops + 1;
+    if (destination == Request::Destination::Member) {
+        effect.entry = request.hops == 0 ? self : request.entry;
+    }
     effect.deadlineForHeadOnly = request.safe;
     effect.mayBeIdle = request.routed || !request.safe;
     if (request.routed) {
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -42,6 +42,7 @@
     request.arrivedAt = now;
     request.deadline = now + std::min(arrived.timeout.value_or(document.deadline), document.deadline);
     request.hops = arrived.hops;
+    request.entry = arrived.entry;
     request.safe = isSafeMethod(arrived.method);
     request.idempotent = isIdempotentMethod(arrived.method);
     request.source = sourceOf(arrived, {});
@@ -115,6 +116,7 @@
     request.callerId = arrived.callerId;
     request.arrivedAt = event.at;
     request.hops = arrived.hops;
+    request.entry = arrived.entry;
     request.routed = true;
     request.source = sourceOf(arrived, {});
     RoutedRequest routed;
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -21,6 +21,7 @@
 #include "returningcallers.h"
 #include "routeplanner.h"
 #include "shardof.h"
+#include "stopschedule.h"
 #include "targetadmission.h"
 #include "targetcrashdetector.h"
 #include "targetstatementlog.h"
@@ -39,6 +40,22 @@
 constexpr std::size_t listedRequests = 32;
 constexpr Duration retryAfterWithoutOwner = std::chrono::seconds(1);
 constexpr Duration retryAfterOwnershipChange = std::chrono::milliseconds(500);
+/** Any other node can take the request at once. */
+constexpr Duration retryAfterStop = std::chrono::milliseconds(100);
+
+/** Returns whether the request waits for an attempt, of its own or for a slot, an owner or a time. */
+bool isWaiting(const Request &request)
+{
+    switch (request.state) {
+    case Request::State::AwaitingOwner:
+    case Request::State::Queued:
+    case Request::State::AwaitingIsolation:
+    case Request::State::BackingOff:
+        return true;
+    default:
+        return false;
+    }
+}
 
 /** Time of the event being handled, and the list that takes its effects. */
 struct Context {
@@ -73,6 +90,12 @@
     void handleFullQueue(Request &request, const Context &context);
     void refuseAsExpired(Request &request, const Context &context);
     void refuseAsStopping(Request &request, const Context &context);
+    /** Returns whether a stop of this node, or of the request's own, leaves enough time for an attempt. */
+    bool mayBegin(const Request &request) const { return !terminating && stopSchedule.mayBegin(request); }
+    /** Refuses the waiting requests that a stop leaves too little time. */
+    void refuseWhatMayNotBegin(const Context &context);
+    /** Ends the requests of this node's callers, or those of other nodes, whose answer has not begun. */
+    void endRequests(bool ofPeers, const Context &context);
     /** Lets the request wait until the given time, or until its shard has an owner that may admit it. */
     void awaitOwner(Request &request, MonotonicTime at, const Context &context);
     void enqueueAt(Request &request, const AdmissionPolicy::Place &place);
@@ -138,6 +161,7 @@
     RequestTable table;
     TargetAdmission admission;
     TargetCrashDetector crashDetector;
+    StopSchedule stopSchedule;
     AdmissionPolicy admissionPolicy{admission};
     RequestQueue awaitingOwner;
     RequestQueue awaitingIsolation;
@@ -179,6 +203,11 @@
     m_d->admission.health().setAnnouncementLifetime(timeout);
 }
 
+void RequestRouter::setStopLimit(Duration limit)
+{
+    m_d->stopSchedule.setLimit(limit);
+}
+
 void RequestRouter::tick(const Event &event, EffectList &effects)
 {
     const Context context = contextOf(event, effects);
@@ -202,26 +231,26 @@
 void RequestRouter::stop(const Event &event, EffectList &effects)
 {
     m_d->stopping = true;
+    m_d->stopSchedule.stopRequested(event.at);
+    m_d->refuseWhatMayNotBegin(contextOf(event, effects));
     ownershipChanged(event, effects);
 }
 
+void RequestRouter::memberStops(MemberSlot member, Duration requestsEndIn, const Event &event, EffectList &effects)
+{
+    m_d->stopSchedule.memberStops(member, event.at + requestsEndIn, event.at);
+    m_d->refuseWhatMayNotBegin(contextOf(event, effects));
+}
+
 void RequestRouter::endRequests(const Event &event, EffectList &effects)
 {
-    const Context context = contextOf(event, effects);
     m_d->terminating = true;
-    for (const RequestId id : m_d->table.ids()) {
-        Request *request = m_d->table.find(id);
-        // The request may have ended together with one that it had joined.
-        if (!request || request->cancelled || request->answerBegun || request->state == Request::State::AwaitingTargetCheck) {
-            continue;
-        }
-        if (request->state == Request::State::Running) {
-            effects.add(CancelAttempt{request->attempt});
-            continue;
-        }
-        m_d->removeFromQueues(*request);
-        m_d->refuseAsStopping(*request, context);
-    }
+    m_d->endRequests(false, contextOf(event, effects));
+}
+
+void RequestRouter::endPeerRequests(const Event &event, EffectList &effects)
+{
+    m_d->endRequests(true, contextOf(event, effects));
 }
 
 void RequestRouter::targetAnnounced(const Event &event, EffectList &effects)
@@ -418,6 +447,11 @@
     return m_d->suspects;
 }
 
+const StopSchedule &RequestRouter::stopSchedule() const
+{
+    return m_d->stopSchedule;
+}
+
 MemberLoad RequestRouter::takeLoad(MonotonicTime now)
 {
     const Duration elapsed = now - m_d->loadSince.value_or(now);
@@ -489,6 +523,10 @@
     if (answerAsDuplicate(request, context) || refuseAsSuspect(request, context)) {
         return;
     }
+    if (!mayBegin(request)) {
+        refuseAsStopping(request, context);
+        return;
+    }
     if (!request.sharded) {
         planner.replicasFor(request).setOwnTarget(admission.queue().size(), admission.health().isHealthy(context.now));
     }
@@ -505,7 +543,7 @@
     }
     const auto *to = std::get_if<RouteToMember>(&route);
     if (to && request.hops < maximumHops) {
-        attempts.forward(request, *to, context.now, context.effects);
+        attempts.forward(request, *to, ownership->self(), context.now, context.effects);
         return;
     }
     if (request.hops > 0) {
@@ -611,10 +649,38 @@
            context);
 }
 
+void RequestRouter::Private::refuseWhatMayNotBegin(const Context &context)
+{
+    for (const RequestId id : table.ids()) {
+        Request *request = table.find(id);
+        if (request && isWaiting(*request) && !mayBegin(*request)) {
+            removeFromQueues(*request);
+            refuseAsStopping(*request, context);
+        }
+    }
+}
+
+void RequestRouter::Private::endRequests(bool ofPeers, const Context &context)
+{
+    for (const RequestId id : table.ids()) {
+        Request *request = table.find(id);
+        // The request may have ended together with one that it had joined.
+        if (!request || (request->hops > 0) != ofPeers || request->cancelled || request->answerBegun || request->state == Request::State::AwaitingTargetCheck) {
+            continue;
+        }
+        if (request->state == Request::State::Running) {
+            context.effects.add(CancelAttempt{request->attempt});
+            continue;
+        }
+        removeFromQueues(*request);
+        refuseAsStopping(*request, context);
+    }
+}
+
 void RequestRouter::Private::refuseAsStopping(Request &request, const Context &context)
 {
     const std::uint16_t status = request.outcomeUnknown ? 502 : 503;
-    refuse(request, {status, NotRunReason::Stopping, retryAfterOwnershipChange, "this node is stopping"}, context);
+    refuse(request, {status, NotRunReason::Stopping, retryAfterStop, "this node is stopping"}, context);
 }
 
 void RequestRouter::Private::awaitOwner(Request &request, MonotonicTime at, const Context &context)
@@ -744,7 +810,7 @@
 
 void RequestRouter::Private::applyDecision(Request &request, const RetryDecision &decision, const Context &context)
 {
-    if (((stopping && request.routed) || terminating) && !std::holds_alternative<GiveUp>(decision)) {
+    if (!mayBegin(request) && !std::holds_alternative<GiveUp>(decision)) {
         refuseAsStopping(request, context);
         return;
     }
@@ -1039,7 +1105,7 @@
 void RequestRouter::Private::cancelOutdatedForwards(const Context &context)
 {
     if (stopping) {
-        // A stopping node starts no new attempt, and the former owner may still be processing the current one.
+        // The former owner may still be processing the current attempt, and there may be no time for another one.
         return;
     }
     table.forEachRunning([&](Request &request) {
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -11,6 +11,7 @@
 
 class EffectList;
 class OwnershipView;
+class StopSchedule;
 
 /** Numbers of requests since the node started; inFlight and queued are the present numbers. */
 struct RequestCounters {
@@ -75,15 +76,22 @@
     void setOwnership(const OwnershipView &ownership);
     /** Sets the time without an announcement after which the target counts as unhealthy. */
     void setTargetTimeout(Duration timeout);
+    /** Sets the time after a stop request at which the process is ended from outside; zero: never. */
+    void setStopLimit(Duration limit);
 
     // Event handlers. Only the Reducer calls them, after the Cell has handled the event.
     void tick(const Event &event, EffectList &effects);
+    /** Refuses the waiting requests that may not be begun any more. */
     void stop(const Event &event, EffectList &effects);
+    /** Refuses the waiting requests that another member, which is stopping, would break off. */
+    void memberStops(MemberSlot member, Duration requestsEndIn, const Event &event, EffectList &effects);
     /**
-     * Refuses or cancels all requests whose answer has not begun, because the process is about to be terminated: a refusal is better
-     * for the caller than a broken connection.
+     * Refuses or cancels all requests of this node's callers whose answer has not begun, because the process is about to be ended: a
+     * refusal is better for the caller than a broken connection. The node accepts no request afterwards.
      */
     void endRequests(const Event &event, EffectList &effects);
+    /** Does the same with the requests of other nodes. */
+    void endPeerRequests(const Event &event, EffectList &effects);
     void targetAnnounced(const Event &event, EffectList &effects);
     void targetProbed(const Event &event, EffectList &effects);
     void targetChecked(const Event &event, EffectList &effects);
@@ -107,6 +115,7 @@
     void importDeduplication(const std::vector<DeduplicationEntry> &entries, MonotonicTime now) override;
 
     const RequestCounters &counters() const;
+    const StopSchedule &stopSchedule() const;
 
 private:
     struct Private;
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint32_t maxHops = 1000;
 constexpr std::uint64_t maxPriority = 1000;
+constexpr std::uint64_t maxSlot = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t maxWorkClass = std::numeric_limits<std::uint32_t>::max();
 constexpr std::string_view yes = "1";
 
@@ -100,6 +101,7 @@
     event.routed = routedOf(received);
     event.relayed = relayedStatementOf(received);
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
+    event.entry = MemberSlot(static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::entry).value_or(noMember.value()), maxSlot)));
     event.time.wall = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(numberIn(received, wire::clockMilliseconds).value_or(0))));
     event.time.counter = static_cast<std::uint32_t>(numberIn(received, wire::clockCounter).value_or(0));
     return event;
--- a/src/libnutmeghingeio/peermessagecodec.cpp
+++ b/src/libnutmeghingeio/peermessagecodec.cpp
@@ -280,6 +280,8 @@
         }
     }
 
+    void operator()(const StopNotice &message) { m_to.initStopNotice().setRequestsEndIn(message.requestsEndIn.count()); }
+
 private:
     wire::PeerMessage::Builder m_to;
 };
@@ -632,6 +634,8 @@
         return message;
     }
 
+    StopNotice stopNotice(wire::StopNotice::Reader from) { return {duration(from.getRequestsEndIn(), Codec::maxStop, "time until requests end")}; }
+
     PeerMessage message(wire::PeerMessage::Reader from)
     {
         switch (from.which()) {
@@ -651,6 +655,8 @@
             return joinRequest(from.getJoinRequest());
         case wire::PeerMessage::CRASH_REPORT:
             return crashReport(from.getCrashReport());
+        case wire::PeerMessage::STOP_NOTICE:
+            return stopNotice(from.getStopNotice());
         }
         check(false, "kind of message");
         return {};
--- a/src/libnutmeghingeio/peermessagecodec.h
+++ b/src/libnutmeghingeio/peermessagecodec.h
@@ -37,6 +37,7 @@
     /** Limit of rates, in requests per second times 1000. */
     static constexpr std::uint64_t maxMilliRequestsPerSecond = 1'000'000'000'000;
     static constexpr Duration maxLease{std::chrono::minutes(10)};
+    static constexpr Duration maxStop{std::chrono::hours(1)};
     static constexpr Duration maxHoldLeft{std::chrono::hours(24 * 365)};
     static constexpr Duration maxDocumentAge{std::chrono::hours(24 * 365)};
     static constexpr Duration maxAge{std::chrono::hours(24 * 365)};
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -224,6 +224,9 @@
     HttpHeaders headers{{std::string(wire::hops), std::to_string(effect.hops)},
                         {std::string(wire::clockMilliseconds), std::to_string(effect.time.wall.time_since_epoch().count())},
                         {std::string(wire::clockCounter), std::to_string(effect.time.counter)}};
+    if (effect.entry != noMember) {
+        headers.emplace_back(wire::entry, std::to_string(effect.entry.value()));
+    }
     if (effect.routed) {
         const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(effect.routed->objective);
         headers.emplace_back(wire::service, effect.routed->service.value());
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -164,6 +164,12 @@
         return targetStated(stated);
     }
     const Effects &ownershipChanged() { return apply(&RequestRouter::ownershipChanged, Tick{}); }
+    /** Tells the node to stop; its process is ended from outside after the limit. */
+    const Effects &stop(Duration limit)
+    {
+        m_router.setStopLimit(limit);
+        return apply(&RequestRouter::stop, StopRequested{});
+    }
     const Effects &tickAfter(Duration duration)
     {
         m_now += duration;
--- a/tests/core/requestplay.cpp
+++ b/tests/core/requestplay.cpp
@@ -13,6 +13,10 @@
 constexpr Duration localDelay = std::chrono::microseconds(200);
 constexpr Duration networkDelay = std::chrono::milliseconds(2);
 constexpr Duration callerTimeout = std::chrono::seconds(3);
+/** Status of a node's answer if the time limit of the request has passed. */
+constexpr std::uint16_t lateStatus = 504;
+/** An answer of a node so soon after the end of a run was given in place of the target's. */
+constexpr Duration brokenOffWithin = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -32,7 +36,9 @@
     arrived.caller = call.caller;
     arrived.body = std::make_shared<const std::string>(call.body);
     arrived.headers = {{"x-key", call.caller}};
-    arrived.timeout = callerTimeout;
+    arrived.timeout = call.timeout;
+    call.entry = node;
+    call.sentAt = m_harness.now();
     accept(node, std::move(arrived), call, {});
 }
 
@@ -74,6 +80,41 @@
     }
 }
 
+void RequestPlay::stop(std::size_t node, Duration limit, std::size_t times, Duration interval)
+{
+    const NodeRun run = runOf(node);
+    m_harness.stopNode(node);
+    for (std::size_t i = 1; i < times; ++i) {
+        m_harness.callLater(interval * static_cast<int>(i), [this, run] { deliver(run, StopRequested{}); });
+    }
+    m_harness.callLater(limit, [this, run] { endNode(run); });
+}
+
+void RequestPlay::endNode(const NodeRun &node)
+{
+    if (!m_harness.isUp(node.first) || m_harness.incarnationOf(node.first) != node.second) {
+        return;
+    }
+    m_harness.killNode(node.first);
+    for (const Attempt &run : std::exchange(m_runs, {})) {
+        if (run.node == node) {
+            loseRun(run);
+        } else {
+            m_runs.push_back(run);
+        }
+    }
+    for (auto accepted = m_accepted.lower_bound({node, RequestId(0)}); accepted != m_accepted.end() && accepted->first.first == node;) {
+        const Accepted ended = m_accepted.extract(accepted++).mapped();
+        if (ended.from) {
+            m_harness.callLater(networkDelay, [this, from = *ended.from] { deliver(from.node, AttemptFinished{from.id, AttemptUnknown()}); });
+        } else {
+            ++ended.call->ended;
+            ended.call->brokenOffAt = m_harness.now();
+            ended.call->brokenOffWith = "the process ended";
+        }
+    }
+}
+
 void RequestPlay::crash(std::size_t node)
 {
     if (!m_harness.runningTarget(node)) {
@@ -85,6 +126,9 @@
             m_runs.push_back(run);
             continue;
         }
+        if (const auto accepted = m_accepted.find({run.node, run.request}); accepted != m_accepted.end()) {
+            --accepted->second.call->running;
+        }
         m_harness.callLater(localDelay, [this, run] { deliver(run.node, AttemptFinished{run.id, AttemptUnknown()}); });
     }
     m_harness.callLater(std::chrono::milliseconds(3300 + m_random() % 900), [this, node] { m_harness.startTarget(node); });
@@ -115,15 +159,38 @@
                        const auto state = listening ? TargetChecked::State::Listening : TargetChecked::State::Refused;
                        m_harness.callLater(localDelay, [this, run = runOf(node), result = TargetChecked{check.target, state}] { deliver(run, result); });
                    },
-                   [&](const CancelAttempt &cancel) {
-                       m_cancelled.insert({runOf(node), cancel.attempt});
-                       m_harness.callLater(localDelay, [this, run = runOf(node), id = cancel.attempt] { deliver(run, AttemptFinished{id, AttemptUnknown()}); });
-                   },
+                   [&](const CancelAttempt &sent) { cancel(node, sent); },
                    [](const auto &) {},
                },
                effect);
 }
 
+void RequestPlay::cancel(std::size_t node, const CancelAttempt &cancel)
+{
+    const NodeRun run = runOf(node);
+    m_cancelled.insert({run, cancel.attempt});
+    m_harness.callLater(localDelay, [this, run, id = cancel.attempt] { deliver(run, AttemptFinished{id, AttemptUnknown()}); });
+    const auto isCancelled = [&](const Attempt &attempt) { return attempt.node == run && attempt.id == cancel.attempt; };
+    if (const auto atTarget = std::ranges::find_if(m_runs, isCancelled); atTarget != m_runs.end()) {
+        loseRun(*atTarget);
+        m_runs.erase(atTarget);
+    }
+    for (const auto &[key, accepted] : m_accepted) {
+        if (accepted.from && isCancelled(*accepted.from)) {
+            m_harness.callLater(networkDelay, [this, to = key.first, id = key.second] { deliver(to, RequestCancelled{id}); });
+            break;
+        }
+    }
+}
+
+void RequestPlay::loseRun(const Attempt &run)
+{
+    if (const auto accepted = m_accepted.find({run.node, run.request}); accepted != m_accepted.end()) {
+        --accepted->second.call->running;
+        accepted->second.call->runLostAt = m_harness.now();
+    }
+}
+
 void RequestPlay::runAtTarget(std::size_t node, const SendToTarget &send)
 {
     const Attempt run{runOf(node), send.attempt, send.request};
@@ -137,6 +204,9 @@
         call.begins.push_back(m_harness.now());
     }
     m_runs.push_back(run);
+    ++call.running;
+    call.begunAt = m_harness.now();
+    expireAt(run, send.deadline);
     m_harness.callLater(call.crashesTargets ? crashDelay : call.work, [this, run, target = send.target, &call] { endRun(run, target, call); });
 }
 
@@ -146,6 +216,7 @@
         return;
     }
     if (!call.crashesTargets) {
+        --call.running;
         answer(run);
         return;
     }
@@ -156,14 +227,35 @@
     crash(run.node.first);
 }
 
+void RequestPlay::expireAt(const Attempt &attempt, MonotonicTime deadline)
+{
+    const Duration left = m_harness.timeUntil(attempt.node.first, deadline);
+    if (left > Duration::zero()) {
+        // The node's clock may be slow.
+        m_harness.callLater(left, [this, attempt, deadline] { expireAt(attempt, deadline); });
+        return;
+    }
+    const auto accepted = m_accepted.find({attempt.node, attempt.request});
+    if (accepted == m_accepted.end() || !m_cancelled.insert({attempt.node, attempt.id}).second) {
+        return;
+    }
+    // A target stops its work at the deadline that it was given.
+    accepted->second.call->running -= std::erase(m_runs, attempt);
+    AttemptUnknown late;
+    late.reason = AttemptUnknown::Reason::DeadlineExpired;
+    deliver(attempt.node, AttemptFinished{attempt.id, late});
+}
+
 void RequestPlay::forward(std::size_t node, const ForwardRequest &forward)
 {
     const Attempt from{runOf(node), forward.attempt, forward.request};
     const Accepted &accepted = m_accepted.at({from.node, forward.request});
     RequestArrived arrived = accepted.arrived;
     arrived.hops = forward.hops;
+    arrived.entry = forward.entry;
     arrived.routed = forward.routed;
     arrived.timeout = m_harness.timeUntil(node, forward.deadline);
+    expireAt(from, forward.deadline);
     m_harness.callLater(networkDelay, [this, from, arrived, to = std::size_t(forward.peer.port), call = accepted.call] {
         if (!m_harness.isUp(to) || m_harness.isIsolated(to) || m_harness.isIsolated(from.node.first)) {
             deliver(from.node, AttemptFinished{from.id, AttemptNotRun()});
@@ -177,7 +269,16 @@
 {
     const Accepted accepted = m_accepted.extract({runOf(node), refusal.request}).mapped();
     if (!accepted.from) {
-        ++accepted.call->ended;
+        Call &call = *accepted.call;
+        ++call.ended;
+        const bool lost = call.runLostAt && m_harness.now() - *call.runLostAt <= brokenOffWithin;
+        const bool inTime = refusal.outcome == Outcome::Unknown && refusal.status != lateStatus;
+        if (refusal.outcome == Outcome::NotRun) {
+            call.notRunAt = m_harness.now();
+        } else if (inTime && (call.running > 0 || lost)) {
+            call.brokenOffAt = m_harness.now();
+            call.brokenOffWith = refusal.detail;
+        }
         accepted.call->refusedAsSuspect += refusal.reason == NotRunReason::TargetsCrashed ? 1 : 0;
         return;
     }
--- a/tests/core/requestplay.h
+++ b/tests/core/requestplay.h
@@ -11,7 +11,7 @@
 
 namespace nutmeghinge {
 
-/** Plays requests, some of which crash each target that runs them, on the nodes and targets of a harness. */
+/** Plays requests, some of which crash each target that runs them, and planned stops of nodes on the nodes and targets of a harness. */
 class RequestPlay
 {
 public:
@@ -23,6 +23,8 @@
         std::string body{};
         bool crashesTargets = false;
         Duration work = std::chrono::milliseconds(200);
+        /** Time for which its caller waits. */
+        Duration timeout = std::chrono::seconds(3);
 
         /** Incarnations of targets that began to run it, with the time of the first begin. */
         std::map<std::pair<std::size_t, std::uint64_t>, Duration> reached{};
@@ -34,6 +36,22 @@
         std::size_t ended = 0;
         /** Refusals because targets have crashed under the request. */
         std::size_t refusedAsSuspect = 0;
+
+        // The latest time that it was sent.
+        std::size_t entry = 0;
+        Duration sentAt{0};
+        /** Latest time at which a target began to work at it. */
+        Duration begunAt{0};
+        /** Number of targets that work at it. */
+        std::size_t running = 0;
+        /** Time at which a run of it ended because the node beside the target did. */
+        std::optional<Duration> runLostAt{};
+        /** Time at which its caller got an answer of a node instead of one of the target that worked at it, or none at all. */
+        std::optional<Duration> brokenOffAt{};
+        /** What its caller was told then. */
+        std::string brokenOffWith{};
+        /** Time at which its caller was told that it had not run. */
+        std::optional<Duration> notRunAt{};
     };
 
     RequestPlay(TargetLeaseHarness &harness, std::uint64_t seed);
@@ -44,6 +62,8 @@
     void repeat(Call &call, Duration length);
     /** Sends other requests to random nodes, one in each interval, and records them in others. */
     void sendOthers(Duration interval, Duration length);
+    /** Tells the node to stop, as often as given, and ends its process when the limit has passed since the first time. */
+    void stop(std::size_t node, Duration limit, std::size_t times, Duration interval);
     /** Ends the target's process, if it runs; it starts again after some seconds. */
     void crash(std::size_t node);
 
@@ -73,6 +93,13 @@
     void accept(std::size_t node, RequestArrived arrived, Call &call, std::optional<Attempt> from);
     void handle(std::size_t node, const Effect &effect);
     void runAtTarget(std::size_t node, const SendToTarget &send);
+    /** Ends the node's process, and with it its connections to callers, other nodes and its target. */
+    void endNode(const NodeRun &node);
+    void cancel(std::size_t node, const CancelAttempt &cancel);
+    /** Records that a run ended at the target because a node ended or cancelled it. */
+    void loseRun(const Attempt &run);
+    /** Reports at the deadline of the attempt, by its node's clock, that it has passed, unless the attempt has ended. */
+    void expireAt(const Attempt &attempt, MonotonicTime deadline);
     void endRun(const Attempt &run, const TargetInstance &target, Call &call);
     void forward(std::size_t node, const ForwardRequest &forward);
     void refuse(std::size_t node, const RefuseRequest &refusal);
--- /dev/null
+++ b/tests/core/stopschedulepropertytest.cpp
@@ -0,0 +1,186 @@
+#include "requestplay.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace nutmeghinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration stopLimit = 6s;
+/** From this time after a stop request on, a request that had been sent before it may be broken off. */
+constexpr Duration excusedAfter = stopLimit - stopLimit / 6;
+/** Longest time that a message takes from one node to another. */
+constexpr Duration messageTime = 5ms;
+/** Time within which the other nodes know of a stop request. */
+constexpr Duration noticeTime = 100ms;
+/** Longest time for which a request runs at its target. */
+constexpr std::uint64_t longestRunMs = 8000;
+
+/** Stops nodes in any order while requests of all lengths arrive, and checks what their callers got. */
+class StopPlay
+{
+public:
+    StopPlay(std::size_t nodes, std::uint64_t seed)
+        : m_harness(nodes, seed, nodes / 2, timings())
+        , m_play(m_harness, seed)
+    {
+    }
+
+    bool begin() { return m_harness.runUntilAllHeld(30s).has_value(); }
+
+    void run(Duration length)
+    {
+        for (Duration at{0}; at < length; at += 15ms) {
+            m_harness.callLater(at, [this] { sendRequest(); });
+        }
+        m_harness.run(length);
+    }
+
+    /** Tells some nodes to stop within a second, each up to three times; the targets of some of them have ended before, as in a release. */
+    void stopSome()
+    {
+        const std::size_t count = 1 + random(std::min<std::size_t>(m_harness.size() - 1, 15));
+        for (std::size_t i = 0; i < count; ++i) {
+            m_harness.callLater(std::chrono::milliseconds(random(1000)), [this, node = random(m_harness.size())] { stop(node); });
+        }
+    }
+
+    /** Returns what went wrong with a request; empty if nothing did. */
+    std::string violation() const
+    {
+        for (const auto &call : m_calls) {
+            const std::string text = violationOf(*call);
+            if (!text.empty()) {
+                return text + ": " + describe(*call);
+            }
+        }
+        return m_harness.violation();
+    }
+
+    std::size_t brokenOff() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_calls, [](const auto &call) { return call->brokenOffAt.has_value(); }));
+    }
+
+private:
+    static Timings timings()
+    {
+        Timings timings = Timings::forHeartbeatsOf(TargetLeaseHarness::heartbeat);
+        timings.stopLimit = stopLimit;
+        return timings;
+    }
+    static std::string toText(Duration time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + " ms"; }
+
+    static std::string describe(const RequestPlay::Call &call)
+    {
+        std::string text = call.path + " of " + toText(call.work) + " sent at " + toText(call.sentAt) + " to node " + std::to_string(call.entry) + ", \""
+                           + call.brokenOffWith + "\"";
+        for (const auto &[reached, at] : call.reached) {
+            text += ", reached the target of node " + std::to_string(reached.first) + " at " + toText(at);
+        }
+        return text;
+    }
+
+    std::size_t random(std::size_t below) { return m_harness.random(below); }
+
+    void sendRequest()
+    {
+        const std::size_t node = random(m_harness.size());
+        if (!m_harness.isUp(node)) {
+            return;
+        }
+        auto call = std::make_unique<RequestPlay::Call>();
+        const bool isLong = random(4) == 0;
+        call->host = random(2) == 0 ? "documents" : "roster";
+        call->path = (isLong ? "/long/" : random(3) == 0 ? "/once/" : "/read/") + std::to_string(m_calls.size());
+        call->caller = std::to_string(random(65536));
+        call->work = std::chrono::milliseconds(100 + random(isLong ? longestRunMs : 1200));
+        call->timeout = isLong ? 10s : std::chrono::seconds(1 + random(4));
+        m_calls.push_back(std::move(call));
+        m_play.send(node, *m_calls.back());
+    }
+
+    void stop(std::size_t node)
+    {
+        if (!m_harness.isUp(node) || !m_stoppedAt.try_emplace({node, m_harness.incarnationOf(node)}, m_harness.now()).second) {
+            return;
+        }
+        if (random(2) == 0) {
+            m_play.crash(node);
+        }
+        m_play.stop(node, stopLimit, 1 + random(3), std::chrono::milliseconds(100 + random(2500)));
+        m_harness.callLater(stopLimit + 1s, [this, node] { m_harness.startNode(node); });
+    }
+
+    /** Returns the first stop request at which the node still had a process after the given time. */
+    std::optional<Duration> stopAfter(std::size_t node, Duration time) const
+    {
+        for (const auto &[run, at] : m_stoppedAt) {
+            if (run.first == node && time < at + stopLimit) {
+                return at;
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::string violationOf(const RequestPlay::Call &call) const
+    {
+        if (call.notRunAt && !call.reached.empty()) {
+            return "a request that a target had begun was refused as not run";
+        }
+        const std::optional<Duration> stoppedAt = stopAfter(call.entry, call.sentAt);
+        // A run that was cancelled before the stop request, because its key had moved, may end after it.
+        if (!call.brokenOffAt || !stoppedAt || *call.brokenOffAt < *stoppedAt + messageTime) {
+            return {};
+        }
+        if (call.sentAt >= *stoppedAt || call.begunAt > *stoppedAt + noticeTime) {
+            return "a request was begun " + toText(call.begunAt - *stoppedAt) + " after the stop request and broken off after "
+                   + toText(*call.brokenOffAt - *stoppedAt);
+        }
+        if (*call.brokenOffAt < *stoppedAt + excusedAfter && !endedWithProcess(call)) {
+            return "a request was broken off " + toText(*call.brokenOffAt - *stoppedAt) + " after the stop request";
+        }
+        return {};
+    }
+
+    /** Returns whether the request ran beside a node that was told to stop afterwards and whose limit has passed; nothing can save it. */
+    bool endedWithProcess(const RequestPlay::Call &call) const
+    {
+        for (const auto &[reached, at] : call.reached) {
+            const std::optional<Duration> stoppedAt = stopAfter(reached.first, at);
+            if (stoppedAt && at < *stoppedAt && *call.brokenOffAt >= *stoppedAt + stopLimit - stopLimit / 10) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    TargetLeaseHarness m_harness;
+    RequestPlay m_play;
+    std::vector<std::unique_ptr<RequestPlay::Call>> m_calls;
+    /** First stop requests by node and its incarnation. */
+    std::map<std::pair<std::size_t, std::uint64_t>, Duration> m_stoppedAt;
+};
+
+} // namespace
+
+// Guards against a request that is begun although the stopping node of its caller may be ended before the request is (LOST).
+TEST_CASE("No request that is begun after the stop request of its node is broken off")
+{
+    const auto nodes = GENERATE(3U, 12U, 62U);
+    for (std::uint64_t seed = 1; seed <= (nodes == 62 ? 6 : 12); ++seed) {
+        StopPlay play(nodes, seed);
+        REQUIRE(play.begin());
+        play.run(3s);
+        for (int wave = 0; wave < 3; ++wave) {
+            play.stopSome();
+            play.run(std::chrono::milliseconds(1000 + 700 * wave));
+        }
+        play.run(20s);
+        INFO("nodes " << nodes << ", seed " << seed << ", broken off " << play.brokenOff());
+        CHECK(play.violation() == "");
+    }
+}
--- /dev/null
+++ b/tests/core/stopscheduletest.cpp
@@ -0,0 +1,86 @@
+#include "requestfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nutmeghinge;
+using namespace nutmeghinge::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration stopLimit = 7s;
+/** Time after the stop request at which the node answers its callers itself. */
+constexpr Duration ownRequestsEnd = 6s;
+
+RequestArrived requestWithin(Duration timeout, std::uint64_t id, std::uint32_t hops = 0)
+{
+    RequestArrived arrived = RouterFixture::request(id);
+    arrived.timeout = timeout;
+    arrived.hops = hops;
+    return arrived;
+}
+
+} // namespace
+
+// Guards against requests that a stopping node passes on and then breaks off (LOST).
+TEST_CASE("A stopping node refuses at once, as not run, a request whose time limit exceeds the time left", "[request]")
+{
+    for (const MemberSlot owner : {MemberSlot(1), MemberSlot(2)}) {
+        RouterFixture node;
+        node.m_ownership.setOwner(owner);
+        node.ownershipChanged();
+        node.stop(stopLimit);
+        node.arrive(requestWithin(ownRequestsEnd + 1ms, 1));
+        const auto refused = node.only<RefuseRequest>();
+        CHECK(refused.status == 503);
+        CHECK(refused.outcome == Outcome::NotRun);
+        CHECK(refused.reason == NotRunReason::Stopping);
+        CHECK(node.m_router.runningRequests() == 0);
+        node.arrive(requestWithin(2s, 2));
+        CHECK(node.all<RefuseRequest>().empty());
+        CHECK(node.m_router.runningRequests() == 1);
+        node.tickAfter(ownRequestsEnd - 2s + 1ms);
+        node.arrive(requestWithin(2s, 3));
+        CHECK(node.only<RefuseRequest>().request == RequestId(3));
+    }
+}
+
+TEST_CASE("A node that is told to stop refuses waiting requests that it may not begin, and lets the others wait", "[request]")
+{
+    RouterFixture node(true, 1);
+    node.arrive(requestWithin(10s, 1));
+    const AttemptId running = node.only<SendToTarget>().attempt;
+    node.arrive(requestWithin(10s, 2));
+    node.arrive(requestWithin(3s, 3));
+    CHECK(node.m_router.runningRequests() == 3);
+    node.stop(stopLimit);
+    CHECK(node.all<CancelAttempt>().empty());
+    const auto refused = node.only<RefuseRequest>();
+    CHECK(refused.request == RequestId(2));
+    CHECK(refused.outcome == Outcome::NotRun);
+    node.answered(running);
+    CHECK(node.only<SendToTarget>().request == RequestId(3));
+}
+
+TEST_CASE("A stopping node sends a request with an unknown outcome again only if its time limit ends in time", "[request]")
+{
+    for (const bool inTime : {false, true}) {
+        RouterFixture node;
+        node.arrive(requestWithin(inTime ? 4s : 10s, 1));
+        const AttemptId attempt = node.only<SendToTarget>().attempt;
+        node.stop(stopLimit);
+        node.unknown(attempt);
+        CHECK(node.all<SendToTarget>().size() == (inTime ? 1 : 0));
+        CHECK(node.all<RefuseRequest>().size() == (inTime ? 0 : 1));
+    }
+}
+
+TEST_CASE("A stopping node refuses a request of another node that may outlast its process", "[request]")
+{
+    RouterFixture node;
+    node.stop(stopLimit);
+    node.arrive(requestWithin(stopLimit, 1, 1));
+    CHECK(node.only<RefuseRequest>().reason == NotRunReason::Stopping);
+    node.arrive(requestWithin(ownRequestsEnd + 100ms, 2, 1));
+    CHECK(node.all<SendToTarget>().size() == 1);
+}
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -22,7 +22,7 @@
 std::string documentText(Duration holdLimit)
 {
     return "service: roster\n"
-           "targets: {grants: heartbeat, holdTime: 10s}\n"
+           "targets: {grants: heartbeat, holdTime: 10s, executionLimit: 60s}\n"
            "keys: {header: x-key, placement: range, shards: 32}\n"
            "leases: {holdLimit: "
            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(holdLimit).count()) + "ms}\n";
@@ -35,19 +35,31 @@
     return (answer && answer->map) || (vote && vote->map);
 }
 
-/** Returns the route for reads, below /read/, or the one for requests that must not run twice, below /once/. */
-RequestRoute routeTo(const ServiceName &to, bool repeatable)
+/** Returns a route for requests below the prefix. */
+RequestRoute routeTo(const ServiceName &to, const std::string &prefix, bool repeatable, Duration timeout)
 {
     RequestRoute route;
     route.host = to.value();
-    route.prefix = repeatable ? "/read/" : "/once/";
+    route.prefix = prefix;
     route.services = {{to, 1}};
     route.repeatable = repeatable;
-    route.timeout = std::chrono::seconds(4);
+    route.timeout = timeout;
     route.maximumAttempts = 3;
     return route;
 }
 
+/** Returns the routes for reads, for requests that must not run twice, and for reads that may take long. */
+std::vector<RequestRoute> routesTo(const std::vector<ServiceName> &services)
+{
+    std::vector<RequestRoute> routes;
+    for (const ServiceName &to : services) {
+        routes.push_back(routeTo(to, "/read/", true, std::chrono::seconds(4)));
+        routes.push_back(routeTo(to, "/once/", false, std::chrono::seconds(4)));
+        routes.push_back(routeTo(to, "/long/", true, std::chrono::seconds(10)));
+    }
+    return routes;
+}
+
 /** Adds a service without keys to the one in the text, and routes to both. */
 class TwoServicesFormat : public DocumentFormat
 {
@@ -59,7 +71,7 @@
             Document other;
             other.service = serviceWithoutKeys;
             set->services.insert(set->services.begin(), std::move(other));
-            set->routes = RouteTable({routeTo(service, true), routeTo(service, false), routeTo(serviceWithoutKeys, true), routeTo(serviceWithoutKeys, false)});
+            set->routes = RouteTable(routesTo({service, serviceWithoutKeys}));
         }
         return parsed;
     }
--- a/tests/io/peermessagegenerator.cpp
+++ b/tests/io/peermessagegenerator.cpp
@@ -221,6 +221,11 @@
     return CrashReport{listOf(crashSuspect), anyOptional(counter)};
 }
 
+PeerMessage stopNotice()
+{
+    return StopNotice{Duration(upTo<std::int64_t>(Codec::maxStop.count()))};
+}
+
 } // namespace
 
 rc::Gen<PeerMessage> anyPeerMessage()
@@ -232,7 +237,8 @@
                           rc::gen::exec(handoverOffer),
                           rc::gen::exec(handoverAccepted),
                           rc::gen::exec(joinRequest),
-                          rc::gen::exec(crashReport));
+                          rc::gen::exec(crashReport),
+                          rc::gen::exec(stopNotice));
 }
 
 } // namespace nutmeghinge
