Let requests of other nodes run until the process is about to end

What callers saw: if a target's node was told to stop up to a second before the node of the caller, it ended the caller's request 5.14 s after its own stop request, and the caller got 502 earlier than five sixths of the limit after the stop of its own node.

Cause: RequestRouter::endRequests() ended all attempts at the same time, whoever had received the request. The reserve is for answers to callers; another node needs none, as the end of the connection says the same.

Change: requests of other nodes are ended when a twentieth of the limit is left.

What can't be saved is a request that began beside a node whose process ends more than a second earlier.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -8,8 +8,8 @@
 
 /** The last seventh of the limit is reserved for the node's answers to its callers. */
 constexpr int ownAnswersDivisor = 7;
-/** The last seventh of the limit is reserved for the answers to other nodes and the end of the process. */
-constexpr int exitDivisor = 7;
+/** The last twentieth of the limit is reserved for the end of the process. */
+constexpr int exitDivisor = 20;
 
 } // namespace
 
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -1,4 +1,5 @@
 #include "requestfixture.h"
+#include "requestplay.h"
 
 #include <catch2/catch.hpp>
 
@@ -20,6 +21,29 @@
     return arrived;
 }
 
+/** Stops the target's node and then, after the given time, that of the caller; returns for how long the latter's request ran on, at most 8 s. */
+Duration runAfterStops(Duration between)
+{
+    Timings timings = Timings::forHeartbeatsOf(TargetLeaseHarness::heartbeat);
+    timings.stopLimit = 6s;
+    // The only target of the service without keys is beside the last node.
+    TargetLeaseHarness harness(3, 5, 1, timings);
+    REQUIRE(harness.runUntilAllHeld(30s));
+    harness.run(2s);
+    RequestPlay play(harness, 5);
+    RequestPlay::Call call{.host = "roster", .path = "/long/a", .caller = "1", .work = 20s, .timeout = 10s};
+    play.send(0, call);
+    harness.run(50ms);
+    REQUIRE(call.running == 1);
+    play.stop(2, 6s, 1, 1s);
+    harness.run(between);
+    const Duration stoppedAt = harness.now();
+    play.stop(0, 6s, 1, 1s);
+    harness.run(8s);
+    REQUIRE(call.brokenOffAt);
+    return *call.brokenOffAt - stoppedAt;
+}
+
 } // namespace
 
 // Guards against requests that a stopping node passes on and then breaks off (LOST).
@@ -84,3 +108,10 @@
     node.arrive(requestWithin(ownRequestsEnd + 100ms, 2, 1));
     CHECK(node.all<SendToTarget>().size() == 1);
 }
+
+// Guards against a node that ends, long before its own process ends, a request that another stopping node must not break off yet (LOST).
+TEST_CASE("A stopping node lets requests of other nodes run until its process is about to end")
+{
+    CHECK(runAfterStops(0s) >= 5s);
+    CHECK(runAfterStops(600ms) >= 5s);
+}
