Do not say that a request has not run while another with its Idempotency-Key runs

What callers saw: a repeat that waited for the answer of the running request with its Idempotency-Key got 503, "not run", when a stopping node ended its requests, although the running one might complete.

Cause: RequestRouter::endRequests() refused it like one that waits for a slot. Its deadline and the loss of the running request already gave "unknown".

Test: "A terminating node does not say that a request has not run while another with its Idempotency-Key runs" failed before (503).

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -672,6 +672,8 @@
             context.effects.add(CancelAttempt{request->attempt});
             continue;
         }
+        // The request that this one waits for is still running and may complete.
+        request->outcomeUnknown = request->outcomeUnknown || request->state == Request::State::Joined;
         removeFromQueues(*request);
         refuseAsStopping(*request, context);
     }
--- a/tests/core/requestendingtest.cpp
+++ b/tests/core/requestendingtest.cpp
@@ -53,6 +53,22 @@
     CHECK(fixture.all<SendToTarget>().empty());
 }
 
+// Guards against a refusal that says "not run" although the request may run.
+TEST_CASE("A terminating node does not say that a request has not run while another with its Idempotency-Key runs")
+{
+    RouterFixture fixture;
+    fixture.arrive(RouterFixture::request(1, "POST", "a"));
+    const AttemptId attempt = fixture.only<SendToTarget>().attempt;
+    fixture.arrive(RouterFixture::request(2, "POST", "a"));
+    CHECK(fixture.all<SendToTarget>().empty());
+    endRequests(fixture);
+    CHECK(fixture.only<CancelAttempt>().attempt == attempt);
+    const auto refused = fixture.only<RefuseRequest>();
+    CHECK(refused.request == RequestId(2));
+    CHECK(refused.outcome == Outcome::Unknown);
+    CHECK(refused.status == 502);
+}
+
 TEST_CASE("A stopping node does not cancel a forwarded request when the key moves, because the former owner may be processing it")
 {
     for (const bool stops : {false, true}) {
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -26,12 +26,12 @@
 {
     Timings timings = Timings::forHeartbeatsOf(TargetLeaseHarness::heartbeat);
     timings.stopLimit = 6s;
-    // The only target of the service without keys is beside the last node.
+    // The last node has the only target of the service without keys.
     TargetLeaseHarness harness(3, 5, 1, timings);
     REQUIRE(harness.runUntilAllHeld(30s));
     harness.run(2s);
     RequestPlay play(harness, 5);
-    RequestPlay::Call call{.host = "roster", .path = "/long/a", .caller = "1", .work = 20s, .timeout = 10s};
+    RequestPlay::Call call{.host = "documents", .path = "/long/a", .caller = "1", .work = 20s, .timeout = 10s};
     play.send(0, call);
     harness.run(50ms);
     REQUIRE(call.running == 1);
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -70,6 +70,7 @@
         if (auto *set = std::get_if<DocumentSet>(&parsed)) {
             Document other;
             other.service = serviceWithoutKeys;
+            other.executionLimit = std::chrono::seconds(60);
             set->services.insert(set->services.begin(), std::move(other));
             set->routes = RouteTable(routesTo({service, serviceWithoutKeys}));
         }
