Give a target no more time than the stopping node of the caller has left

What callers saw: a stopping node refused every request whose time limit exceeds the time left of the stop, so reads with a limit of 5 or 8 s got nothing from it at all, though most end within a second.

Cause: only a time limit makes it certain that a request has ended before its node does, and the limit was taken as the caller gave it.

Change: a target that begins a request of a stopping node is told the time that this node has left, less what its answer needs on the way, and so answers by itself, as at any time limit; nothing is broken off. Whether a request is begun is decided by its objective: what is not expected to end in the time left is refused at once. Other nodes do the same for the requests of a member that has announced its stop.

Ruled out: the stated time as the attempt's own time-out, which would end it at the same moment as the target does.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -2,12 +2,16 @@
 
 #include "request.h"
 
+#include <algorithm>
+
 namespace nutmeghinge {
 
 namespace {
 
 /** The last seventh of the limit is reserved for the node's answers to its callers. */
 constexpr int ownAnswersDivisor = 7;
+/** The target's answer has this part of the limit to arrive before the node answers in its place. */
+constexpr int answerDivisor = 20;
 /** The last twentieth of the limit is reserved for the end of the process. */
 constexpr int exitDivisor = 20;
 
@@ -27,13 +31,20 @@
     m_members.try_emplace(member, requestsEnd);
 }
 
-bool StopSchedule::mayBegin(const Request &request) const
+bool StopSchedule::mayBegin(const Request &request, MonotonicTime now) const
+{
+    const bool hasObjective = request.objectiveAt != MonotonicTime::max();
+    const MonotonicTime expectedEnd = hasObjective ? now + (request.objectiveAt - request.arrivedAt) : request.deadline;
+    return std::min(request.deadline, expectedEnd) <= workEnd(request);
+}
+
+MonotonicTime StopSchedule::workEnd(const Request &request) const
 {
-    if (request.hops == 0) {
-        return request.deadline <= ownRequestsEnd();
+    MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : peerRequestsEnd();
+    if (const auto entry = m_members.find(request.entry); request.hops > 0 && entry != m_members.end()) {
+        end = std::min(end, entry->second);
     }
-    const auto entry = m_members.find(request.entry);
-    return request.deadline <= peerRequestsEnd() && (entry == m_members.end() || request.deadline <= entry->second);
+    return end == MonotonicTime::max() ? end : end - m_limit / answerDivisor;
 }
 
 MonotonicTime StopSchedule::ownRequestsEnd() const
--- a/src/libnutmeghinge/decisions/stopschedule.h
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -11,11 +11,12 @@
 struct Request;
 
 /**
- * Decides what a node that was told to stop may still begin, and when it ends what
- * is running. Answers a planned stop under load: the process is ended from outside
- * after a fixed time, and a request that is at work then is lost. The node therefore
- * begins only requests whose time limit ends before; any other node can take the rest
- * at once. Without a limit it decides nothing.
+ * Decides what a node that was told to stop may still begin, how long a target may
+ * work at it, and when the node ends what is running. Answers a planned stop under
+ * load: the process is ended from outside after a fixed time, and a request at which a
+ * target is at work then is lost. A target therefore gets no more time than its callers'
+ * node has left, and answers by itself when that is over; what is not expected to end
+ * by then is refused at once. Without a limit it decides nothing.
  */
 class StopSchedule
 {
@@ -28,9 +29,13 @@
     /** Records that the member breaks off the requests of its callers at the given time. */
     void memberStops(MemberSlot member, MonotonicTime requestsEnd, MonotonicTime now);
 
-    /** Returns whether an attempt of the request may begin: its time limit ends before this node, or the one that received it from its caller, breaks it off.
+    /**
+     * Returns whether an attempt of the request may begin: its time limit, or the time that its objective gives it, ends before this
+     * node, or the one that received it from its caller, breaks it off.
      */
-    bool mayBegin(const Request &request) const;
+    bool mayBegin(const Request &request, MonotonicTime now) const;
+    /** Returns the time at which a target that begins the request must stop working at it; MonotonicTime::max() if no stop limits it. */
+    MonotonicTime workEnd(const Request &request) const;
 
     /** Returns the time at which the node answers the requests of its callers itself; MonotonicTime::max() if never. */
     MonotonicTime ownRequestsEnd() const;
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -47,7 +47,7 @@
 void RequestAttempts::sendToTarget(Request &request,
                                    const RouteToTarget &target,
                                    MemberSlot self,
-                                   MonotonicTime deadline,
+                                   const TargetTime &time,
                                    MonotonicTime now,
                                    EffectList &effects)
 {
@@ -61,7 +61,8 @@
     effect.endpoint = m_admission.health().endpoint();
     effect.shard = target.shard;
     effect.fence = target.fence;
-    effect.deadline = deadline;
+    effect.deadline = time.deadline;
+    effect.workEnd = std::min(time.deadline, time.workEnd);
     effect.deadlineForHeadOnly = request.safe;
     effect.mayBeIdle = request.routed || !request.safe;
     request.target = m_admission.health().instance();
--- a/src/libnutmeghinge/requestattempts.h
+++ b/src/libnutmeghinge/requestattempts.h
@@ -22,8 +22,16 @@
 public:
     RequestAttempts(RequestTable &table, TargetAdmission &admission, const MemberTargets &memberTargets, RoutePlanner &planner, RequestReplies &replies);
 
+    /** How long an attempt at the target may take. */
+    struct TargetTime {
+        /** Time at which the node ends the attempt. */
+        MonotonicTime deadline;
+        /** Time at which the target is to stop working. */
+        MonotonicTime workEnd;
+    };
+
     /** Sends the request to the target beside this node. self: this node's own member slot. */
-    void sendToTarget(Request &request, const RouteToTarget &target, MemberSlot self, MonotonicTime deadline, MonotonicTime now, EffectList &effects);
+    void sendToTarget(Request &request, const RouteToTarget &target, MemberSlot self, const TargetTime &time, MonotonicTime now, EffectList &effects);
     /** Forwards the request to the given member. */
     void forward(Request &request, const RouteToMember &to, MemberSlot self, MonotonicTime now, EffectList &effects);
     /** Ends the request's current attempt. executionLimit: longest time that the target runs one request. */
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -40,8 +40,6 @@
 constexpr std::size_t listedRequests = 32;
 constexpr Duration retryAfterWithoutOwner = std::chrono::seconds(1);
 constexpr Duration retryAfterOwnershipChange = std::chrono::milliseconds(500);
-/** Any other node can take the request at once. */
-constexpr Duration retryAfterStop = std::chrono::milliseconds(100);
 
 /** Returns whether the request waits for an attempt, of its own or for a slot, an owner or a time. */
 bool isWaiting(const Request &request)
@@ -91,7 +89,7 @@
     void refuseAsExpired(Request &request, const Context &context);
     void refuseAsStopping(Request &request, const Context &context);
     /** Returns whether a stop of this node, or of the request's own, leaves enough time for an attempt. */
-    bool mayBegin(const Request &request) const { return !terminating && stopSchedule.mayBegin(request); }
+    bool mayBegin(const Request &request, const Context &context) const { return !terminating && stopSchedule.mayBegin(request, context.now); }
     /** Refuses the waiting requests that a stop leaves too little time. */
     void refuseWhatMayNotBegin(const Context &context);
     /** Ends the requests of this node's callers, or those of other nodes, whose answer has not begun. */
@@ -523,7 +521,7 @@
     if (answerAsDuplicate(request, context) || refuseAsSuspect(request, context)) {
         return;
     }
-    if (!mayBegin(request)) {
+    if (!mayBegin(request, context)) {
         refuseAsStopping(request, context);
         return;
     }
@@ -653,7 +651,7 @@
 {
     for (const RequestId id : table.ids()) {
         Request *request = table.find(id);
-        if (request && isWaiting(*request) && !mayBegin(*request)) {
+        if (request && isWaiting(*request) && !mayBegin(*request, context)) {
             removeFromQueues(*request);
             refuseAsStopping(*request, context);
         }
@@ -682,7 +680,7 @@
 void RequestRouter::Private::refuseAsStopping(Request &request, const Context &context)
 {
     const std::uint16_t status = request.outcomeUnknown ? 502 : 503;
-    refuse(request, {status, NotRunReason::Stopping, retryAfterStop, "this node is stopping"}, context);
+    refuse(request, {status, NotRunReason::Stopping, retryAfterOwnershipChange, "this node is stopping"}, context);
 }
 
 void RequestRouter::Private::awaitOwner(Request &request, MonotonicTime at, const Context &context)
@@ -719,7 +717,7 @@
     if (usesDeduplication(request)) {
         deduplicationMemory.begin(request);
     }
-    attempts.sendToTarget(request, target, ownership->self(), deadline, context.now, context.effects);
+    attempts.sendToTarget(request, target, ownership->self(), {deadline, stopSchedule.workEnd(request)}, context.now, context.effects);
 }
 
 void RequestRouter::Private::handleResult(Request &request, const AttemptAnswered &result, const Context &context)
@@ -812,7 +810,7 @@
 
 void RequestRouter::Private::applyDecision(Request &request, const RetryDecision &decision, const Context &context)
 {
-    if (!mayBegin(request) && !std::holds_alternative<GiveUp>(decision)) {
+    if (!mayBegin(request, context) && !std::holds_alternative<GiveUp>(decision)) {
         refuseAsStopping(request, context);
         return;
     }
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -42,6 +42,8 @@
         AttemptDestination kind;
         Endpoint endpoint;
         MonotonicTime deadline;
+        /** Time that the destination is told as its limit; not after the deadline. */
+        MonotonicTime statedDeadline;
         bool freshConnection;
         bool keepAnswer;
         bool deadlineForHeadOnly;
@@ -108,7 +110,7 @@
         return;
     }
     call.attemptId = idPrefix + std::to_string(attempt.value());
-    call.timeLeft = std::max(Duration::zero(), destination.deadline - loop.now());
+    call.timeLeft = std::max(Duration::zero(), destination.statedDeadline - loop.now());
     if (destination.kind == AttemptDestination::Target) {
         headers = protocol.targetHeaders(request->headers(), call);
     } else {
@@ -208,6 +210,7 @@
     const Private::Destination target{.kind = AttemptDestination::Target,
                                       .endpoint = effect.endpoint,
                                       .deadline = effect.deadline,
+                                      .statedDeadline = effect.workEnd,
                                       .freshConnection = effect.freshConnection,
                                       .keepAnswer = effect.keepAnswer,
                                       .deadlineForHeadOnly = effect.deadlineForHeadOnly,
@@ -241,6 +244,7 @@
     const Private::Destination peer{.kind = AttemptDestination::Peer,
                                     .endpoint = effect.peer,
                                     .deadline = effect.deadline,
+                                    .statedDeadline = effect.deadline,
                                     .freshConnection = effect.freshConnection,
                                     .keepAnswer = false,
                                     .deadlineForHeadOnly = effect.deadlineForHeadOnly,
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -170,6 +170,14 @@
         m_router.setStopLimit(limit);
         return apply(&RequestRouter::stop, StopRequested{});
     }
+    /** Tells the node that the member breaks off the requests of its callers after the given time. */
+    const Effects &memberStops(MemberSlot member, Duration requestsEndIn)
+    {
+        EffectList effects{HybridTime{}};
+        m_router.memberStops(member, requestsEndIn, Event{m_now, WallTime(), Tick{}}, effects);
+        m_effects = effects.take();
+        return m_effects;
+    }
     const Effects &tickAfter(Duration duration)
     {
         m_now += duration;
