Leave reads to an owner that hands their key over, and pass on no peer's request that this node's stop cuts

Two faults that show together in the property test, so in one commit.

A read ran at its key's owner for 0.32 s, was cut 0.2 s before the SIGTERM of the node that had received it, and got 504 from that node 0.42 s after it. (2) A stopping node that is not the owner any more passes requests of other nodes on to the new one, and ended them there.

Cause: (1) RequestRouter cancelled a forwarded read when the map named another owner, also after a planned handover, where the former owner lives and its target is at work; the new owner then had no slot in time. (2) The target knows when the caller's node stops, not when the node between them does.

Change: (1) Once the map has said that an owner hands a key over, a request sent to it is left to it: it answers, or refuses what waited there. A lost owner's requests are cancelled as before. (2) A stopping node passes on a request of another node only if its time limit ends before the node does; else it says "not run", and the first node asks the new owner itself.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -38,6 +38,11 @@
     return std::min(request.deadline, expectedEnd) <= workEnd(request);
 }
 
+bool StopSchedule::mayPassOn(const Request &request) const
+{
+    return request.hops == 0 || request.deadline <= peerRequestsEnd();
+}
+
 MonotonicTime StopSchedule::workEnd(const Request &request) const
 {
     MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : peerRequestsEnd();
--- a/src/libnutmeghinge/decisions/stopschedule.h
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -34,6 +34,8 @@
      * node, or the one that received it from its caller, breaks it off.
      */
     bool mayBegin(const Request &request, MonotonicTime now) const;
+    /** Returns whether a request of another node may be passed on: only if its time limit ends first, as the target would not know this node's stop. */
+    bool mayPassOn(const Request &request) const;
     /** Returns the time at which a target that begins the request must stop working at it; MonotonicTime::max() if no stop limits it. */
     MonotonicTime workEnd(const Request &request) const;
 
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -143,8 +143,8 @@
     Fence fence;
     /** Time at which the attempt ends with AttemptUnknown. */
     MonotonicTime deadline;
-    /** Time, not after the deadline, at which the target is to stop working and to answer, as it is told. */
-    MonotonicTime workEnd;
+    /** Time at which the target is to stop working and to answer, as it is told; if not before the deadline, it is told the deadline. */
+    MonotonicTime workEnd = MonotonicTime::max();
     /** True if the deadline applies only to the head of the answer; the body may take longer as long as it makes progress. */
     bool deadlineForHeadOnly = false;
     /** True if the other side may send nothing until the deadline, because the request may wait there for a slot. */
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -133,6 +133,9 @@
     /** The attempt was cancelled because the shard has a new owner; the next attempt is not charged to the retry budget. */
     bool ownerReplaced = false;
 
+    /** The member that the attempt was sent to has been handing the shard over since, so it ends or refuses the attempt itself. */
+    bool ownerReleases = false;
+
     /** Number of attempts that have ended. */
     std::uint32_t attempts = 0;
     /** Number of attempts that ended with an unknown outcome. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -62,7 +62,7 @@
     effect.shard = target.shard;
     effect.fence = target.fence;
     effect.deadline = time.deadline;
-    effect.workEnd = std::min(time.deadline, time.workEnd);
+    effect.workEnd = time.workEnd;
     effect.deadlineForHeadOnly = request.safe;
     effect.mayBeIdle = request.routed || !request.safe;
     request.target = m_admission.health().instance();
@@ -116,6 +116,7 @@
     request.sentAt = now;
     request.answerBegun = false;
     request.ownerReplaced = false;
+    request.ownerReleases = false;
     if (countsAsReplicaLoad(request)) {
         m_planner.replicasFor(request).attemptStarted(member);
     }
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -148,7 +148,12 @@
     void rerouteAwaitingOwner(const Context &context);
     /** Returns whether the route leads to another owner, or another fence, than the request's last attempt. */
     bool hasNewRoute(const Request &request, const Route &route) const;
-    /** Cancels forwarded idempotent requests whose shard has another owner by now, so that they are sent to that owner. */
+    /** Returns whether the member that the request was sent to is handing its shard over. */
+    bool isReleasing(const Request &request) const;
+    /**
+     * Cancels forwarded idempotent requests whose owner was lost and replaced, so that they are sent to the new one. A planned handover
+     * cancels none: the former owner lives, and its target may be at work.
+     */
     void cancelOutdatedForwards(const Context &context);
 
     // Final answers.
@@ -540,8 +545,13 @@
         return;
     }
     const auto *to = std::get_if<RouteToMember>(&route);
+    if (to && !stopSchedule.mayPassOn(request)) {
+        refuseAsStopping(request, context);
+        return;
+    }
     if (to && request.hops < maximumHops) {
         attempts.forward(request, *to, ownership->self(), context.now, context.effects);
+        request.ownerReleases = isReleasing(request);
         return;
     }
     if (request.hops > 0) {
@@ -1102,6 +1112,16 @@
     return false;
 }
 
+bool RequestRouter::Private::isReleasing(const Request &request) const
+{
+    const OwnershipMap &map = ownership->map();
+    if (!request.sharded || request.shard.value() >= map.shards.size()) {
+        return false;
+    }
+    const ShardOwnership &entry = map.shards[request.shard.value()];
+    return entry.state == ShardOwnership::State::Releasing && entry.owner == request.member;
+}
+
 void RequestRouter::Private::cancelOutdatedForwards(const Context &context)
 {
     if (stopping) {
@@ -1113,6 +1133,10 @@
         if (!mayBeSentAgain || !request.sharded || request.destination != Request::Destination::Member || request.hops > 0) {
             return;
         }
+        request.ownerReleases = request.ownerReleases || isReleasing(request);
+        if (request.ownerReleases) {
+            return;
+        }
         const Route route = planner.plan(request, *ownership, context.now, context.wallTime);
         const auto *to = std::get_if<RouteToMember>(&route);
         const bool sameOwner = std::holds_alternative<NoRoute>(route) || (to && to->member->slot == request.member);
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -210,7 +210,7 @@
     const Private::Destination target{.kind = AttemptDestination::Target,
                                       .endpoint = effect.endpoint,
                                       .deadline = effect.deadline,
-                                      .statedDeadline = effect.workEnd,
+                                      .statedDeadline = std::min(effect.deadline, effect.workEnd),
                                       .freshConnection = effect.freshConnection,
                                       .keepAnswer = effect.keepAnswer,
                                       .deadlineForHeadOnly = effect.deadlineForHeadOnly,
--- a/tests/core/requestretrytest.cpp
+++ b/tests/core/requestretrytest.cpp
@@ -155,6 +155,34 @@
     CHECK(node.only<ForwardRequest>().peer.address == "10.0.0.3");
 }
 
+// Guards against a read that is broken off at a target that is at work, and then finds no room at the new owner (LOST).
+TEST_CASE("A safe request at an owner that hands its key over is left to that owner", "[request]")
+{
+    RouterFixture node;
+    node.m_ownership.addMember(MemberSlot(3), "east");
+    node.m_ownership.setOwner(MemberSlot(2));
+    node.ownershipChanged();
+    node.arrive(RouterFixture::request(1, "GET"));
+    const AttemptId first = node.only<ForwardRequest>().attempt;
+    node.m_ownership.setOwner(MemberSlot(2), ShardOwnership::State::Releasing);
+    node.ownershipChanged();
+    node.m_ownership.setOwner(MemberSlot(3));
+    node.ownershipChanged();
+    CHECK(node.all<CancelAttempt>().empty());
+
+    SECTION("it answers")
+    {
+        node.answered(first);
+        CHECK(node.m_router.runningRequests() == 0);
+    }
+    SECTION("it refuses what waited there")
+    {
+        node.notRun(first, NotRunReason::NotOwner);
+        node.tickAfter(20ms);
+        CHECK(node.only<ForwardRequest>().peer.address == "10.0.0.3");
+    }
+}
+
 TEST_CASE("The status of the owner's refusal of an invalid request is passed on to the caller", "[request]")
 {
     RouterFixture node;
