Keep the slot of a stopping node in the requests that it passes on after it has left the cell

A read reached a stopping node 1.39 s after its stop request, waited 2.1 s in another node's queue and was cut 5.15 s after the stop request, though its target should have been told 4.84 s.

Cause: the other node recognises the requests of a stopping node by the slot that they state. A node without keys is removed from the member list soon after its stop request; RequestRouter then stated no slot.

Change: the router keeps the slot that the node had when it was told to stop.

Test: "A stopping node that is not a member any more states the slot that it had" (the entry was noMember before, by construction of the test; not run on the code before).

--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -185,6 +185,8 @@
     std::optional<MonotonicTime> loadSince;
     Fence mapVersion;
     bool stopping = false;
+    /** This node's slot when it was told to stop, by which the other members know that; it soon has none. */
+    MemberSlot slotAtStop = noMember;
     /** endRequests() was called: no request is queued or sent any more. */
     bool terminating = false;
 };
@@ -234,6 +236,7 @@
 void RequestRouter::stop(const Event &event, EffectList &effects)
 {
     m_d->stopping = true;
+    m_d->slotAtStop = m_d->ownership->self();
     m_d->stopSchedule.stopRequested(event.at);
     m_d->refuseWhatMayNotBegin(contextOf(event, effects));
     ownershipChanged(event, effects);
@@ -550,7 +553,7 @@
         return;
     }
     if (to && request.hops < maximumHops) {
-        attempts.forward(request, *to, ownership->self(), context.now, context.effects);
+        attempts.forward(request, *to, stopping ? slotAtStop : ownership->self(), context.now, context.effects);
         request.ownerReleases = isReleasing(request);
         return;
     }
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -115,6 +115,19 @@
     }
 }
 
+// Guards against other nodes that do not recognise the requests of a stopping node once it has left the cell (LOST).
+TEST_CASE("A stopping node that is not a member any more states the slot that it had", "[request]")
+{
+    RouterFixture node;
+    node.m_ownership.setOwner(MemberSlot(2));
+    node.ownershipChanged();
+    node.stop(stopLimit);
+    node.m_ownership.m_self = noMember;
+    node.ownershipChanged();
+    node.arrive(requestWithin(2s, 1));
+    CHECK(node.only<ForwardRequest>().entry == MemberSlot(1));
+}
+
 TEST_CASE("Requests of a stopping member that wait for a slot are refused if they are not expected to end in time", "[request]")
 {
     RouterFixture node(true, 1);
