Show that crowds of clients end a node or take all of its descriptors

The test lowers the limits of the node's process (data 96 MiB, 260 MB in one; 256 descriptors) with ulimit, so that a small crowd is enough. Checked: the process lives, its highest resident memory stays under the lowered memory, its descriptors stay 16 under the limit, memory returns to 24 MiB over what it was, and one ordinary request is answered beside the crowd and afterwards. No times, no shares.

Seen on, each alone: unfinished, queued or unread bytes end the process by std::bad_alloc (h2o: "fatal: no memory") within three seconds, at the listeners for callers and for peers, with and without pipelining; 300 idle connections to any listener take all 256 descriptors (the ordinary request was still answered then). Three crowds did no harm and are kept as checks: bodies of 200 MB announced, endless chunk extensions, control messages one byte short.

The stand-in target takes bodies of 64 MiB now, as the users' targets do; it answered 413 over 8 MiB.

--- a/tests/process/deskcluster.cpp
+++ b/tests/process/deskcluster.cpp
@@ -6,12 +6,25 @@
     : m_checkFence(checkFence)
     , m_cluster("advice-desk")
 {
-    if (m_cluster.putDocument(document()) != 0) {
+    start(vmCount, {});
+}
+
+DeskCluster::DeskCluster(std::size_t vmCount, const std::string &documentLines, NodeEnvironment environment)
+    : m_checkFence(true)
+    , m_cluster("advice-desk")
+{
+    m_cluster.setEnvironment(std::move(environment));
+    start(vmCount, documentLines);
+}
+
+void DeskCluster::start(std::size_t vmCount, const std::string &documentLines)
+{
+    if (m_cluster.putDocument(document(documentLines)) != 0) {
         throw std::runtime_error("the document was not accepted");
     }
     for (std::size_t index = 1; index <= vmCount; ++index) {
         const std::string name = "advice-" + std::to_string(index);
-        m_cluster.addVm(name, "zone-" + std::to_string(index % 4), checkFence ? std::vector<std::string>{"--check-fence"} : std::vector<std::string>{});
+        m_cluster.addVm(name, "zone-" + std::to_string(index % 4), m_checkFence ? std::vector<std::string>{"--check-fence"} : std::vector<std::string>{});
     }
     const bool served = m_cluster.waitUntil([&] {
         for (std::size_t index = 0; index < m_cluster.size(); ++index) {
--- a/tests/process/deskcluster.h
+++ b/tests/process/deskcluster.h
@@ -12,6 +12,8 @@
 {
 public:
     explicit DeskCluster(std::size_t vmCount, bool checkFence = true);
+    /** documentLines: further lines of the document. environment: set for all nodes. */
+    DeskCluster(std::size_t vmCount, const std::string &documentLines, NodeEnvironment environment);
 
     TestCluster &cluster() { return m_cluster; }
     /** Returns the text of the document, with more lines at its end. */
@@ -28,6 +30,8 @@
     bool waitUntilServedByOther(const VmProcesses &entry, const std::string &key, const std::string &target);
 
 private:
+    void start(std::size_t vmCount, const std::string &documentLines);
+
     bool m_checkFence;
     TestCluster m_cluster;
 };
--- a/tests/process/testcluster.cpp
+++ b/tests/process/testcluster.cpp
@@ -21,6 +21,22 @@
     return pattern;
 }
 
+/** Returns the command with the limits of the environment set before it starts. */
+std::vector<std::string> withLimits(const NodeEnvironment &environment, std::vector<std::string> command)
+{
+    std::string limits;
+    if (environment.dataBytes > 0) {
+        limits += "ulimit -d " + std::to_string(environment.dataBytes / 1024) + " && ";
+    }
+    if (environment.descriptors > 0) {
+        limits += "ulimit -n " + std::to_string(environment.descriptors) + " && ";
+    }
+    if (!limits.empty()) {
+        command.insert(command.begin(), {"/bin/sh", "-c", limits + "exec \"$0\" \"$@\""});
+    }
+    return command;
+}
+
 } // namespace
 
 TestCluster::TestCluster(const std::string &service)
@@ -74,11 +90,14 @@
     std::ofstream(file) << "node: node-" << vm.name << "\nzone: " << vm.zone
                         << "\nregion: here\nplatform: " << (vm.platformRelay.empty() ? m_platformEndpoint : vm.platformRelay)
                         << "\nlisten:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  control: 127.0.0.1:0\n  target: "
-                        << (keepsPort ? vm.announce : "127.0.0.1:0") << "\n  operations: 127.0.0.1:0\nfirstStart: " << (restarted ? "false" : "true") << '\n';
+                        << (keepsPort ? vm.announce : "127.0.0.1:0") << "\n  operations: 127.0.0.1:0\nfirstStart: " << (restarted ? "false" : "true") << '\n'
+                        << m_environment.settings;
     vm.node.reset();
     const std::string log = m_folder + '/' + vm.name + '-' + std::to_string(++m_starts) + ".log";
-    vm.node = std::make_unique<ChildProcess>(std::vector<std::string>{NODE_BINARY, "--settings", file, "--log-level", "info"}, log);
+    vm.node = std::make_unique<ChildProcess>(withLimits(m_environment, {NODE_BINARY, "--settings", file, "--log-level", "info"}), log);
     vm.callers = vm.node->waitForOutput("listening for callers on ");
+    vm.peers = vm.node->waitForOutput("listening for peers on ");
+    vm.control = vm.node->waitForOutput("listening for control on ");
     vm.announce = vm.node->waitForOutput("listening for target on ");
     vm.operations = vm.node->waitForOutput("listening for operations on ");
 }
--- a/tests/process/testcluster.h
+++ b/tests/process/testcluster.h
@@ -9,6 +9,16 @@
 #include <string>
 #include <vector>
 
+/** What a test sets for its nodes beside their listeners. */
+struct NodeEnvironment {
+    /** Lines that are added to the settings of each node. */
+    std::string settings;
+    /** Memory that the system allows each node for its data, in bytes; 0 for no limit. */
+    std::uint64_t dataBytes = 0;
+    /** Descriptors that the system allows each node; 0 for the limit of the test. */
+    std::uint64_t descriptors = 0;
+};
+
 /** The node and the target of one VM. */
 struct VmProcesses {
     std::string name;
@@ -17,6 +27,8 @@
     std::unique_ptr<ChildProcess> target;
     /** Endpoints of the node's listeners, as "ADDRESS:PORT". */
     std::string callers;
+    std::string peers;
+    std::string control;
     std::string operations;
     std::string announce;
     /** Endpoint on which the target listens. */
@@ -38,6 +50,8 @@
 
     /** Puts the document as the next revision with nutmeghingectl; returns its exit code. */
     int putDocument(const std::string &text);
+    /** Sets the environment of the nodes that are started from now on. */
+    void setEnvironment(NodeEnvironment environment) { m_environment = std::move(environment); }
     /** Adds a VM and starts its node and target. Waits until they listen, but not until the node serves. */
     VmProcesses &addVm(const std::string &name, const std::string &zone, const std::vector<std::string> &targetOptions = {});
     /** Adds a VM without starting its node and target. */
@@ -71,6 +85,7 @@
     std::string m_service;
     std::string m_folder;
     bool m_keepFolder = false;
+    NodeEnvironment m_environment;
     std::unique_ptr<ChildProcess> m_platform;
     std::string m_platformEndpoint;
     std::vector<std::unique_ptr<VmProcesses>> m_vms;
--- a/tests/standins/targetstandin.cpp
+++ b/tests/standins/targetstandin.cpp
@@ -18,7 +18,7 @@
 
 using nlohmann::json;
 
-constexpr std::uint64_t bodyLimitBytes = std::uint64_t(8) << 20U;
+constexpr std::uint64_t bodyLimitBytes = std::uint64_t(64) << 20U;
 constexpr std::uint64_t coldFactor = 10;
 constexpr std::size_t downloadChunkBytes = 65536;
 constexpr std::size_t maxLoadSamples = 100000;
