--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -9,6 +9,7 @@
 #include "notrunreason.h"
 #include "outcome.h"
 #include "peermessages.h"
+#include "requestbody.h"
 #include "storedanswer.h"
 #include "targetlease.h"
 #include "targetstatement.h"
@@ -260,8 +261,7 @@
     /** Id that the caller gave the request; empty if none. */
     std::string callerId;
     std::uint64_t bodySize = 0;
-    /** Null if the request has no body. */
-    std::shared_ptr<const std::string> body{};
+    RequestBody body{};
     /** What identifies the caller; empty if nothing does. */
     std::string caller{};
     /** Clock of the node that forwarded the request; zero if it came from a caller. */
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -3,6 +3,7 @@
 #include "fence.h"
 #include "ids.h"
 #include "queuerank.h"
+#include "requestbody.h"
 #include "requestidentity.h"
 #include "targetstatement.h"
 #include "units.h"
@@ -23,10 +24,9 @@
     /** Key in a header of the document's; empty if the service has none or the caller's identity has it. */
     std::string key;
     std::string caller;
-    /** Null if the request has no body. */
-    std::shared_ptr<const std::string> body;
+    RequestBody body;
 
-    RequestIdentity identity() const { return identify({method, host, path, key, body ? std::string_view(*body) : std::string_view(), caller}); }
+    RequestIdentity identity() const { return identify({method, host, path, key, body.start(), caller, body.size()}); }
 };
 
 /** State of a request that has not ended. Owned by the RequestTable. */
--- a/src/libnutmeghinge/requestidentity.cpp
+++ b/src/libnutmeghinge/requestidentity.cpp
@@ -17,15 +17,26 @@
 
 using Sha256 = std::array<std::uint8_t, 32>;
 
+struct HashedField {
+    HashedField(std::string_view fieldText, std::uint64_t fieldSize = 0)
+        : text(fieldText)
+        , size(std::max<std::uint64_t>(fieldText.size(), fieldSize))
+    {
+    }
+
+    /** The field or at least its first hashedBodyBytes. */
+    std::string_view text;
+    std::uint64_t size;
+};
+
 /** Returns the hash of the fields, each preceded by its length, so that no two lists of fields give the same bytes. */
-Sha256 hashFields(std::initializer_list<std::string_view> fields)
+Sha256 hashFields(std::initializer_list<HashedField> fields)
 {
     const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     bool done = context && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1;
-    for (const std::string_view field : fields) {
-        const std::uint64_t length = field.size();
-        done = done && EVP_DigestUpdate(context.get(), &length, sizeof(length)) == 1;
-        done = done && EVP_DigestUpdate(context.get(), field.data(), std::min(field.size(), hashedBodyBytes)) == 1;
+    for (const HashedField &field : fields) {
+        done = done && EVP_DigestUpdate(context.get(), &field.size, sizeof(field.size)) == 1;
+        done = done && EVP_DigestUpdate(context.get(), field.text.data(), std::min(field.text.size(), hashedBodyBytes)) == 1;
     }
     Sha256 hash{};
     done = done && EVP_DigestFinal_ex(context.get(), hash.data(), nullptr) == 1;
@@ -44,7 +55,7 @@
 
 RequestIdentity identify(const IdentifyingParts &parts)
 {
-    const Sha256 content = hashFields({parts.method, parts.host, parts.path, parts.key, parts.body});
+    const Sha256 content = hashFields({parts.method, parts.host, parts.path, parts.key, HashedField(parts.body, parts.bodySize)});
     const Sha256 caller = hashFields({parts.caller});
     std::array<std::uint8_t, 16> digest{};
     std::copy_n(content.begin(), digest.size(), digest.begin());
--- a/src/libnutmeghinge/requestidentity.h
+++ b/src/libnutmeghinge/requestidentity.h
@@ -31,9 +31,12 @@
     std::string_view path;
     /** Empty if the request has none. */
     std::string_view key;
+    /** The body or at least its first 64 KiB. */
     std::string_view body;
     /** What identifies the caller; empty if nothing does. */
     std::string_view caller;
+    /** Size of the body in bytes, if only its start is given. */
+    std::uint64_t bodySize = 0;
 };
 
 /**
--- a/src/libnutmeghingeio/announcementserver.cpp
+++ b/src/libnutmeghingeio/announcementserver.cpp
@@ -82,7 +82,7 @@
         exchange->answer(404, {{"content-type", "application/json"}}, R"({"error":"only POST /announce is served here"})");
         return;
     }
-    std::variant<TargetAnnounced, AnnouncementError> announcement = parseAnnouncement(request.body);
+    std::variant<TargetAnnounced, AnnouncementError> announcement = parseAnnouncement(request.body.text());
     if (const auto *error = std::get_if<AnnouncementError>(&announcement)) {
         spdlog::warn("refused the announcement of the target: {}", error->reason);
         exchange->answer(400, {{"content-type", "application/json"}}, Json{{"error", error->reason}}.dump());
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -68,7 +68,7 @@
     , m_protocol(protocol)
     , m_exchange(std::move(exchange))
     , m_headers(endToEndHeaders(m_exchange->request().headers, protocol))
-    , m_body(std::make_shared<const std::string>(m_exchange->request().body))
+    , m_body(m_exchange->request().body)
     , m_host(m_exchange->request().host)
     , m_method(m_exchange->request().method)
     , m_path(m_exchange->request().path)
@@ -89,7 +89,7 @@
     event.method = m_method;
     event.path = m_path;
     event.headers = m_headers;
-    event.bodySize = m_body->size();
+    event.bodySize = m_body.size();
     event.body = m_body;
     event.caller = m_protocol.callerIdentity(m_headers);
     event.callerId = m_protocol.callerId(received);
--- a/src/libnutmeghingeio/forwardedrequest.h
+++ b/src/libnutmeghingeio/forwardedrequest.h
@@ -30,7 +30,7 @@
     /** Headers to forward. */
     const HttpHeaders &headers() const { return m_headers; }
     const RequestProtocol &protocol() const { return m_protocol; }
-    const std::shared_ptr<const std::string> &body() const { return m_body; }
+    const RequestBody &body() const { return m_body; }
     /** Returns the request's RequestArrived event. May be called only before the request has ended. */
     RequestArrived arrival() const;
 
@@ -72,7 +72,7 @@
     const RequestProtocol &m_protocol;
     std::shared_ptr<HttpExchange> m_exchange;
     HttpHeaders m_headers;
-    std::shared_ptr<const std::string> m_body;
+    RequestBody m_body;
     std::string m_host;
     std::string m_method;
     std::string m_path;
--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "endpoint.h"
 #include "httpmessage.h"
+#include "requestbody.h"
 #include "units.h"
 
 #include <cstdint>
@@ -38,7 +39,7 @@
     std::string path = "/";
     /** Headers without content-length, which the client sets. */
     HttpHeaders headers;
-    std::shared_ptr<const std::string> body;
+    RequestBody body;
     /**
      * Id that the server repeats in its answer, if it has one that another request may have as well. No connection carries two
      * requests with the same id, since a late second copy of the first answer would be taken for the answer to the second.
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -43,7 +43,7 @@
         head += value;
         head += "\r\n";
     }
-    const std::size_t size = request.body ? request.body->size() : 0;
+    const std::size_t size = request.body.size();
     if (size != 0 || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
         head += "content-length: " + std::to_string(size) + "\r\n";
     }
@@ -141,13 +141,8 @@
     m_leftover = false;
     m_paused = false;
 
-    std::array<uv_buf_t, 2> buffers{uv_buf_init(m_requestHead.data(), static_cast<unsigned>(m_requestHead.size())), uv_buf_init(nullptr, 0)};
-    unsigned count = 1;
-    if (m_requestBody && !m_requestBody->empty()) {
-        buffers[1] = uv_buf_init(const_cast<char *>(m_requestBody->data()), static_cast<unsigned>(m_requestBody->size()));
-        count = 2;
-    }
-    const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(&m_socket), buffers.data(), count);
+    std::vector<uv_buf_t> buffers = unwritten(0);
+    const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(&m_socket), buffers.data(), static_cast<unsigned>(buffers.size()));
     if (written < 0 && written != UV_EAGAIN) {
         return false;
     }
@@ -164,18 +159,25 @@
     return !answerId.empty() && std::ranges::find(m_answerIds, answerId) != m_answerIds.end();
 }
 
+/** Returns the parts of the request after its first bytes, which were written. */
+std::vector<uv_buf_t> HttpClientConnection::unwritten(std::size_t written) const
+{
+    std::vector<uv_buf_t> buffers;
+    const auto add = [&](const std::string &part) {
+        if (written < part.size()) {
+            buffers.push_back(uv_buf_init(const_cast<char *>(part.data()) + written, static_cast<unsigned>(part.size() - written)));
+        }
+        written -= std::min(written, part.size());
+    };
+    add(m_requestHead);
+    std::ranges::for_each(m_requestBody.blocks(), add);
+    return buffers;
+}
+
 void HttpClientConnection::writeRest(std::size_t written)
 {
-    std::array<uv_buf_t, 2> buffers{};
-    unsigned count = 0;
-    if (written < m_requestHead.size()) {
-        buffers[count++] = uv_buf_init(m_requestHead.data() + written, static_cast<unsigned>(m_requestHead.size() - written));
-    }
-    const std::size_t bodyWritten = std::max(written, m_requestHead.size()) - m_requestHead.size();
-    if (m_requestBody && bodyWritten < m_requestBody->size()) {
-        buffers[count++] = uv_buf_init(const_cast<char *>(m_requestBody->data()) + bodyWritten, static_cast<unsigned>(m_requestBody->size() - bodyWritten));
-    }
-    if (count == 0) {
+    const std::vector<uv_buf_t> buffers = unwritten(written);
+    if (buffers.empty()) {
         return;
     }
     // After a failed write m_writing stays true, so that the connection is not reused. Reading reports how the connection ended.
@@ -185,7 +187,7 @@
         connection->recordProgress();
     };
     m_writing = true;
-    uv_write(&m_write, reinterpret_cast<uv_stream_t *>(&m_socket), buffers.data(), count, onWritten);
+    uv_write(&m_write, reinterpret_cast<uv_stream_t *>(&m_socket), buffers.data(), static_cast<unsigned>(buffers.size()), onWritten);
     m_unsent = uv_stream_get_write_queue_size(reinterpret_cast<uv_stream_t *>(&m_socket));
 }
 
@@ -368,7 +370,7 @@
     const bool reusable = result == HttpCallResult::Complete && m_parser->isPersistent() && !m_leftover && !m_writing;
     Exchange exchange = std::move(*m_exchange);
     m_exchange.reset();
-    m_requestBody.reset();
+    m_requestBody = RequestBody();
     if (reusable) {
         m_state = State::Idle;
         if (m_paused) {
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <uv.h>
+#include <vector>
 
 namespace nutmeghinge {
 
@@ -69,6 +70,7 @@
     void connected(int status);
     /** Returns false if no byte could be written. */
     bool sendRequest();
+    std::vector<uv_buf_t> unwritten(std::size_t written) const;
     void writeRest(std::size_t written);
     void received(ssize_t size, char *data);
     void receivedHead(std::span<char> bytes);
@@ -98,7 +100,7 @@
     std::optional<Exchange> m_exchange;
     std::optional<HttpAnswerParser> m_parser;
     std::string m_requestHead;
-    std::shared_ptr<const std::string> m_requestBody;
+    RequestBody m_requestBody;
     std::string m_answerHead;
     bool m_headComplete = false;
     bool m_writing = false;
--- a/src/libnutmeghingeio/httplistener.h
+++ b/src/libnutmeghingeio/httplistener.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "endpoint.h"
+#include "httpmessage.h"
 #include "units.h"
 
 #include <cstdint>
@@ -31,6 +33,9 @@
         std::string name;
         /** Time after which an idle connection is closed. */
         Duration idleTimeout{std::chrono::seconds(10)};
+        ClientLimits limits{};
+        /** Headers of an answer 503 to a request for which there is no memory. */
+        HttpHeaders unavailableHeaders{};
     };
 
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
--- a/src/libnutmeghingeio/httpmessage.h
+++ b/src/libnutmeghingeio/httpmessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "requestbody.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,7 +31,7 @@
     /** Authority, as sent. */
     std::string host;
     HttpHeaders headers;
-    std::string body;
+    RequestBody body;
 };
 
 /** Head of an answer. */
--- a/src/libnutmeghingeio/httpserverexchange.cpp
+++ b/src/libnutmeghingeio/httpserverexchange.cpp
@@ -48,7 +48,7 @@
         addRequestHeader(request.headers, toString(*header.name), toString(header.value), source.version >= http2Version);
     }
     if (source.entity.base != nullptr) {
-        request.body = toString(source.entity);
+        request.body = RequestBody(toString(source.entity));
     }
     return request;
 }
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -186,6 +186,9 @@
         text, "cell_nodes_without_room", "Nodes that the cell does not admit because it is full; 0 at all but its coordinator.", adapters.nodesWithoutRoom);
     appendCounter(text, "refused_inputs_total", "Requests refused for invalid framing or excessive size.", adapters.refusedInputs);
     appendGauge(text, "caller_connections", "Open connections from callers.", adapters.callerConnections);
+    appendGauge(text, "client_memory_bytes", "Memory held for clients: requests, and answers that were not sent.", adapters.clientMemoryBytes);
+    appendGauge(text, "client_memory_limit_bytes", "Limit of the memory held for clients.", adapters.clientMemoryLimitBytes);
+    appendCounter(text, "client_memory_refusals_total", "Times that memory for a client was refused or reclaimed.", adapters.clientMemoryRefusals);
     appendGauge(text, "document_revision", "Revision of the document in force.", documents.revision.value());
     if (documents.age) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*documents.age).count();
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -6,6 +6,7 @@
 #include "logsetup.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace nutmeghinge {
@@ -37,6 +38,9 @@
     /** Bandwidth of the VM's network link, in Mbit/s; 0 if unknown. VMs with a large one become coordinators first. */
     double linkMegabits = 0;
 
+    /** Memory that the process may use, in bytes; 0 for what the system reports. */
+    std::uint64_t memoryBytes = 0;
+
     // Listeners. Port 0 selects a free port.
     Endpoint listenCallers;
     /** Whether callers use only HTTP/1.1, with pipelined requests of a connection handled concurrently. */
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -15,6 +15,8 @@
 constexpr double maximumLinkMegabits = 1e6;
 constexpr std::uint64_t minimumTableRowBytes = 4096;
 constexpr std::uint64_t maximumTableRowBytes = 16777216;
+constexpr std::uint64_t minimumMemoryBytes = 33554432;
+constexpr std::uint64_t maximumMemoryBytes = std::uint64_t(1) << 50U;
 constexpr std::uint64_t maximumTimelineRecords = 100000;
 
 bool isIpAddress(const std::string &address)
@@ -107,6 +109,7 @@
     root.text("protocol", settings.protocol, nameError);
     root.duration("targetHeartbeat", settings.targetHeartbeat, std::chrono::milliseconds(10), std::chrono::minutes(1));
     root.duration("stopLimit", settings.stopLimit, std::chrono::seconds(1), std::chrono::hours(1));
+    root.number("memoryBytes", settings.memoryBytes, minimumMemoryBytes, maximumMemoryBytes);
     root.ratio("linkMegabits", settings.linkMegabits, 0, maximumLinkMegabits);
     if (root.has("services")) {
         settings.serviceDefaults = readServiceDefaults(root.mapping("services"));
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "eventloop.h"
 #include "httpmessage.h"
+#include "memorybudget.h"
 #include "numberparsing.h"
 #include "pipelinedexchange.h"
 #include "requestframing.h"
@@ -20,6 +21,17 @@
 
 constexpr std::size_t headLimitBytes = 65536;
 constexpr std::size_t headerLimit = 100;
+/** Largest chunk extension or trailer; a longer one would never end. */
+constexpr std::size_t chunkOverheadLimitBytes = 65536;
+/** A request that is being received makes progress if this many bytes arrive within the idle timeout. */
+constexpr std::size_t progressBytes = 16384;
+/** Memory that a connection, and a request beside its head and body, take. */
+constexpr std::size_t connectionBytes = 4096;
+constexpr std::size_t requestBytes = 4096;
+/** A head is kept several times: as received, in parts, and as it is forwarded. */
+constexpr std::size_t headCopies = 4;
+/** Capacity of the input buffer that an idle connection keeps. */
+constexpr std::size_t idleInputBytes = 4096;
 /** Maximum number of unanswered requests of a connection; further requests wait in its buffer. */
 constexpr std::size_t pipelineLimit = 16;
 /** Size of the write queue above which the source of the answer must pause. */
@@ -62,11 +74,15 @@
 
 } // namespace
 
-PipelinedConnection::PipelinedConnection(EventLoop &loop, Owner &owner, Limits limits)
+PipelinedConnection::PipelinedConnection(EventLoop &loop, Owner &owner, const HttpListener::Options &options)
     : m_loop(loop)
     , m_owner(owner)
-    , m_limits(limits)
+    , m_options(options)
+    , m_inputCharge(options.limits.memory, loop.now())
+    , m_outputCharge(options.limits.memory, loop.now())
 {
+    m_inputCharge.setReclaimFunction([this] { reclaimInput(); });
+    m_outputCharge.setReclaimFunction([this] { reset(); }, MemoryCharge::Reclaim::IfStalled);
     uv_tcp_init(loop.handle(), &m_socket);
     uv_timer_init(loop.handle(), &m_timer);
     m_socket.data = this;
@@ -102,15 +118,21 @@
     uv_tcp_nodelay(&m_socket, 1);
     uv_tcp_keepalive(&m_socket, 1, 1);
     setOption(m_socket, TCP_USER_TIMEOUT, acknowledgementTimeoutMs);
-    armTimer(m_limits.idleTimeout);
+    if (!chargeInput()) {
+        abort();
+        return false;
+    }
+    armTimer(m_options.idleTimeout);
     updateReading();
     return true;
 }
 
 void PipelinedConnection::updateReading()
 {
-    const bool full = m_exchanges.size() >= pipelineLimit && m_input.size() >= headLimitBytes;
-    const bool wanted = m_state != State::Closed && !full;
+    const bool waits = m_exchanges.size() >= pipelineLimit || isWriteQueueFull();
+    const bool full = m_state == State::Open && waits && m_input.size() >= headLimitBytes;
+    const bool discardedEnough = m_discardedBytes > m_options.bodyLimit;
+    const bool wanted = m_state != State::Closed && !full && !discardedEnough;
     if (wanted == m_reading) {
         return;
     }
@@ -140,15 +162,96 @@
         return;
     }
     if (m_state == State::Lingering || m_inputEnded) {
+        discardInput(static_cast<std::size_t>(size));
         return;
     }
+    const bool begins = !hasUnfinishedRequest();
     m_input.append(data, static_cast<std::size_t>(size));
+    if (begins) {
+        m_inputCharge.restart(m_loop.now());
+    }
+    recordInput(static_cast<std::size_t>(size));
     parse();
+    if (m_state == State::Open && !m_inputEnded && !chargeInput()) {
+        refuseForMemory();
+    }
+    if (m_state == State::Open && begins && hasUnfinishedRequest()) {
+        armTimer(m_options.idleTimeout);
+    }
+}
+
+void PipelinedConnection::discardInput(std::size_t size)
+{
+    m_discardedBytes += size;
+    if (m_discardedBytes <= m_options.bodyLimit) {
+        return;
+    }
+    if (m_state == State::Lingering) {
+        close();
+    } else {
+        updateReading();
+    }
+}
+
+void PipelinedConnection::recordInput(std::size_t size)
+{
+    m_unmarkedBytes += size;
+    if (m_unmarkedBytes < progressBytes) {
+        return;
+    }
+    m_unmarkedBytes = 0;
+    m_inputCharge.recordProgress(m_loop.now());
+    armTimer(m_options.idleTimeout);
+}
+
+std::size_t PipelinedConnection::inputBytes(std::size_t bodyBytes) const
+{
+    return connectionBytes + m_input.capacity() + (m_partial ? requestBytes + m_partial->headSize * headCopies : 0) + bodyBytes;
+}
+
+bool PipelinedConnection::chargeInput()
+{
+    if (m_input.empty() && m_input.capacity() > idleInputBytes && !m_partial) {
+        std::string().swap(m_input);
+    }
+    return m_inputCharge.resize(inputBytes(m_partial ? m_partial->request.body.capacity() : 0), m_loop.now());
+}
+
+bool PipelinedConnection::chargeOutput()
+{
+    std::size_t bytes = uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket));
+    for (const auto &exchange : m_exchanges) {
+        bytes += exchange->m_output.capacity();
+    }
+    if (bytes < m_outputCharge.bytes()) {
+        m_outputCharge.recordProgress(m_loop.now());
+    } else if (m_outputCharge.bytes() == 0) {
+        m_outputCharge.restart(m_loop.now());
+    }
+    return m_outputCharge.resize(bytes, m_loop.now());
+}
+
+/** Frees the memory of a request that has not been received completely, or closes an idle connection. */
+void PipelinedConnection::reclaimInput()
+{
+    if (m_state != State::Open || m_inputEnded) {
+        return;
+    }
+    if (hasUnfinishedRequest()) {
+        refuseForMemory();
+    } else if (m_exchanges.empty()) {
+        close();
+    }
+}
+
+void PipelinedConnection::refuseForMemory()
+{
+    refuse(503, "there is no memory for the request", m_options.unavailableHeaders);
 }
 
 void PipelinedConnection::parse()
 {
-    while (m_state == State::Open && !m_inputEnded && m_exchanges.size() < pipelineLimit) {
+    while (m_state == State::Open && !m_inputEnded && m_exchanges.size() < pipelineLimit && !isWriteQueueFull()) {
         if (!m_partial && !parseHead()) {
             break;
         }
@@ -204,11 +307,12 @@
         refuse(400, "the framing of the request is ambiguous");
         return false;
     }
-    if (*bodySize > m_limits.body) {
+    if (*bodySize > m_options.bodyLimit) {
         refuse(413, "the body of the request is too large");
         return false;
     }
     partial.bodyLeft = *bodySize;
+    partial.headSize = static_cast<std::size_t>(size);
     const bool expects = hasToken(headers, "expect", "100-continue");
     std::erase_if(partial.request.headers, [](const auto &header) { return header.first == "host" || header.first == "expect"; });
     m_input.erase(0, static_cast<std::size_t>(size));
@@ -225,7 +329,9 @@
         return parseChunks();
     }
     const std::size_t size = std::min<std::uint64_t>(m_partial->bodyLeft, m_input.size());
-    m_partial->request.body.append(m_input, 0, size);
+    if (!appendBody(std::string_view(m_input).substr(0, size))) {
+        return false;
+    }
     m_partial->bodyLeft -= size;
     m_input.erase(0, size);
     if (m_partial->bodyLeft > 0) {
@@ -240,17 +346,25 @@
     if (m_input.empty()) {
         return false;
     }
-    std::size_t size = m_input.size();
+    const std::size_t received = m_input.size();
+    std::size_t size = received;
     const ssize_t left = phr_decode_chunked(&m_partial->decoder, m_input.data(), &size);
     if (left == -1) {
         refuse(400, "the chunked encoding of the request body is invalid");
         return false;
     }
-    m_partial->request.body.append(m_input, 0, size);
-    if (m_partial->request.body.size() > m_limits.body) {
+    m_partial->chunkOverhead = size > 0 ? 0 : m_partial->chunkOverhead + received;
+    if (left == -2 && m_partial->chunkOverhead > chunkOverheadLimitBytes) {
+        refuse(400, "a chunk extension or trailer of the request is too large");
+        return false;
+    }
+    if (m_partial->request.body.size() + size > m_options.bodyLimit) {
         refuse(413, "the body of the request is too large");
         return false;
     }
+    if (!appendBody(std::string_view(m_input).substr(0, size))) {
+        return false;
+    }
     if (left == -2) {
         m_input.clear();
         return false;
@@ -261,11 +375,35 @@
     return true;
 }
 
+bool PipelinedConnection::appendBody(std::string_view data)
+{
+    if (!m_inputCharge.resize(inputBytes(m_partial->request.body.capacityWith(data.size())), m_loop.now())) {
+        refuseForMemory();
+        return false;
+    }
+    // Reclaiming memory may have closed this connection, which its client does not read.
+    if (m_state != State::Open) {
+        return false;
+    }
+    m_partial->request.body.append(data);
+    return true;
+}
+
 void PipelinedConnection::dispatchRequest()
 {
     uv_timer_stop(&m_timer);
     PartialRequest partial = *std::move(m_partial);
     m_partial.reset();
+    m_unmarkedBytes = 0;
+    m_inputCharge.restart(m_loop.now());
+    // The memory passes from the connection to the request.
+    static_cast<void>(chargeInput());
+    const auto charge = std::make_shared<MemoryCharge>(m_options.limits.memory, m_loop.now());
+    if (!charge->resize(requestBytes + partial.headSize * headCopies + partial.request.body.capacity(), m_loop.now())) {
+        refuseForMemory();
+        return;
+    }
+    partial.request.body.keep(charge);
     m_inputEnded = !partial.keepAlive || m_closeAfterAnswers;
     const auto exchange = std::make_shared<PipelinedExchange>(*this, std::move(partial.request), partial.keepAlive);
     m_exchanges.push_back(exchange);
@@ -273,14 +411,17 @@
 }
 
 /** Answers with the error after the answers to earlier requests and stops reading requests. */
-void PipelinedConnection::refuse(std::uint16_t status, const char *reason)
+void PipelinedConnection::refuse(std::uint16_t status, const char *reason, HttpHeaders headers)
 {
     m_owner.onRequestRefused(reason);
     m_inputEnded = true;
     m_partial.reset();
+    std::string().swap(m_input);
+    static_cast<void>(chargeInput());
     const auto exchange = std::make_shared<PipelinedExchange>(*this, HttpRequest(), false);
     m_exchanges.push_back(exchange);
-    exchange->answer(status, {{"content-type", "text/plain"}}, std::string(reason) + '\n');
+    headers.emplace_back("content-type", "text/plain");
+    exchange->answer(status, std::move(headers), std::string(reason) + '\n');
 }
 
 void PipelinedConnection::flush()
@@ -308,11 +449,14 @@
         }
     }
     m_flushing = false;
+    if (m_state == State::Open && !chargeOutput()) {
+        reset();
+    }
     if (m_state != State::Open || !popped) {
         return;
     }
     if (m_exchanges.empty()) {
-        armTimer(m_limits.idleTimeout);
+        armTimer(m_options.idleTimeout);
     } else if (m_exchanges.front()->m_writableFunction) {
         // The exchange is now first in the queue, so its source may continue.
         m_exchanges.front()->m_writableFunction();
@@ -366,12 +510,18 @@
 
 void PipelinedConnection::handleWritten()
 {
+    if (m_state != State::Closed) {
+        static_cast<void>(chargeOutput());
+    }
     if (m_state == State::Lingering) {
-        armTimer(m_limits.idleTimeout);
+        armTimer(m_options.idleTimeout);
     }
     if (m_state == State::Open && !m_exchanges.empty() && !isWriteQueueFull() && m_exchanges.front()->m_writableFunction) {
         m_exchanges.front()->m_writableFunction();
     }
+    if (m_state == State::Open && !m_input.empty() && !isWriteQueueFull()) {
+        parse();
+    }
 }
 
 void PipelinedConnection::closeAfterAnswers()
@@ -430,7 +580,9 @@
 void PipelinedConnection::finish()
 {
     m_state = State::Lingering;
-    m_input.clear();
+    m_partial.reset();
+    std::string().swap(m_input);
+    static_cast<void>(chargeInput());
     for (const auto &exchange : std::exchange(m_exchanges, {})) {
         exchange->m_connection = nullptr;
         if (const std::function<void()> closed = std::exchange(exchange->m_closedFunction, nullptr)) {
@@ -438,7 +590,7 @@
         }
     }
     // The last answer may still be queued; a slow client gets all of it.
-    armTimer(m_limits.idleTimeout);
+    armTimer(m_options.idleTimeout);
     auto *request = new uv_shutdown_t;
     const auto onShutdown = [](uv_shutdown_t *done, int) {
         auto *connection = static_cast<PipelinedConnection *>(done->handle->data);
@@ -459,6 +611,10 @@
         return;
     }
     m_state = State::Closed;
+    m_partial.reset();
+    std::string().swap(m_input);
+    m_inputCharge.release();
+    m_outputCharge.release();
     for (const auto &exchange : m_exchanges) {
         exchange->m_connection = nullptr;
         exchange->m_writableFunction = nullptr;
@@ -479,9 +635,21 @@
 {
     const auto onTimer = [](uv_timer_t *timer) {
         const std::shared_ptr<PipelinedConnection> self = static_cast<PipelinedConnection *>(timer->data)->shared_from_this();
-        self->close();
+        self->onTimeout();
     };
     uv_timer_start(&m_timer, onTimer, static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()), 0);
 }
 
+void PipelinedConnection::onTimeout()
+{
+    if (m_state == State::Open && !m_exchanges.empty()) {
+        // Only the request that is being received has made no progress; those before it get their answers.
+        if (hasUnfinishedRequest() && m_exchanges.size() < pipelineLimit && !isWriteQueueFull()) {
+            refuse(503, "the request did not arrive in time", m_options.unavailableHeaders);
+        }
+        return;
+    }
+    close();
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "httpexchange.h"
+#include "httplistener.h"
+#include "memorycharge.h"
 #include "picohttpparser.h"
 #include "socketaddress.h"
 #include "units.h"
@@ -20,7 +22,8 @@
 /**
  * A client's connection to a PipelinedServer: reads requests, queues their
  * exchanges and sends the answers in the order of the requests. Kept alive by the
- * server and by its handles in the loop.
+ * server and by its handles in the loop. What it holds for the client is charged to
+ * the memory budget, which may reclaim an unfinished request or unread answers.
  */
 class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>
 {
@@ -36,13 +39,8 @@
         virtual void onConnectionClosed(PipelinedConnection &connection) = 0;
     };
 
-    struct Limits {
-        /** Maximum size of a request body, in bytes. */
-        std::uint64_t body = 0;
-        Duration idleTimeout{0};
-    };
-
-    PipelinedConnection(EventLoop &loop, Owner &owner, Limits limits);
+    /** The options must outlive the connection. */
+    PipelinedConnection(EventLoop &loop, Owner &owner, const HttpListener::Options &options);
     ~PipelinedConnection();
     PipelinedConnection(const PipelinedConnection &) = delete;
     PipelinedConnection &operator=(const PipelinedConnection &) = delete;
@@ -77,7 +75,10 @@
         bool isHead = false;
         bool chunked = false;
         std::uint64_t bodyLeft = 0;
+        std::size_t headSize = 0;
         phr_chunked_decoder decoder{};
+        /** Bytes of chunk sizes, extensions and trailers since the last byte of the body. */
+        std::size_t chunkOverhead = 0;
     };
 
     /** Returns whether the exchange's answer is the one being sent. */
@@ -90,8 +91,21 @@
     bool parseBody();
     bool parseChunks();
     void dispatchRequest();
-    void refuse(std::uint16_t status, const char *reason);
+    /** Appends to the body of the partial request. Returns false, after refusing the request, if there is no memory. */
+    bool appendBody(std::string_view data);
+    void refuse(std::uint16_t status, const char *reason, HttpHeaders headers = {});
+    void refuseForMemory();
     void updateReading();
+    /** Reads on without keeping the data, so that the client can receive the answer; only up to the size of one body. */
+    void discardInput(std::size_t size);
+
+    std::size_t inputBytes(std::size_t bodyBytes) const;
+    /** Each of these charges what the connection holds now and returns false if it does not fit. */
+    bool chargeInput();
+    bool chargeOutput();
+    void reclaimInput();
+    /** Counts received bytes. Enough of them renew the time limit of a request. */
+    void recordInput(std::size_t size);
 
     /** Sends the available output of the first exchange and removes complete exchanges. */
     void flush();
@@ -105,10 +119,13 @@
     void finish();
     void close();
     void armTimer(Duration duration);
+    void onTimeout();
+    /** Returns whether a request has been received in part. */
+    bool hasUnfinishedRequest() const { return m_partial || !m_input.empty(); }
 
     EventLoop &m_loop;
     Owner &m_owner;
-    Limits m_limits;
+    const HttpListener::Options &m_options;
     uv_tcp_t m_socket{};
     uv_timer_t m_timer{};
     int m_openHandles = 2;
@@ -121,6 +138,14 @@
     /** True if no further request is read: the client announced its last request, a request was refused or the server shuts down. */
     bool m_inputEnded = false;
     bool m_flushing = false;
+    /** Bytes received since they last counted as progress. */
+    std::size_t m_unmarkedBytes = 0;
+    /** Bytes received after the last request that was read. */
+    std::uint64_t m_discardedBytes = 0;
+    /** Charge for the connection itself and for a request that has not been received completely. */
+    MemoryCharge m_inputCharge;
+    /** Charge for answers that have not been sent. */
+    MemoryCharge m_outputCharge;
     std::string m_input;
     std::optional<PartialRequest> m_partial;
     std::deque<std::shared_ptr<PipelinedExchange>> m_exchanges;
--- a/src/libnutmeghingeio/pipelinedserver.cpp
+++ b/src/libnutmeghingeio/pipelinedserver.cpp
@@ -1,6 +1,7 @@
 #include "pipelinedserver.h"
 
 #include "eventloop.h"
+#include "loglimiter.h"
 #include "pendingconnections.h"
 #include "pipelinedconnection.h"
 #include "socketaddress.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int listenBacklog = 1024;
+constexpr std::uint32_t loggedRefusalsPerSecond = 10;
 /** Delay between the start of a shutdown and the closing of idle connections; a request sent in this time still gets an answer that announces the close. */
 constexpr Duration idleGrace = std::chrono::milliseconds(250);
 
@@ -30,7 +32,9 @@
     void onRequestRefused(const char *reason) override
     {
         ++refused;
-        spdlog::warn("{} listener refused a request: {}", options.name, reason);
+        if (refusalLog.admit(loop.now())) {
+            spdlog::warn("{} listener refused a request: {}; {} more were refused before", options.name, reason, refusalLog.takeSuppressed(loop.now()));
+        }
     }
     void onConnectionClosed(PipelinedConnection &connection) override
     {
@@ -50,6 +54,7 @@
     std::unordered_map<PipelinedConnection *, std::shared_ptr<PipelinedConnection>> connections;
     std::function<void()> shutdownFinished;
     std::uint64_t refused = 0;
+    LogLimiter refusalLog{loggedRefusalsPerSecond};
     bool shuttingDown = false;
     /** Expires with the server; lets functions that the loop calls later detect its destruction. */
     std::shared_ptr<void> alive = std::make_shared<char>();
@@ -57,7 +62,7 @@
 
 void PipelinedServer::Private::accept()
 {
-    auto connection = std::make_shared<PipelinedConnection>(loop, *this, PipelinedConnection::Limits{options.bodyLimit, options.idleTimeout});
+    auto connection = std::make_shared<PipelinedConnection>(loop, *this, options);
     if (connection->accept(reinterpret_cast<uv_stream_t *>(listener))) {
         connections.emplace(connection.get(), connection);
     }
@@ -69,7 +74,7 @@
         return;
     }
     for (const uv_os_sock_t socket : takePendingConnections(listener)) {
-        auto connection = std::make_shared<PipelinedConnection>(loop, *this, PipelinedConnection::Limits{options.bodyLimit, options.idleTimeout});
+        auto connection = std::make_shared<PipelinedConnection>(loop, *this, options);
         if (connection->adopt(socket)) {
             connections.emplace(connection.get(), connection);
         }
--- a/src/libnutmeghingeio/platformtable.cpp
+++ b/src/libnutmeghingeio/platformtable.cpp
@@ -153,7 +153,7 @@
     request.headers = {{"host", m_platform.address + ':' + std::to_string(m_platform.port)}};
     if (!body.empty()) {
         request.headers.emplace_back("content-type", "application/json");
-        request.body = std::make_shared<const std::string>(std::move(body));
+        request.body = RequestBody(std::move(body));
     }
     request.deadline = m_loop.now() + requestTimeout;
     request.progressTimeout = requestTimeout;
--- a/src/libnutmeghingeio/targetclient.cpp
+++ b/src/libnutmeghingeio/targetclient.cpp
@@ -140,7 +140,7 @@
     request.method = "POST";
     request.path = "/grants";
     request.headers = {{"content-type", "application/json"}};
-    request.body = std::make_shared<const std::string>(grantBody(effect));
+    request.body = RequestBody(grantBody(effect));
     m_d->send(std::move(request), grantTimeout, [fence = effect.fence](Private &self, const CollectedAnswer &answer) {
         TargetGrantFinished finished{fence, answer.isComplete(204), std::nullopt};
         if (answer.isComplete(409)) {
--- a/src/nutmeghinge/main.cpp
+++ b/src/nutmeghinge/main.cpp
@@ -4,6 +4,7 @@
 #include "logsetup.h"
 #include "node.h"
 #include "nodesettingsparser.h"
+#include "processlimits.h"
 
 #include <csignal>
 #include <fstream>
@@ -81,6 +82,7 @@
 {
     setUpLog(commandLine.logLevel.value_or(settings.logLevel), settings.logFormat, settings.node.value());
     std::signal(SIGPIPE, SIG_IGN);
+    configureAllocator();
     EventLoop loop;
     Node node(loop, settings, makeAdapters(settings));
     if (const std::optional<ListenError> error = node.start()) {
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -5,10 +5,12 @@
 #include "endpointtext.h"
 #include "httpexchange.h"
 #include "logsetup.h"
+#include "notrunreasonname.h"
 #include "overloaded.h"
 #include "pipelinedserver.h"
 #include "recordline.h"
 #include "shardof.h"
+#include "wireheaders.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -26,6 +28,10 @@
 constexpr std::uint32_t loggedFailuresPerSecond = 10;
 constexpr Duration suppressedCountInterval = std::chrono::seconds(1);
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
+constexpr Duration retryAfterWithoutMemory = std::chrono::seconds(1);
+constexpr Duration memoryReturnInterval = std::chrono::seconds(1);
+/** Freed memory below this size stays with the allocator; bytes. */
+constexpr std::uint64_t memoryWorthReturning = 8388608;
 /** Higher than the limit of any document; the reducer checks the limit of the document in use. */
 constexpr std::uint64_t bodyLimitBytes = 67108864;
 /** Longer than callers keep idle connections open for reuse. */
@@ -113,15 +119,15 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_adapters(std::move(adapters))
+    , m_limits(readProcessLimits(m_settings))
+    , m_memory(MemoryBudget::limitsFor(m_limits.memoryBytes))
     , m_client(loop, idleConnectionsPerEndpoint)
     , m_forwarder(loop, m_client, *m_adapters.requests, [this](EventBody body) { dispatch(std::move(body)); })
     , m_targetClient(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
     , m_platform(m_adapters.makePlatform(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_peerLink(loop, [this](PeerMessageArrived message) { dispatch(std::move(message)); })
     , m_callerServer(makeCallerServer())
-    , m_peerServer(loop,
-                   HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "peers", .idleTimeout = callerIdleTimeout},
-                   [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); })
+    , m_peerServer(makePeerServer())
     , m_announcements(m_adapters.makeAnnouncements(loop, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_operationsServer(loop)
     , m_timeline(m_settings.timelineRecords)
@@ -133,10 +139,31 @@
 std::unique_ptr<HttpListener> Node::makeCallerServer()
 {
     const auto accept = [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Caller); };
+    const RefuseRequest refusal{.request = {}, .retryAfter = retryAfterWithoutMemory, .detail = {}};
+    const HttpListener::Options options{.bodyLimit = bodyLimitBytes,
+                                        .name = "callers",
+                                        .idleTimeout = callerIdleTimeout,
+                                        .limits = clientLimits(),
+                                        .unavailableHeaders = m_adapters.requests->refusalHeaders(refusal)};
     if (m_settings.pipelining) {
-        return std::make_unique<PipelinedServer>(m_loop, PipelinedServer::Options{bodyLimitBytes, "callers", callerIdleTimeout}, accept);
+        return std::make_unique<PipelinedServer>(m_loop, options, accept);
     }
-    return std::make_unique<HttpServer>(m_loop, HttpServer::Options{bodyLimitBytes, "callers", callerIdleTimeout}, accept);
+    return std::make_unique<HttpServer>(m_loop, options, accept);
+}
+
+std::unique_ptr<HttpListener> Node::makePeerServer()
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfterWithoutMemory).count();
+    return std::make_unique<PipelinedServer>(
+        m_loop,
+        HttpListener::Options{.bodyLimit = bodyLimitBytes,
+                              .name = "peers",
+                              .idleTimeout = callerIdleTimeout,
+                              .limits = clientLimits(),
+                              .unavailableHeaders = {{std::string(wire::outcome), std::string(wire::notRun)},
+                                                     {std::string(wire::reason), std::string(nameOf(NotRunReason::Overloaded))},
+                                                     {std::string(wire::retryAfterMs), std::to_string(milliseconds)}}},
+        [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); });
 }
 
 std::optional<ListenError> Node::start()
@@ -165,6 +192,7 @@
     runRecord(Record{std::move(started)});
     m_loop.callEvery(tickInterval, [this] { dispatch(Tick{}); });
     m_loop.callEvery(suppressedCountInterval, [this] { logSuppressedCounts(); });
+    m_loop.callEvery(memoryReturnInterval, [this] { returnMemory(); });
     return std::nullopt;
 }
 
@@ -179,7 +207,7 @@
         // First, as its port is often fixed: a listener whose port the system chooses could take it.
         {m_announcements->listen(m_settings.listenTarget), m_targetEndpoint, "target"},
         {m_callerServer->listen(m_settings.listenCallers), m_callerEndpoint, "callers"},
-        {m_peerServer.listen(m_settings.listenPeers), m_identity.peerEndpoint, "peers"},
+        {m_peerServer->listen(m_settings.listenPeers), m_identity.peerEndpoint, "peers"},
         {m_peerLink.listen(m_settings.listenControl), m_identity.controlEndpoint, "control"},
         {m_operationsServer.listen(m_settings.listenOperations), m_identity.operationsEndpoint, "operations"},
     };
@@ -300,10 +328,20 @@
     }
 }
 
+void Node::returnMemory()
+{
+    m_highestMemory = std::max(m_highestMemory, m_memory.used());
+    if (m_highestMemory < memoryWorthReturning || m_memory.used() > m_highestMemory / 2) {
+        return;
+    }
+    m_highestMemory = m_memory.used();
+    returnFreeMemory();
+}
+
 void Node::runCloseListeners()
 {
     m_callerServer->shutDown([this] { onListenerClosed(); });
-    m_peerServer.shutDown([this] { onListenerClosed(); });
+    m_peerServer->shutDown([this] { onListenerClosed(); });
 }
 
 void Node::onListenerClosed()
@@ -343,8 +381,11 @@
     AdapterCounters adapters;
     adapters.controlMessages = m_peerLink.messagesSent();
     adapters.controlBytes = m_peerLink.bytesSent();
-    adapters.refusedInputs = m_callerServer->refusedInputs() + m_peerServer.refusedInputs();
+    adapters.refusedInputs = m_callerServer->refusedInputs() + m_peerServer->refusedInputs();
     adapters.callerConnections = m_callerServer->openConnections();
+    adapters.clientMemoryBytes = m_memory.used();
+    adapters.clientMemoryLimitBytes = m_memory.limits().total;
+    adapters.clientMemoryRefusals = m_memory.refused();
     adapters.largestRowBytes = m_platform->largestRowBytes();
     adapters.cellMembers = cell.members().size();
     adapters.nodesWithoutRoom = cell.nodesWithoutRoom(m_loop.now());
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -6,11 +6,13 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "loglimiter.h"
+#include "memorybudget.h"
 #include "nodeadapters.h"
 #include "nodemetrics.h"
 #include "nodesettings.h"
 #include "operationsserver.h"
 #include "peerlink.h"
+#include "processlimits.h"
 #include "reducer.h"
 #include "requestforwarder.h"
 #include "targetclient.h"
@@ -55,7 +57,11 @@
     void onListenerClosed();
     void runExit(const Exit &effect);
 
+    ClientLimits clientLimits() { return {&m_memory}; }
     std::unique_ptr<HttpListener> makeCallerServer();
+    std::unique_ptr<HttpListener> makePeerServer();
+    /** Returns free memory to the system after clients have held much. */
+    void returnMemory();
     std::optional<ListenError> openListeners();
     void addPages();
     bool isReady() const;
@@ -68,13 +74,17 @@
     NodeIdentity m_identity;
     Endpoint m_callerEndpoint;
     Endpoint m_targetEndpoint;
+    ProcessLimits m_limits;
+    MemoryBudget m_memory;
+    /** Most memory held for clients since free memory was last returned to the system, in bytes. */
+    std::uint64_t m_highestMemory = 0;
     HttpClient m_client;
     RequestForwarder m_forwarder;
     TargetClient m_targetClient;
     std::unique_ptr<PlatformPort> m_platform;
     PeerLink m_peerLink;
     std::unique_ptr<HttpListener> m_callerServer;
-    HttpServer m_peerServer;
+    std::unique_ptr<HttpListener> m_peerServer;
     std::unique_ptr<AnnouncementPort> m_announcements;
     OperationsServer m_operationsServer;
     NodeMetrics m_metrics;
--- a/src/nutmeghingectl/documentstore.cpp
+++ b/src/nutmeghingectl/documentstore.cpp
@@ -251,7 +251,7 @@
     request.freshConnection = true;
     if (!body.empty()) {
         request.headers.emplace_back("content-type", method == "PUT" ? "application/octet-stream" : "application/json");
-        request.body = std::make_shared<const std::string>(body);
+        request.body = RequestBody(body);
     }
     return m_client.send(std::move(request));
 }
--- a/src/nutmeghingectl/loadgenerator.cpp
+++ b/src/nutmeghingectl/loadgenerator.cpp
@@ -185,7 +185,7 @@
         message.method = "POST";
         message.path = "/orders";
         message.headers.emplace_back(wire::idempotencyKey, request.order);
-        message.body = std::make_shared<const std::string>(m_options.orderBytes, 'x');
+        message.body = RequestBody(std::string(m_options.orderBytes, 'x'));
     } else if (request.kind == LoadRequest::Kind::Download) {
         message.path = "/download?bytes=" + std::to_string(m_options.downloadBytes);
     }
--- a/tests/core/requestplay.cpp
+++ b/tests/core/requestplay.cpp
@@ -34,7 +34,7 @@
     arrived.method = call.path.starts_with("/once/") ? "POST" : "GET";
     arrived.path = call.path;
     arrived.caller = call.caller;
-    arrived.body = std::make_shared<const std::string>(call.body);
+    arrived.body = RequestBody(call.body);
     arrived.headers = {{"x-key", call.caller}};
     arrived.timeout = call.timeout;
     call.entry = node;
--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -29,7 +29,7 @@
     {
     }
 
-    HttpClientRequest request() const { return {.to = server.endpoint(), .method = "GET", .path = "/", .headers = {}, .body = nullptr}; }
+    HttpClientRequest request() const { return {.to = server.endpoint(), .method = "GET", .path = "/", .headers = {}, .body = {}}; }
 
     HttpClient::CallId send(HttpClientRequest toSend)
     {
@@ -149,7 +149,7 @@
     setup.onRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
     request = setup.request();
     request.method = "POST";
-    request.body = std::make_shared<const std::string>("teak");
+    request.body = RequestBody("teak");
     CHECK(setup.run(request) == HttpCallResult::Complete);
     CHECK(setup.requests[1].ends_with("content-length: 4\r\n\r\nteak"));
     CHECK(setup.server.connections().size() == 1);
@@ -158,18 +158,18 @@
 TEST_CASE("A large request body is sent completely")
 {
     Setup setup;
-    const auto body = std::make_shared<const std::string>(8000000, 'x');
+    const std::string body(8000000, 'x');
     RawServer server(setup.loop, [&](RawConnection &connection) {
-        if (connection.received().size() > body->size()) {
+        if (connection.received().size() > body.size()) {
             connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         }
     });
     HttpClientRequest request = setup.request();
     request.to = server.endpoint();
     request.method = "POST";
-    request.body = body;
+    request.body = RequestBody(body);
     CHECK(setup.run(request) == HttpCallResult::Complete);
-    CHECK(server.connections()[0]->received().ends_with("\r\n\r\n" + *body));
+    CHECK(server.connections()[0]->received().ends_with("\r\n\r\n" + body));
 }
 
 TEST_CASE("Concurrent requests use separate connections")
@@ -236,7 +236,7 @@
     {
         request.progressTimeout = std::chrono::milliseconds(30);
         request.method = "POST";
-        request.body = std::make_shared<const std::string>(30000000, 'x');
+        request.body = RequestBody(std::string(30000000, 'x'));
         setup.onRequest = [&](RawConnection &connection) { connection.pause(); };
     }
     SECTION("deadline")
--- a/tests/io/httpservertest.cpp
+++ b/tests/io/httpservertest.cpp
@@ -27,7 +27,7 @@
 {
     EventLoop loop;
     RecordingServer server(loop);
-    server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {{"x-test", "yes"}}, "echo " + exchange.request().body); };
+    server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {{"x-test", "yes"}}, "echo " + exchange.request().body.text()); };
     RawConnection client(loop, server.endpoint);
     client.send("POST /a?b=c HTTP/1.1\r\nHost: Desk.example:81\r\nX-Name: v\r\nContent-Length: 4\r\n\r\nteak");
     REQUIRE(runUntil(loop, [&] { return endsWith(client.received(), "echo teak"); }));
@@ -262,7 +262,7 @@
 {
     EventLoop loop;
     RecordingServer server(loop);
-    server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {}, "echo " + exchange.request().body); };
+    server.onRequest = [](HttpExchange &exchange) { exchange.answer(200, {}, "echo " + exchange.request().body.text()); };
     RawConnection idle(loop, server.endpoint);
     RawConnection client(loop, server.endpoint);
     client.send("POST / HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\n\r\nte");
--- a/tests/io/platformclienttest.cpp
+++ b/tests/io/platformclienttest.cpp
@@ -111,7 +111,7 @@
     CHECK(std::get<RowWritten>(event.result).version == RowVersion(18));
     CHECK(fixture.lastRequest().method == "POST");
     CHECK(fixture.lastRequest().path == "/table/transact");
-    const json body = json::parse(fixture.lastRequest().body);
+    const json body = json::parse(fixture.lastRequest().body.text());
     CHECK(body.at("conditions") == json::parse(R"([{"key":"cell/roster","version":17}])"));
     CHECK(body.at("writes").size() == 1);
     CHECK(std::get<CellRow>(CellRowCodec::fromText(body.at("writes").at(0).at("value").get<std::string>())) == someCell());
@@ -141,7 +141,7 @@
     const auto written = fixture.run<MemberRowWriteFinished>(WriteMemberRow{roster, {member}, RowVersion(2)});
     CHECK(std::get<RowWritten>(written.result).version == RowVersion(3));
     const std::string key = "member/roster/" + member.node.value();
-    CHECK(json::parse(fixture.lastRequest().body).at("conditions") == json{{{"key", key}, {"version", 2}}});
+    CHECK(json::parse(fixture.lastRequest().body.text()).at("conditions") == json{{{"key", key}, {"version", 2}}});
     fixture.server.setScript([&](const HttpRequest &request) {
         const bool isWrite = request.method == "POST";
         return isWrite ? ScriptedAnswer{409, "{}"} : ScriptedAnswer{200, rowJson(key, 7, MemberCodec::rowToText({member})).dump()};
--- a/tests/io/targetclienttest.cpp
+++ b/tests/io/targetclienttest.cpp
@@ -81,7 +81,7 @@
     CHECK(accepted.accepted);
     CHECK(accepted.fence == Fence{Term(3), 14});
     CHECK(fixture.server.requests().back().path == "/grants");
-    CHECK(nlohmann::json::parse(fixture.server.requests().back().body) == nlohmann::json::parse(R"({"fence":"3.14","shards":[0,255]})"));
+    CHECK(nlohmann::json::parse(fixture.server.requests().back().body.text()) == nlohmann::json::parse(R"({"fence":"3.14","shards":[0,255]})"));
 
     const TargetGrantFinished refused = fixture.grant({409, R"({"newerFence":"4.1"})"});
     CHECK_FALSE(refused.accepted);
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -51,7 +51,7 @@
         const auto *changed = std::get_if<TableEpochChanged>(&events.front());
         return changed ? changed->epoch.value() : 0;
     }
-    json lastBody() const { return json::parse(server.requests().back().body); }
+    json lastBody() const { return json::parse(server.requests().back().body.text()); }
 
     EventLoop loop;
     ScriptedServer server;
@@ -182,7 +182,7 @@
     setup.answerWith(200, R"({"ver":412,"now":1})");
     const auto written = setup.run<CellRowWriteFinished>(WriteCellRow{RowVersion(17), someCell()});
     CHECK(std::get<RowWritten>(written.result).version == RowVersion(412));
-    const json body = json::parse(setup.server.requests().front().body);
+    const json body = json::parse(setup.server.requests().front().body.text());
     CHECK(body["expect"] == json({{{"table", "cells"}, {"part", ""}, {"key", "all"}, {"ver", 17}}}));
     CHECK(std::get<CellRow>(CellRowCodec::fromText(*fromBase64(body["writes"][0]["value"].get<std::string>()))) == someCell());
     setup.answerWith(412, "{}");
--- a/tests/standins/httpcaller.h
+++ b/tests/standins/httpcaller.h
@@ -39,7 +39,7 @@
         request.path = path;
         request.headers = headers;
         request.headers.emplace_back("host", "standin");
-        request.body = std::make_shared<const std::string>(body);
+        request.body = RequestBody(body);
         request.deadline = m_loop.now() + std::chrono::seconds(2);
         const auto collector =
             std::make_shared<HttpAnswerCollector>(std::size_t(64) << 20U, [pending](CollectedAnswer answer) { *pending = std::move(answer); });
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -68,7 +68,7 @@
 {
     if (exchange.request().method == "POST") {
         JsonReader reader;
-        const json body = reader.parse(exchange.request().body);
+        const json body = reader.parse(exchange.request().body.text());
         Faults faults = m_faults;
         faults.down = body.contains("down") ? reader.flag(body, "down") : faults.down;
         faults.delayMs = body.contains("delayMs") ? reader.number(body, "delayMs") : faults.delayMs;
@@ -143,7 +143,7 @@
 void PlatformStandin::serveTransaction(HttpExchange &exchange)
 {
     JsonReader reader;
-    const PlatformStore::Transaction transaction = transactionOf(reader, reader.parse(exchange.request().body));
+    const PlatformStore::Transaction transaction = transactionOf(reader, reader.parse(exchange.request().body.text()));
     if (reader.error()) {
         answer(exchange, 400, {{"reason", *reader.error()}});
         return;
@@ -165,7 +165,7 @@
 void PlatformStandin::serveObject(HttpExchange &exchange, const std::string &name)
 {
     if (exchange.request().method == "PUT") {
-        const bool isNew = m_store.putObject(name, exchange.request().body);
+        const bool isNew = m_store.putObject(name, exchange.request().body.text());
         answerWrite(exchange, isNew ? 201 : 409, json::object());
         return;
     }
--- a/tests/standins/targetannouncer.cpp
+++ b/tests/standins/targetannouncer.cpp
@@ -40,7 +40,7 @@
     request.method = "POST";
     request.path = "/announce";
     request.headers = {{"host", endpointToText(m_node)}, {"content-type", "application/json"}};
-    request.body = std::make_shared<const std::string>(jsonToText(*announcement));
+    request.body = RequestBody(jsonToText(*announcement));
     request.deadline = m_loop.now() + interval;
     const auto finished = [](const CollectedAnswer &answer) {
         if (!answer.isComplete(204)) {
--- a/tests/standins/targetstandin.cpp
+++ b/tests/standins/targetstandin.cpp
@@ -132,7 +132,7 @@
         return;
     }
     JsonReader reader;
-    const json body = reader.parse(exchange.request().body);
+    const json body = reader.parse(exchange.request().body.text());
     applyControl(reader, body);
     if (reader.error()) {
         answerBadRequest(exchange, *reader.error());
@@ -207,7 +207,7 @@
 void TargetStandin::answerGrant(HttpExchange &exchange)
 {
     JsonReader reader;
-    const json body = reader.parse(exchange.request().body);
+    const json body = reader.parse(exchange.request().body.text());
     const std::optional<Fence> fence = fenceFromText(reader.text(body, "fence"));
     reader.check(fence.has_value(), "fence");
     std::vector<std::uint32_t> shards;
--- a/tests/standins/targetstandintest.cpp
+++ b/tests/standins/targetstandintest.cpp
@@ -233,7 +233,7 @@
     EventLoop loop;
     std::vector<json> announcements;
     HttpServer node(loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
-        announcements.push_back(json::parse(exchange->request().body));
+        announcements.push_back(json::parse(exchange->request().body.text()));
         exchange->answer(204, {}, {});
     });
     TargetStandin::Options options = optionsOf(20, 1);
