Keep descriptors for the node's own connections beside any number of clients

Callers saw: clients that only connect, to any listener, took all descriptors of the process, so that none was left for the store, peers and the target.

Cause: nothing bounded connections, and an HTTP/2-capable listener takes two descriptors for each.

Change: one ConnectionBudget a process (setting descriptors, else what the system reports) counts the connections of clients at all listeners and those of the node. An eighth is kept from clients, and 16 for what is no connection. At the limit the connection is closed that serves no request: one that never served any first, then the one that is idle longest. If all are at work, the new one is closed. Control connections of other nodes take a quarter at most, 256 as before. Refusals of a listener are logged ten times a second at most.

Ruled out: a bound for each listener. Idle connections of one would then stay while another has no room, and which share a node needs for peers depends on its cell.

--- a/src/libnutmeghingeio/announcementserver.cpp
+++ b/src/libnutmeghingeio/announcementserver.cpp
@@ -62,11 +62,11 @@
     }
 }
 
-AnnouncementServer::AnnouncementServer(EventLoop &loop, EventFunction events)
+AnnouncementServer::AnnouncementServer(EventLoop &loop, EventFunction events, ClientLimits limits)
     : m_events(std::move(events))
-    , m_server(loop, HttpServer::Options{.bodyLimit = announcementLimitBytes, .name = "target"}, [this](const std::shared_ptr<HttpExchange> &exchange) {
-        handle(exchange);
-    })
+    , m_server(loop,
+               HttpServer::Options{.bodyLimit = announcementLimitBytes, .name = "target", .limits = limits},
+               [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
 {
 }
 
--- a/src/libnutmeghingeio/announcementserver.h
+++ b/src/libnutmeghingeio/announcementserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "announcementport.h"
+#include "clientlimits.h"
 #include "endpoint.h"
 
 #include <memory>
@@ -26,7 +27,7 @@
 class AnnouncementServer : public AnnouncementPort
 {
 public:
-    AnnouncementServer(EventLoop &loop, EventFunction events);
+    AnnouncementServer(EventLoop &loop, EventFunction events, ClientLimits limits = {});
 
     std::variant<Endpoint, ListenError> listen(const Endpoint &endpoint) override;
     /** Does nothing: announcements of this protocol are answered immediately. */
--- a/src/libnutmeghingeio/clientlimits.h
+++ b/src/libnutmeghingeio/clientlimits.h
@@ -2,11 +2,13 @@
 
 namespace nutmeghinge {
 
+class ConnectionBudget;
 class MemoryBudget;
 
-/** Limits of what all clients of a process may use together. Null stands for no limit. Must outlive the listeners. */
+/** Limits of what all clients of a process may use together. Null stands for no limit. Both must outlive the listeners. */
 struct ClientLimits {
     MemoryBudget *memory = nullptr;
+    ConnectionBudget *connections = nullptr;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/httpclient.cpp
+++ b/src/libnutmeghingeio/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "httpclient.h"
 
+#include "connectionbudget.h"
 #include "eventloop.h"
 #include "httpclientconnection.h"
 
@@ -23,9 +24,10 @@
 struct HttpClient::Private final : HttpClientConnection::Owner {
     using Exchange = HttpClientConnection::Exchange;
 
-    Private(EventLoop &usedLoop, std::size_t idleLimit)
+    Private(EventLoop &usedLoop, std::size_t idleLimit, ConnectionBudget *usedBudget)
         : loop(usedLoop)
         , idlePerEndpoint(idleLimit)
+        , budget(usedBudget)
         , buffer(readBufferBytes)
     {
         finishTimer = new uv_timer_t;
@@ -50,7 +52,7 @@
         if (reusable) {
             addToPool(connection);
         } else {
-            connections.erase(&connection);
+            remove(connection);
         }
         exchange.receiver->finished(result);
     }
@@ -58,7 +60,21 @@
     void idleClosed(HttpClientConnection &connection) override
     {
         std::erase(idle[connection.endpoint()], &connection);
-        connections.erase(&connection);
+        remove(connection);
+    }
+
+    void add(HttpClientConnection &connection)
+    {
+        if (connections.insert(&connection).second && budget != nullptr) {
+            budget->addOwn();
+        }
+    }
+
+    void remove(HttpClientConnection &connection)
+    {
+        if (connections.erase(&connection) > 0 && budget != nullptr) {
+            budget->removeOwn();
+        }
     }
 
     std::span<char> readBuffer() override { return buffer; }
@@ -77,7 +93,7 @@
     void closeConnection(HttpClientConnection &connection)
     {
         std::erase(idle[connection.endpoint()], &connection);
-        connections.erase(&connection);
+        remove(connection);
         connection.close();
     }
 
@@ -107,7 +123,7 @@
             connection->close();
             return false;
         }
-        connections.insert(connection);
+        add(*connection);
         running[call] = connection;
         return true;
     }
@@ -129,6 +145,7 @@
 
     EventLoop &loop;
     std::size_t idlePerEndpoint;
+    ConnectionBudget *budget;
     std::vector<char> buffer;
     CallId lastCall = 0;
     std::unordered_set<HttpClientConnection *> connections;
@@ -138,8 +155,8 @@
     uv_timer_t *finishTimer = nullptr;
 };
 
-HttpClient::HttpClient(EventLoop &loop, std::size_t idlePerEndpoint)
-    : m_d(std::make_unique<Private>(loop, idlePerEndpoint))
+HttpClient::HttpClient(EventLoop &loop, std::size_t idlePerEndpoint, ConnectionBudget *budget)
+    : m_d(std::make_unique<Private>(loop, idlePerEndpoint, budget))
 {
 }
 
@@ -169,7 +186,7 @@
     }
     HttpClientConnection *connection = found->second;
     m_d->running.erase(found);
-    m_d->connections.erase(connection);
+    m_d->remove(*connection);
     m_d->finishLater(connection->abandon(), HttpCallResult::Cancelled);
 }
 
@@ -185,7 +202,7 @@
 {
     const std::vector<HttpClientConnection *> dropped = std::exchange(m_d->idle[endpoint], {});
     for (HttpClientConnection *connection : dropped) {
-        m_d->connections.erase(connection);
+        m_d->remove(*connection);
         connection->close();
     }
 }
--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -12,6 +12,7 @@
 
 namespace nutmeghinge {
 
+class ConnectionBudget;
 class EventLoop;
 
 /** How a call of the client ended. */
@@ -78,8 +79,11 @@
 public:
     using CallId = std::uint64_t;
 
-    /** idlePerEndpoint: largest number of idle connections to keep for one endpoint. */
-    HttpClient(EventLoop &loop, std::size_t idlePerEndpoint);
+    /**
+     * idlePerEndpoint: largest number of idle connections to keep for one endpoint. budget: counts the connections; null for
+     * none.
+     */
+    HttpClient(EventLoop &loop, std::size_t idlePerEndpoint, ConnectionBudget *budget = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -1,7 +1,9 @@
 #include "httpserver.h"
 
+#include "connectionbudget.h"
 #include "eventloop.h"
 #include "httpserverexchange.h"
+#include "loglimiter.h"
 #include "pendingconnections.h"
 #include "requestframing.h"
 
@@ -25,6 +27,9 @@
 constexpr std::uint64_t idleGraceMs = 250;
 constexpr std::uint64_t idleCheckIntervalMs = 50;
 constexpr int drainIterations = 64;
+constexpr std::uint32_t loggedRefusalsPerSecond = 10;
+/** Descriptors of a connection: its socket, and a copy to watch it. */
+constexpr std::size_t descriptorsOfConnection = 2;
 
 std::variant<Endpoint, ListenError> boundEndpoint(const uv_tcp_t *listener, const Endpoint &requested)
 {
@@ -73,7 +78,21 @@
 
 struct HttpServer::Private {
     /** A client's connection. The watch detects that the client has closed it, which h2o does not notice while a request is in progress. */
-    struct Connection {
+    struct Connection final : public ConnectionBudget::Holder {
+        Connection(Private *usedServer, MonotonicTime now)
+            : server(usedServer)
+            , idleSinceTime(now)
+        {
+        }
+
+        bool isClosable() const override { return running.empty(); }
+        bool hasServed() const override { return served; }
+        MonotonicTime idleSince() const override { return idleSinceTime; }
+        void closeForRoom() override { end(); }
+
+        /** Shuts the socket down; h2o then closes the connection. */
+        void end();
+
         Private *server = nullptr;
         h2o_socket_t *socket = nullptr;
         uv_poll_t *watch = nullptr;
@@ -81,6 +100,9 @@
         bool isHttp2 = false;
         bool clientDisconnected = false;
         std::unordered_set<HttpServerExchange *> running;
+        MonotonicTime idleSinceTime;
+        bool served = false;
+        bool ending = false;
     };
     struct RequestHandler {
         h2o_handler_t super;
@@ -99,7 +121,8 @@
     void onClientClosed(Connection &connection);
     void onConnectionClosed(Connection &connection);
     int handle(h2o_req_t &request);
-    void refuse(h2o_req_t &request, const char *reason) const;
+    void refuse(h2o_req_t &request, const char *reason);
+    void logRefusal(std::string_view reason);
     void closeIdle();
     void stopListening();
     void finishShutdown();
@@ -112,6 +135,7 @@
     h2o_accept_ctx_t acceptContext{};
     uv_tcp_t *listener = nullptr;
     uv_timer_t *idleCheck = nullptr;
+    LogLimiter refusalLog{loggedRefusalsPerSecond};
     std::unordered_map<h2o_socket_t *, std::unique_ptr<Connection>> connections;
     std::function<void()> shutdownFinished;
     bool destroying = false;
@@ -169,10 +193,16 @@
 {
     auto *stream = new uv_tcp_t;
     uv_tcp_init(loop.handle(), stream);
+    const bool hasRoom = options.limits.connections == nullptr || options.limits.connections->makeRoom(descriptorsOfConnection);
     if (uv_accept(reinterpret_cast<uv_stream_t *>(listener), reinterpret_cast<uv_stream_t *>(stream)) != 0) {
         uv_close(reinterpret_cast<uv_handle_t *>(stream), releaseStream);
         return;
     }
+    if (!hasRoom) {
+        logRefusal("no descriptor is left for a connection");
+        uv_close(reinterpret_cast<uv_handle_t *>(stream), releaseStream);
+        return;
+    }
     addConnection(stream);
 }
 
@@ -195,8 +225,7 @@
 
 void HttpServer::Private::addConnection(uv_tcp_t *stream)
 {
-    auto connection = std::make_unique<Connection>();
-    connection->server = this;
+    auto connection = std::make_unique<Connection>(this, loop.now());
     connection->socket = h2o_uv_socket_create(reinterpret_cast<uv_stream_t *>(stream), releaseStream);
     connection->socket->on_close.cb = [](void *data) {
         auto *closed = static_cast<Connection *>(data);
@@ -206,7 +235,10 @@
     setSocketOptions(h2o_socket_get_fd(connection->socket));
     watchConnection(*connection);
     h2o_socket_t *socket = connection->socket;
-    connections.emplace(socket, std::move(connection));
+    Connection &added = *connections.emplace(socket, std::move(connection)).first->second;
+    if (options.limits.connections != nullptr) {
+        options.limits.connections->add(added, descriptorsOfConnection);
+    }
     h2o_accept(&acceptContext, socket);
 }
 
@@ -245,15 +277,33 @@
         uv_close(reinterpret_cast<uv_handle_t *>(connection.watch), [](uv_handle_t *handle) { delete reinterpret_cast<uv_poll_t *>(handle); });
         ::close(connection.watchedDescriptor);
     }
+    if (options.limits.connections != nullptr) {
+        options.limits.connections->remove(connection);
+    }
     connections.erase(connection.socket);
     if (connections.empty() && !destroying) {
         finishShutdown();
     }
 }
 
-void HttpServer::Private::refuse(h2o_req_t &request, const char *reason) const
+void HttpServer::Private::Connection::end()
+{
+    if (!ending) {
+        ending = true;
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+}
+
+void HttpServer::Private::logRefusal(std::string_view reason)
+{
+    if (refusalLog.admit(loop.now())) {
+        spdlog::warn("{} listener refused a request: {}; {} more were refused before", options.name, reason, refusalLog.takeSuppressed(loop.now()));
+    }
+}
+
+void HttpServer::Private::refuse(h2o_req_t &request, const char *reason)
 {
-    spdlog::warn("{} listener refused a request: {}", options.name, std::string_view(reason, std::strlen(reason) - 1));
+    logRefusal(std::string_view(reason, std::strlen(reason) - 1));
     request.http1_is_persistent = 0;
     h2o_send_error_400(&request, "Bad Request", reason, 0);
 }
@@ -267,6 +317,7 @@
         refuse(request, "the framing of the request is ambiguous\n");
         return 0;
     }
+    connection.served = true;
     const std::shared_ptr<HttpServerExchange> exchange = HttpServerExchange::create(request);
     if (!isWritableAsHttp1(exchange->request())) {
         refuse(request, "the request head contains forbidden characters\n");
@@ -277,6 +328,7 @@
     exchange->setEndedFunction([this, socket, key] {
         if (const auto found = connections.find(socket); found != connections.end()) {
             found->second->running.erase(key);
+            found->second->idleSinceTime = loop.now();
         }
     });
     if (destroying || (connection.clientDisconnected && !connection.isHttp2)) {
--- a/src/libnutmeghingeio/nodeadapters.cpp
+++ b/src/libnutmeghingeio/nodeadapters.cpp
@@ -14,8 +14,8 @@
     adapters.makePlatform = [platform = settings.platform](EventLoop &loop, HttpClient &client, PlatformPort::EventFunction events) {
         return std::make_unique<PlatformClient>(loop, client, platform, std::move(events));
     };
-    adapters.makeAnnouncements = [](EventLoop &loop, AnnouncementPort::EventFunction events) {
-        return std::make_unique<AnnouncementServer>(loop, std::move(events));
+    adapters.makeAnnouncements = [](EventLoop &loop, ClientLimits limits, AnnouncementPort::EventFunction events) {
+        return std::make_unique<AnnouncementServer>(loop, std::move(events), limits);
     };
     return adapters;
 }
--- a/src/libnutmeghingeio/nodeadapters.h
+++ b/src/libnutmeghingeio/nodeadapters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "announcementport.h"
+#include "clientlimits.h"
 #include "documentformat.h"
 #include "platformport.h"
 #include "requestprotocol.h"
@@ -21,7 +22,7 @@
     /** Format of the documents; null for nutmeghinge's native format. */
     std::unique_ptr<const DocumentFormat> documents;
     std::function<std::unique_ptr<PlatformPort>(EventLoop &, HttpClient &, PlatformPort::EventFunction)> makePlatform;
-    std::function<std::unique_ptr<AnnouncementPort>(EventLoop &, AnnouncementPort::EventFunction)> makeAnnouncements;
+    std::function<std::unique_ptr<AnnouncementPort>(EventLoop &, ClientLimits, AnnouncementPort::EventFunction)> makeAnnouncements;
     Timings timings;
 };
 
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -189,6 +189,9 @@
     appendGauge(text, "client_memory_bytes", "Memory held for clients: requests, and answers that were not sent.", adapters.clientMemoryBytes);
     appendGauge(text, "client_memory_limit_bytes", "Limit of the memory held for clients.", adapters.clientMemoryLimitBytes);
     appendCounter(text, "client_memory_refusals_total", "Times that memory for a client was refused or reclaimed.", adapters.clientMemoryRefusals);
+    appendGauge(text, "connections", "Descriptors of connections, of clients and of the node itself.", adapters.connections);
+    appendGauge(text, "connection_limit", "Descriptors of connections beyond which those of clients are closed.", adapters.connectionLimit);
+    appendCounter(text, "connections_closed_for_room_total", "Client connections closed for want of descriptors.", adapters.connectionsClosedForRoom);
     appendGauge(text, "document_revision", "Revision of the document in force.", documents.revision.value());
     if (documents.age) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*documents.age).count();
--- a/src/libnutmeghingeio/nodemetrics.h
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -21,6 +21,9 @@
     std::uint64_t clientMemoryBytes = 0;
     std::uint64_t clientMemoryLimitBytes = 0;
     std::uint64_t clientMemoryRefusals = 0;
+    std::uint64_t connections = 0;
+    std::uint64_t connectionLimit = 0;
+    std::uint64_t connectionsClosedForRoom = 0;
     /** Size of the largest value written to the platform's table, in bytes as sent; 0 if it is not counted. */
     std::size_t largestRowBytes = 0;
     std::size_t cellMembers = 0;
--- a/src/libnutmeghingeio/nodesettings.h
+++ b/src/libnutmeghingeio/nodesettings.h
@@ -40,6 +40,8 @@
 
     /** Memory that the process may use, in bytes; 0 for what the system reports. */
     std::uint64_t memoryBytes = 0;
+    /** Descriptors that the process may open; 0 for what the system reports. */
+    std::uint64_t descriptors = 0;
 
     // Listeners. Port 0 selects a free port.
     Endpoint listenCallers;
--- a/src/libnutmeghingeio/nodesettingsparser.cpp
+++ b/src/libnutmeghingeio/nodesettingsparser.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint64_t maximumTableRowBytes = 16777216;
 constexpr std::uint64_t minimumMemoryBytes = 33554432;
 constexpr std::uint64_t maximumMemoryBytes = std::uint64_t(1) << 50U;
+constexpr std::uint64_t minimumDescriptors = 128;
+constexpr std::uint64_t maximumDescriptors = 10000000;
 constexpr std::uint64_t maximumTimelineRecords = 100000;
 
 bool isIpAddress(const std::string &address)
@@ -110,6 +112,7 @@
     root.duration("targetHeartbeat", settings.targetHeartbeat, std::chrono::milliseconds(10), std::chrono::minutes(1));
     root.duration("stopLimit", settings.stopLimit, std::chrono::seconds(1), std::chrono::hours(1));
     root.number("memoryBytes", settings.memoryBytes, minimumMemoryBytes, maximumMemoryBytes);
+    root.number("descriptors", settings.descriptors, minimumDescriptors, maximumDescriptors);
     root.ratio("linkMegabits", settings.linkMegabits, 0, maximumLinkMegabits);
     if (root.has("services")) {
         settings.serviceDefaults = readServiceDefaults(root.mapping("services"));
--- a/src/libnutmeghingeio/operationsserver.cpp
+++ b/src/libnutmeghingeio/operationsserver.cpp
@@ -10,10 +10,10 @@
 
 } // namespace
 
-OperationsServer::OperationsServer(EventLoop &loop)
-    : m_server(loop, HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "operations"}, [this](const std::shared_ptr<HttpExchange> &exchange) {
-        handle(exchange);
-    })
+OperationsServer::OperationsServer(EventLoop &loop, ClientLimits limits)
+    : m_server(loop,
+               HttpServer::Options{.bodyLimit = bodyLimitBytes, .name = "operations", .limits = limits},
+               [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
 {
 }
 
--- a/src/libnutmeghingeio/operationsserver.h
+++ b/src/libnutmeghingeio/operationsserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "endpoint.h"
 #include "httpserver.h"
 
@@ -23,7 +24,7 @@
     /** Returns the content of a page. The query is the part of the request target after "?". */
     using Page = std::function<std::string(const std::string &query)>;
 
-    explicit OperationsServer(EventLoop &loop);
+    explicit OperationsServer(EventLoop &loop, ClientLimits limits = {});
 
     /** Serves the page at the path. Must be called before listen(). */
     void addPage(const std::string &path, const std::string &contentType, Page page);
--- a/src/libnutmeghingeio/peerlink.cpp
+++ b/src/libnutmeghingeio/peerlink.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 struct PeerLink::Private : private kj::TaskSet::ErrorHandler {
-    Private(EventLoop &eventLoop, MessageFunction messages);
+    Private(EventLoop &eventLoop, MessageFunction messages, ConnectionBudget *budget);
     ~Private() noexcept(false);
 
     void send(const SendPeerMessage &effect);
@@ -54,10 +54,10 @@
     void taskFailed(kj::Exception &&exception) override;
 };
 
-PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages)
+PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages, ConnectionBudget *budget)
     : loop(eventLoop)
     , port(UvEventPort::forCurrentThread(eventLoop))
-    , server(eventLoop, bytesSent, std::move(messages))
+    , server(eventLoop, bytesSent, std::move(messages), budget)
     , lastCheck(eventLoop.now())
     , timer(new uv_timer_t)
     , tasks(*this)
@@ -159,8 +159,8 @@
     spdlog::error("peer link: a task failed: {}", exception.getDescription().cStr());
 }
 
-PeerLink::PeerLink(EventLoop &loop, MessageFunction messages)
-    : m_d(std::make_unique<Private>(loop, std::move(messages)))
+PeerLink::PeerLink(EventLoop &loop, MessageFunction messages, ConnectionBudget *budget)
+    : m_d(std::make_unique<Private>(loop, std::move(messages), budget))
 {
 }
 
--- a/src/libnutmeghingeio/peerlink.h
+++ b/src/libnutmeghingeio/peerlink.h
@@ -11,6 +11,7 @@
 
 namespace nutmeghinge {
 
+class ConnectionBudget;
 class EventLoop;
 
 /**
@@ -24,7 +25,8 @@
 public:
     using MessageFunction = std::function<void(PeerMessageArrived)>;
 
-    PeerLink(EventLoop &loop, MessageFunction messages);
+    /** budget: counts the connections of other nodes; null for none. Must outlive the link. */
+    PeerLink(EventLoop &loop, MessageFunction messages, ConnectionBudget *budget = nullptr);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
--- a/src/libnutmeghingeio/peerserver.cpp
+++ b/src/libnutmeghingeio/peerserver.cpp
@@ -1,5 +1,6 @@
 #include "peerserver.h"
 
+#include "connectionbudget.h"
 #include "eventloop.h"
 #include "peerlimits.h"
 #include "socketaddress.h"
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr int listenBacklog = 128;
+/** Share of the descriptors of connections that control connections may take. */
+constexpr std::uint64_t descriptorShareDivisor = 4;
 
 /** Implements the RPC interface that peers call. */
 class PeerControlService final : public wire::PeerControl::Server
@@ -48,13 +51,25 @@
 class PeerServer::Connection
 {
 public:
-    Connection(kj::Own<UvAsyncStream> stream, capnp::Capability::Client peerControl, MonotonicTime now)
-        : m_stream(kj::mv(stream))
+    Connection(kj::Own<UvAsyncStream> stream, capnp::Capability::Client peerControl, MonotonicTime now, ConnectionBudget *budget)
+        : m_budget(budget)
+        , m_stream(kj::mv(stream))
         , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, peerlimits::readerOptions())
         , m_rpc(capnp::makeRpcServer(m_network, kj::mv(peerControl)))
         , m_lastReceived(now)
     {
+        if (m_budget != nullptr) {
+            m_budget->addOwn();
+        }
+    }
+    ~Connection()
+    {
+        if (m_budget != nullptr) {
+            m_budget->removeOwn();
+        }
     }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
     kj::Promise<void> onDisconnect() { return m_network.onDisconnect(); }
     /** Returns whether a disconnected connection was closed on invalid input, not by the peer. */
@@ -72,6 +87,7 @@
     }
 
 private:
+    ConnectionBudget *m_budget;
     kj::Own<UvAsyncStream> m_stream;
     capnp::TwoPartyVatNetwork m_network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
@@ -79,9 +95,12 @@
     MonotonicTime m_lastReceived;
 };
 
-PeerServer::PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages)
+PeerServer::PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ConnectionBudget *budget)
     : m_loop(loop)
     , m_bytesSent(bytesSent)
+    , m_budget(budget)
+    , m_maxConnections(budget == nullptr ? peerlimits::incomingConnections
+                                         : std::clamp<std::size_t>(budget->limit() / descriptorShareDivisor, 1, peerlimits::incomingConnections))
     , m_peerControl(kj::heap<PeerControlService>(std::move(messages)))
     , m_tasks(new kj::TaskSet(*this))
 {
@@ -132,12 +151,12 @@
 
 void PeerServer::acceptConnection()
 {
-    if (m_connections.size() >= peerlimits::incomingConnections) {
+    if (m_connections.size() >= m_maxConnections) {
         closeLongestIdle();
     }
     auto accepted = UvAsyncStream::accept(m_loop, reinterpret_cast<uv_stream_t *>(m_listener), m_bytesSent);
     KJ_IF_MAYBE (stream, accepted) {
-        m_connections.push_back(std::make_unique<Connection>(kj::mv(*stream), m_peerControl, m_loop.now()));
+        m_connections.push_back(std::make_unique<Connection>(kj::mv(*stream), m_peerControl, m_loop.now(), m_budget));
         Connection *connection = m_connections.back().get();
         // The connection must not be destroyed from within its own event.
         m_tasks->add(connection->onDisconnect().then([this, connection] { m_tasks->add(kj::evalLater([this, connection] { remove(connection); })); }));
--- a/src/libnutmeghingeio/peerserver.h
+++ b/src/libnutmeghingeio/peerserver.h
@@ -15,6 +15,7 @@
 
 namespace nutmeghinge {
 
+class ConnectionBudget;
 class EventLoop;
 
 /**
@@ -28,7 +29,8 @@
     using MessageFunction = std::function<void(PeerMessageArrived)>;
 
     /** @param bytesSent counter to which the bytes sent are added; outlives the server */
-    PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages);
+    /** budget: counts the connections, and bounds their number to a share of its limit; null for none. Must outlive the server. */
+    PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ConnectionBudget *budget);
     ~PeerServer() noexcept(false);
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
@@ -53,6 +55,8 @@
     EventLoop &m_loop;
     std::uint64_t &m_bytesSent;
     MessageFunction m_messages;
+    ConnectionBudget *m_budget;
+    std::size_t m_maxConnections;
     capnp::Capability::Client m_peerControl;
     /** On the heap, since uv finishes closing it after this object is destroyed. */
     uv_tcp_t *m_listener = nullptr;
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -78,6 +78,7 @@
     : m_loop(loop)
     , m_owner(owner)
     , m_options(options)
+    , m_idleSince(loop.now())
     , m_inputCharge(options.limits.memory, loop.now())
     , m_outputCharge(options.limits.memory, loop.now())
 {
@@ -122,6 +123,9 @@
         abort();
         return false;
     }
+    if (m_options.limits.connections != nullptr) {
+        m_options.limits.connections->add(*this);
+    }
     armTimer(m_options.idleTimeout);
     updateReading();
     return true;
@@ -404,6 +408,7 @@
         return;
     }
     partial.request.body.keep(charge);
+    m_hasServed = true;
     m_inputEnded = !partial.keepAlive || m_closeAfterAnswers;
     const auto exchange = std::make_shared<PipelinedExchange>(*this, std::move(partial.request), partial.keepAlive);
     m_exchanges.push_back(exchange);
@@ -456,6 +461,7 @@
         return;
     }
     if (m_exchanges.empty()) {
+        m_idleSince = m_loop.now();
         armTimer(m_options.idleTimeout);
     } else if (m_exchanges.front()->m_writableFunction) {
         // The exchange is now first in the queue, so its source may continue.
@@ -615,6 +621,9 @@
     std::string().swap(m_input);
     m_inputCharge.release();
     m_outputCharge.release();
+    if (m_options.limits.connections != nullptr) {
+        m_options.limits.connections->remove(*this);
+    }
     for (const auto &exchange : m_exchanges) {
         exchange->m_connection = nullptr;
         exchange->m_writableFunction = nullptr;
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionbudget.h"
 #include "httpexchange.h"
 #include "httplistener.h"
 #include "memorycharge.h"
@@ -25,7 +26,7 @@
  * server and by its handles in the loop. What it holds for the client is charged to
  * the memory budget, which may reclaim an unfinished request or unread answers.
  */
-class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>
+class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>, public ConnectionBudget::Holder
 {
 public:
     /** Interface to the server, which outlives its connections. */
@@ -41,7 +42,7 @@
 
     /** The options must outlive the connection. */
     PipelinedConnection(EventLoop &loop, Owner &owner, const HttpListener::Options &options);
-    ~PipelinedConnection();
+    ~PipelinedConnection() override;
     PipelinedConnection(const PipelinedConnection &) = delete;
     PipelinedConnection &operator=(const PipelinedConnection &) = delete;
 
@@ -55,6 +56,10 @@
     void closeIfIdle();
     /** Resets the connection without calling the closed functions of its exchanges. */
     void abort();
+    bool isClosable() const override { return m_state == State::Lingering || (m_state == State::Open && m_exchanges.empty()); }
+    bool hasServed() const override { return m_hasServed; }
+    MonotonicTime idleSince() const override { return m_idleSince; }
+    void closeForRoom() override { close(); }
     /** Returns the client's endpoint; empty if the client has disconnected. */
     Endpoint client() const { return SocketAddress::remoteEndpoint(&m_socket); }
 
@@ -138,6 +143,8 @@
     /** True if no further request is read: the client announced its last request, a request was refused or the server shuts down. */
     bool m_inputEnded = false;
     bool m_flushing = false;
+    bool m_hasServed = false;
+    MonotonicTime m_idleSince;
     /** Bytes received since they last counted as progress. */
     std::size_t m_unmarkedBytes = 0;
     /** Bytes received after the last request that was read. */
--- a/src/libnutmeghingeio/pipelinedserver.cpp
+++ b/src/libnutmeghingeio/pipelinedserver.cpp
@@ -1,5 +1,6 @@
 #include "pipelinedserver.h"
 
+#include "connectionbudget.h"
 #include "eventloop.h"
 #include "loglimiter.h"
 #include "pendingconnections.h"
@@ -63,8 +64,13 @@
 void PipelinedServer::Private::accept()
 {
     auto connection = std::make_shared<PipelinedConnection>(loop, *this, options);
+    const bool hasRoom = options.limits.connections == nullptr || options.limits.connections->makeRoom();
     if (connection->accept(reinterpret_cast<uv_stream_t *>(listener))) {
         connections.emplace(connection.get(), connection);
+        if (!hasRoom) {
+            onRequestRefused("no descriptor is left for a connection");
+            connection->abort();
+        }
     }
 }
 
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -121,15 +121,19 @@
     , m_adapters(std::move(adapters))
     , m_limits(readProcessLimits(m_settings))
     , m_memory(MemoryBudget::limitsFor(m_limits.memoryBytes))
-    , m_client(loop, idleConnectionsPerEndpoint)
+    , m_connections(m_limits.descriptors)
+    , m_client(loop, idleConnectionsPerEndpoint, &m_connections)
     , m_forwarder(loop, m_client, *m_adapters.requests, [this](EventBody body) { dispatch(std::move(body)); })
     , m_targetClient(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
     , m_platform(m_adapters.makePlatform(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); }))
-    , m_peerLink(loop, [this](PeerMessageArrived message) { dispatch(std::move(message)); })
+    , m_peerLink(
+          loop,
+          [this](PeerMessageArrived message) { dispatch(std::move(message)); },
+          &m_connections)
     , m_callerServer(makeCallerServer())
     , m_peerServer(makePeerServer())
-    , m_announcements(m_adapters.makeAnnouncements(loop, [this](EventBody body) { dispatch(std::move(body)); }))
-    , m_operationsServer(loop)
+    , m_announcements(m_adapters.makeAnnouncements(loop, clientLimits(), [this](EventBody body) { dispatch(std::move(body)); }))
+    , m_operationsServer(loop, clientLimits())
     , m_timeline(m_settings.timelineRecords)
 {
 }
@@ -386,6 +390,9 @@
     adapters.clientMemoryBytes = m_memory.used();
     adapters.clientMemoryLimitBytes = m_memory.limits().total;
     adapters.clientMemoryRefusals = m_memory.refused();
+    adapters.connections = m_connections.used();
+    adapters.connectionLimit = m_connections.limit();
+    adapters.connectionsClosedForRoom = m_connections.closed();
     adapters.largestRowBytes = m_platform->largestRowBytes();
     adapters.cellMembers = cell.members().size();
     adapters.nodesWithoutRoom = cell.nodesWithoutRoom(m_loop.now());
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionbudget.h"
 #include "effects.h"
 #include "eventloop.h"
 #include "events.h"
@@ -57,7 +58,7 @@
     void onListenerClosed();
     void runExit(const Exit &effect);
 
-    ClientLimits clientLimits() { return {&m_memory}; }
+    ClientLimits clientLimits() { return {&m_memory, &m_connections}; }
     std::unique_ptr<HttpListener> makeCallerServer();
     std::unique_ptr<HttpListener> makePeerServer();
     /** Returns free memory to the system after clients have held much. */
@@ -78,6 +79,7 @@
     MemoryBudget m_memory;
     /** Most memory held for clients since free memory was last returned to the system, in bytes. */
     std::uint64_t m_highestMemory = 0;
+    ConnectionBudget m_connections;
     HttpClient m_client;
     RequestForwarder m_forwarder;
     TargetClient m_targetClient;
--- a/src/nutmeghinge/processlimits.cpp
+++ b/src/nutmeghinge/processlimits.cpp
@@ -13,6 +13,8 @@
 
 constexpr int mappedBlockBytes = 131072;
 constexpr int keptFreeBytes = 4194304;
+/** Descriptors to assume if the system sets no limit. */
+constexpr std::uint64_t unlimitedDescriptors = 1048576;
 
 /** Returns the soft limit of the resource; the given value if there is none. */
 std::uint64_t limitOf(__rlimit_resource resource, std::uint64_t unlimited)
@@ -37,7 +39,8 @@
 
 ProcessLimits readProcessLimits(const NodeSettings &settings)
 {
-    return {.memoryBytes = settings.memoryBytes > 0 ? settings.memoryBytes : memoryOfSystem()};
+    return {.memoryBytes = settings.memoryBytes > 0 ? settings.memoryBytes : memoryOfSystem(),
+            .descriptors = settings.descriptors > 0 ? settings.descriptors : limitOf(RLIMIT_NOFILE, unlimitedDescriptors)};
 }
 
 void configureAllocator()
--- a/src/nutmeghinge/processlimits.h
+++ b/src/nutmeghinge/processlimits.h
@@ -9,6 +9,7 @@
 /** What the process may use of its machine. */
 struct ProcessLimits {
     std::uint64_t memoryBytes = 0;
+    std::uint64_t descriptors = 0;
 };
 
 /** Returns the limits that the settings state. Where they state none, returns what the system allows the process. */
--- a/tests/core/memorybudgettest.cpp
+++ b/tests/core/memorybudgettest.cpp
@@ -1,4 +1,5 @@
 #include "memorybudget.h"
+#include "connectionbudget.h"
 #include "memorycharge.h"
 
 #include <catch2/catch.hpp>
@@ -56,6 +57,29 @@
     return MonotonicTime(time);
 }
 
+class Connection final : public ConnectionBudget::Holder
+{
+public:
+    Connection(ConnectionBudget &budget, bool served, Duration idleSince)
+        : m_served(served)
+        , m_idleSince(at(idleSince))
+    {
+        budget.add(*this);
+    }
+
+    bool isClosable() const override { return !busy; }
+    bool hasServed() const override { return m_served; }
+    MonotonicTime idleSince() const override { return m_idleSince; }
+    void closeForRoom() override { closed = true; }
+
+    bool busy = false;
+    bool closed = false;
+
+private:
+    bool m_served;
+    MonotonicTime m_idleSince;
+};
+
 } // namespace
 
 TEST_CASE("What clients are charged is what they hold, never over the limit, and nothing at the end", "[memory]")
@@ -159,3 +183,28 @@
     CHECK(asked == 1);
     CHECK(budget.used() == 700);
 }
+
+TEST_CASE("Connections that never served a request make room first, then those idle for longest", "[connections]")
+{
+    constexpr std::uint64_t descriptors = 20;
+    ConnectionBudget budget(descriptors);
+    REQUIRE(budget.limit() == 2);
+    Connection served(budget, true, 1s);
+    Connection unused(budget, false, 5s);
+    REQUIRE(budget.makeRoom());
+    CHECK(unused.closed);
+    Connection next(budget, true, 0s);
+    REQUIRE(budget.makeRoom());
+    CHECK(next.closed);
+    Connection busy(budget, false, 0s);
+    busy.busy = true;
+    served.busy = true;
+    CHECK_FALSE(budget.makeRoom());
+    CHECK_FALSE(served.closed);
+    CHECK(budget.closed() == 3);
+    budget.remove(served);
+    budget.addOwn();
+    CHECK_FALSE(budget.makeRoom());
+    budget.removeOwn();
+    CHECK(budget.makeRoom());
+}
