Charge what the HTTP/2-capable listener holds to the node's memory budget

Callers saw: at a listener without pipelining (HTTP/1.1 and HTTP/2) a crowd of large bodies ended the node, as at the others before.

Cause: h2o keeps a body until it is complete and has no hook while it arrives, so the budget didn't know of it.

Change: after each turn of the loop a connection is charged with the capacity of h2o's input buffer; over HTTP/2, where h2o keeps bodies elsewhere, with three times the bytes received (buffers double and are copied) less those of handled requests, counted every 5 ms by TCP_INFO. Without room the connection is closed, as h2o can't answer a request that it is still reading; a complete request that doesn't fit gets 503. The copy that the forwarder takes is charged like any other body.

Ruled out: h2o's own limit on a body lowered as memory runs out (it answers 413, which isn't true and is not repeated); its count of bytes read (it is that of the last read only, seen in a trial that didn't hold).

Limit of this: a body takes more than twice its size here, so the largest that fits is about a fifth of the process's memory, over HTTP/2 a seventh. A client that mixes unfinished streams with many small requests is undercounted by up to 1 KiB for each of them.

--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -4,11 +4,14 @@
 #include "eventloop.h"
 #include "httpserverexchange.h"
 #include "loglimiter.h"
+#include "memorycharge.h"
 #include "pendingconnections.h"
+#include "receivedbytes.h"
 #include "requestframing.h"
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstring>
 #include <netinet/tcp.h>
 #include <unistd.h>
@@ -30,6 +33,16 @@
 constexpr std::uint32_t loggedRefusalsPerSecond = 10;
 /** Descriptors of a connection: its socket, and a copy to watch it. */
 constexpr std::size_t descriptorsOfConnection = 2;
+/** Memory that a connection takes beside its input, in bytes. */
+constexpr std::size_t connectionBytes = 8192;
+/** Interval at which the received bytes of HTTP/2 connections are counted, which takes a system call each. */
+constexpr Duration http2CountInterval = std::chrono::milliseconds(5);
+/** A request that is being received makes progress if this many bytes arrive. */
+constexpr std::uint64_t progressBytes = 16384;
+/** h2o doubles the buffer of an HTTP/2 body and copies it, so that it takes up to this many times the bytes received. */
+constexpr std::uint64_t http2BufferFactor = 3;
+/** Most bytes of the head and framing of one HTTP/2 request. */
+constexpr std::uint64_t http2OverheadBytes = 1024;
 
 std::variant<Endpoint, ListenError> boundEndpoint(const uv_tcp_t *listener, const Endpoint &requested)
 {
@@ -81,6 +94,7 @@
     struct Connection final : public ConnectionBudget::Holder {
         Connection(Private *usedServer, MonotonicTime now)
             : server(usedServer)
+            , memory(usedServer->options.limits.memory, now)
             , idleSinceTime(now)
         {
         }
@@ -90,6 +104,13 @@
         MonotonicTime idleSince() const override { return idleSinceTime; }
         void closeForRoom() override { end(); }
 
+        bool usesHttp2() const;
+        /** Returns the bytes that the client has sent over HTTP/2 so far. */
+        std::uint64_t countHttp2Bytes();
+        /** Returns the bytes that h2o keeps of requests that have not been received completely. */
+        std::uint64_t inputBytes();
+        /** Frees the memory of unfinished requests by ending the connection, unless it serves an HTTP/1 request. */
+        void reclaim();
         /** Shuts the socket down; h2o then closes the connection. */
         void end();
 
@@ -100,9 +121,16 @@
         bool isHttp2 = false;
         bool clientDisconnected = false;
         std::unordered_set<HttpServerExchange *> running;
+        MemoryCharge memory;
         MonotonicTime idleSinceTime;
         bool served = false;
         bool ending = false;
+        /** Bytes kept when they last counted as progress. */
+        std::uint64_t progressAt = 0;
+        /** Bytes received over HTTP/2: all so far, those up to the last request, and those of requests that were handled. */
+        std::uint64_t http2Bytes = 0;
+        std::uint64_t http2BytesAtRequest = 0;
+        std::uint64_t http2BytesHandled = 0;
     };
     struct RequestHandler {
         h2o_handler_t super;
@@ -122,7 +150,13 @@
     void onConnectionClosed(Connection &connection);
     int handle(h2o_req_t &request);
     void refuse(h2o_req_t &request, const char *reason);
+    void refuseForMemory(h2o_req_t &request);
     void logRefusal(std::string_view reason);
+    /** Charges what all connections hold. Runs once in each iteration of the loop, after the sockets were read. */
+    void chargeInput();
+    void chargeInput(Connection &connection);
+    /** Notes that the bytes of the request are no longer those of an unfinished one. */
+    void subtractRequest(Connection &connection, const h2o_req_t &request);
     void closeIdle();
     void stopListening();
     void finishShutdown();
@@ -135,7 +169,11 @@
     h2o_accept_ctx_t acceptContext{};
     uv_tcp_t *listener = nullptr;
     uv_timer_t *idleCheck = nullptr;
+    uv_check_t *inputCheck = nullptr;
+    MonotonicTime http2CountedAt;
     LogLimiter refusalLog{loggedRefusalsPerSecond};
+    /** Callbacks of h2o's HTTP/1 connections, which tell them from HTTP/2 connections. */
+    const h2o_conn_callbacks_t *http1Callbacks = nullptr;
     std::unordered_map<h2o_socket_t *, std::unique_ptr<Connection>> connections;
     std::function<void()> shutdownFinished;
     bool destroying = false;
@@ -162,6 +200,12 @@
     idleCheck = new uv_timer_t;
     uv_timer_init(loop.handle(), idleCheck);
     idleCheck->data = this;
+    inputCheck = new uv_check_t;
+    uv_check_init(loop.handle(), inputCheck);
+    inputCheck->data = this;
+    uv_check_start(inputCheck, [](uv_check_t *check) { static_cast<Private *>(check->data)->chargeInput(); });
+    // The check alone does not keep the loop running.
+    uv_unref(reinterpret_cast<uv_handle_t *>(inputCheck));
 }
 
 HttpServer::Private::~Private()
@@ -169,6 +213,7 @@
     destroying = true;
     stopListening();
     uv_close(reinterpret_cast<uv_handle_t *>(idleCheck), [](uv_handle_t *handle) { delete reinterpret_cast<uv_timer_t *>(handle); });
+    uv_close(reinterpret_cast<uv_handle_t *>(inputCheck), [](uv_handle_t *handle) { delete reinterpret_cast<uv_check_t *>(handle); });
     for (auto &[socket, connection] : connections) {
         const std::unordered_set<HttpServerExchange *> running = connection->running;
         shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
@@ -239,7 +284,10 @@
     if (options.limits.connections != nullptr) {
         options.limits.connections->add(added, descriptorsOfConnection);
     }
+    added.memory.setReclaimFunction([&added] { added.reclaim(); });
     h2o_accept(&acceptContext, socket);
+    http1Callbacks = static_cast<h2o_conn_t *>(socket->data)->callbacks;
+    chargeInput(added);
 }
 
 void HttpServer::Private::watchConnection(Connection &connection)
@@ -286,14 +334,81 @@
     }
 }
 
+bool HttpServer::Private::Connection::usesHttp2() const
+{
+    return socket->data != nullptr && static_cast<const h2o_conn_t *>(socket->data)->callbacks != server->http1Callbacks;
+}
+
+std::uint64_t HttpServer::Private::Connection::countHttp2Bytes()
+{
+    http2Bytes = receivedBytes(h2o_socket_get_fd(socket)).value_or(http2Bytes);
+    return http2Bytes;
+}
+
+std::uint64_t HttpServer::Private::Connection::inputBytes()
+{
+    if (!usesHttp2()) {
+        return socket->input->capacity;
+    }
+    return http2BufferFactor * (countHttp2Bytes() - std::min(http2Bytes, http2BytesHandled));
+}
+
+void HttpServer::Private::Connection::reclaim()
+{
+    if (running.empty() || usesHttp2()) {
+        server->logRefusal("there is no memory for the request");
+        end();
+    }
+}
+
 void HttpServer::Private::Connection::end()
 {
     if (!ending) {
         ending = true;
+        memory.release();
         shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     }
 }
 
+void HttpServer::Private::chargeInput()
+{
+    if (options.limits.memory == nullptr) {
+        return;
+    }
+    const MonotonicTime now = loop.now();
+    const bool countsHttp2 = now - http2CountedAt >= http2CountInterval;
+    for (const auto &[socket, connection] : connections) {
+        if (!connection->ending && (countsHttp2 || !connection->usesHttp2())) {
+            chargeInput(*connection);
+        }
+    }
+    http2CountedAt = countsHttp2 ? now : http2CountedAt;
+}
+
+void HttpServer::Private::chargeInput(Connection &connection)
+{
+    const std::uint64_t held = connection.inputBytes();
+    const std::uint64_t received = connection.usesHttp2() ? held : connection.socket->input->size;
+    if (received < connection.progressAt || received - connection.progressAt >= progressBytes) {
+        connection.progressAt = received;
+        connection.memory.recordProgress(loop.now());
+    }
+    if (!connection.memory.resize(connectionBytes + held, loop.now())) {
+        connection.reclaim();
+    }
+}
+
+void HttpServer::Private::subtractRequest(Connection &connection, const h2o_req_t &request)
+{
+    if (!connection.usesHttp2()) {
+        return;
+    }
+    const std::uint64_t sinceLast = connection.countHttp2Bytes() - connection.http2BytesAtRequest;
+    const std::uint64_t overhead = sinceLast - std::min<std::uint64_t>(sinceLast, request.entity.len);
+    connection.http2BytesHandled += request.entity.len + std::min(overhead, http2OverheadBytes);
+    connection.http2BytesAtRequest = connection.http2Bytes;
+}
+
 void HttpServer::Private::logRefusal(std::string_view reason)
 {
     if (refusalLog.admit(loop.now())) {
@@ -308,6 +423,17 @@
     h2o_send_error_400(&request, "Bad Request", reason, 0);
 }
 
+void HttpServer::Private::refuseForMemory(h2o_req_t &request)
+{
+    logRefusal("there is no memory for the request");
+    for (const auto &[name, value] : options.unavailableHeaders) {
+        const h2o_iovec_t ownName = h2o_strdup(&request.pool, name.data(), name.size());
+        const h2o_iovec_t ownValue = h2o_strdup(&request.pool, value.data(), value.size());
+        h2o_add_header_by_str(&request.pool, &request.res.headers, ownName.base, ownName.len, 1, nullptr, ownValue.base, ownValue.len);
+    }
+    h2o_send_error_503(&request, "Service Unavailable", "there is no memory for the request\n", H2O_SEND_ERROR_KEEP_HEADERS);
+}
+
 int HttpServer::Private::handle(h2o_req_t &request)
 {
     h2o_socket_t *socket = request.conn->callbacks->get_socket(request.conn);
@@ -318,7 +444,14 @@
         return 0;
     }
     connection.served = true;
-    const std::shared_ptr<HttpServerExchange> exchange = HttpServerExchange::create(request);
+    subtractRequest(connection, request);
+    connection.memory.restart(loop.now());
+    const auto charge = std::make_shared<MemoryCharge>(options.limits.memory, loop.now());
+    if (!charge->resize(connectionBytes + request.entity.len, loop.now())) {
+        refuseForMemory(request);
+        return 0;
+    }
+    const std::shared_ptr<HttpServerExchange> exchange = HttpServerExchange::create(request, charge);
     if (!isWritableAsHttp1(exchange->request())) {
         refuse(request, "the request head contains forbidden characters\n");
         return 0;
--- a/src/libnutmeghingeio/httpserverexchange.cpp
+++ b/src/libnutmeghingeio/httpserverexchange.cpp
@@ -62,10 +62,10 @@
 
 } // namespace
 
-std::shared_ptr<HttpServerExchange> HttpServerExchange::create(h2o_req_t &request)
+std::shared_ptr<HttpServerExchange> HttpServerExchange::create(h2o_req_t &request, std::shared_ptr<const void> charge)
 {
     using Holder = std::shared_ptr<HttpServerExchange>;
-    auto exchange = std::make_shared<HttpServerExchange>(request);
+    auto exchange = std::make_shared<HttpServerExchange>(request, std::move(charge));
     const auto dispose = [](void *memory) {
         auto *holder = static_cast<Holder *>(memory);
         (*holder)->onRequestEnded();
@@ -75,10 +75,11 @@
     return exchange;
 }
 
-HttpServerExchange::HttpServerExchange(h2o_req_t &request)
+HttpServerExchange::HttpServerExchange(h2o_req_t &request, std::shared_ptr<const void> charge)
     : m_h2oRequest(&request)
     , m_request(copyRequest(request))
 {
+    m_request.body.keep(std::move(charge));
     m_generator.super.proceed = [](h2o_generator_t *self, h2o_req_t *) { reinterpret_cast<Generator *>(self)->exchange->proceed(); };
     m_generator.exchange = this;
     m_flush.super.cb = [](h2o_timeout_entry_t *entry) {
--- a/src/libnutmeghingeio/httpserverexchange.h
+++ b/src/libnutmeghingeio/httpserverexchange.h
@@ -16,10 +16,10 @@
 class HttpServerExchange final : public HttpExchange, public std::enable_shared_from_this<HttpServerExchange>
 {
 public:
-    /** Creates an exchange that the h2o request co-owns until it ends. */
-    static std::shared_ptr<HttpServerExchange> create(h2o_req_t &request);
+    /** Creates an exchange that the h2o request co-owns until it ends. charge: kept as long as a copy of the body exists. */
+    static std::shared_ptr<HttpServerExchange> create(h2o_req_t &request, std::shared_ptr<const void> charge);
 
-    explicit HttpServerExchange(h2o_req_t &request);
+    HttpServerExchange(h2o_req_t &request, std::shared_ptr<const void> charge);
     ~HttpServerExchange() override;
     HttpServerExchange(const HttpServerExchange &) = delete;
     HttpServerExchange &operator=(const HttpServerExchange &) = delete;
