Do not let a stop wait for a request that does not arrive

Operators saw: a node that was told to stop beside clients with unfinished requests ended only after their time limit of 20 s, or was ended from outside before.

Cause: a shutdown closed idle connections only; a connection with a part of a request was kept until its time limit.

Change: a shutdown refuses, every 250 ms, each request of whose sender nothing came for a second: 503, not run. What still arrives is read on.

--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -199,6 +199,7 @@
 
 void PipelinedConnection::recordInput(std::size_t size)
 {
+    m_lastInput = m_loop.now();
     m_unmarkedBytes += size;
     if (m_unmarkedBytes < progressBytes) {
         return;
@@ -545,6 +546,13 @@
     }
 }
 
+void PipelinedConnection::refuseStalled(Duration time)
+{
+    if (m_state == State::Open && hasUnfinishedRequest() && !m_inputEnded && m_loop.now() - m_lastInput >= time) {
+        refuse(503, "this node is stopping", m_options.unavailableHeaders);
+    }
+}
+
 void PipelinedConnection::handleDisconnect()
 {
     const auto exchanges = m_exchanges;
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -54,6 +54,8 @@
     void closeAfterAnswers();
     /** Like closeAfterAnswers(), but closes an idle connection at once. */
     void closeIfIdle();
+    /** During a shutdown: refuses a request that is being received and has made no progress for this time. */
+    void refuseStalled(Duration time);
     /** Resets the connection without calling the closed functions of its exchanges. */
     void abort();
     bool isClosable() const override { return m_state == State::Lingering || (m_state == State::Open && m_exchanges.empty()); }
@@ -145,6 +147,7 @@
     bool m_flushing = false;
     bool m_hasServed = false;
     MonotonicTime m_idleSince;
+    MonotonicTime m_lastInput;
     /** Bytes received since they last counted as progress. */
     std::size_t m_unmarkedBytes = 0;
     /** Bytes received after the last request that was read. */
--- a/src/libnutmeghingeio/pipelinedserver.cpp
+++ b/src/libnutmeghingeio/pipelinedserver.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int listenBacklog = 1024;
+/** Time without a byte after which a shutdown does not wait for the rest of a request. */
+constexpr Duration stallTime = std::chrono::seconds(1);
 constexpr std::uint32_t loggedRefusalsPerSecond = 10;
 /** Delay between the start of a shutdown and the closing of idle connections; a request sent in this time still gets an answer that announces the close. */
 constexpr Duration idleGrace = std::chrono::milliseconds(250);
@@ -47,6 +49,8 @@
     void acceptPending();
     void stopListening();
     void finishShutdownIfClosed();
+    /** Refuses unfinished requests whose clients send nothing, until all connections are closed. */
+    void refuseStalledLater();
 
     EventLoop &loop;
     Options options;
@@ -103,6 +107,23 @@
     }
 }
 
+void PipelinedServer::Private::refuseStalledLater()
+{
+    if (connections.empty()) {
+        return;
+    }
+    loop.callLater(idleGrace, [this, exists = std::weak_ptr<void>(alive)] {
+        if (exists.expired()) {
+            return;
+        }
+        const auto open = connections;
+        for (const auto &[key, connection] : open) {
+            connection->refuseStalled(stallTime);
+        }
+        refuseStalledLater();
+    });
+}
+
 PipelinedServer::PipelinedServer(EventLoop &loop, Options options, Handler handler)
     : m_d(std::make_unique<Private>(loop, std::move(options), std::move(handler)))
 {
@@ -163,6 +184,7 @@
             connection->closeIfIdle();
         }
         m_d->finishShutdownIfClosed();
+        m_d->refuseStalledLater();
     });
 }
 
