Test that an answer with status 000 is not passed on

The caller gets nothing of it, the attempt is unknown, and the connection is closed. Nothing had to be mended; the test passes on the code before.

--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -520,3 +520,33 @@
     CHECK(runUntil(setup.loop, [&] { return setup.target.connections()[0]->isEnded() || sent > 2000000; }));
     CHECK(sent <= 1000000);
 }
+
+// Guards against an answer whose status no client understands (MIXED).
+TEST_CASE("An answer with status 000 is not passed on, and its connection is not used again")
+{
+    const bool fromPeer = GENERATE(false, true);
+    const std::string method = GENERATE("GET", "POST");
+    ForwarderSetup setup;
+    if (fromPeer) {
+        setup.sendToPeer();
+    } else {
+        setup.sendToTarget();
+    }
+    setup.onTargetRequest = [](RawConnection &connection) { connection.send(okHead + "Content-Length: 4\r\n\r\nteak"); };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(runUntil(setup.loop, [&] { return caller.received().ends_with("teak"); }));
+    REQUIRE(setup.await<AttemptFinished>());
+
+    setup.onTargetRequest = [](RawConnection &connection) { connection.send("HTTP/1.1 000 None\r\nContent-Length: 3\r\n\r\noak"); };
+    setup.events.clear();
+    caller.received().clear();
+    caller.send(method + " /a HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(setup.await<AttemptFinished>());
+    REQUIRE(setup.target.connections().size() == 1);
+    REQUIRE(setup.result<AttemptUnknown>());
+    CHECK(setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::WrongAnswer);
+    CHECK_FALSE(setup.result<AttemptUnknown>()->answerBegun);
+    CHECK(runUntil(setup.loop, [&] { return setup.target.connections()[0]->isEnded(); }));
+    CHECK(caller.received().empty());
+}
