--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -236,7 +236,9 @@
     {
         request.progressTimeout = std::chrono::milliseconds(30);
         request.method = "POST";
-        request.body = RequestBody(std::string(30000000, 'x'));
+        std::string body;
+        body.resize(30000000, 'x');
+        request.body = RequestBody(std::move(body));
         setup.onRequest = [&](RawConnection &connection) { connection.pause(); };
     }
     SECTION("deadline")
--- a/tests/process/clientcrowdtest.cpp
+++ b/tests/process/clientcrowdtest.cpp
@@ -219,7 +219,9 @@
 
     ClientCrowd crowd(desk.endpoint(Door::Callers, entry), 8, shortBody(60 * megabyte), ClientCrowd::Reading::Yes);
     crowd.run();
-    const BlockingAnswer answer = desk.desk().cluster().request(desk.vm(entry), "teak", {"POST", "/advice", {}, std::string(largestBody, 'x'), 60});
+    std::string body;
+    body.resize(largestBody, 'x');
+    const BlockingAnswer answer = desk.desk().cluster().request(desk.vm(entry), "teak", {"POST", "/advice", {}, body, 60});
     for (std::size_t index = 0; index < nodes; ++index) {
         INFO("node " << index << ", highest memory " << desk.peakMemory(index) << '\n' << desk.vm(index).node->output().substr(0, 4000));
         REQUIRE_FALSE(desk.vm(index).node->hasEnded());
