Do not cut answers that are read to make room for bodies

Found by reading the budget again. A download with more than 64 KiB on its way counted as a large holder, the newest one, so beside a crowd that filled the large share its connection was reset, although its client read. Answers on their way may take the small share too now, get room from requests that are being received, and are reclaimed only if nothing was read since they were last charged. Unread answers make room for large bodies. A connection whose last answer is not sent yet isn't closed for want of descriptors. A request isn't handed on if making room for it has closed its own connection, which would have left the exchange without a connection.

--- a/src/libnutmeghinge/decisions/memorybudget.cpp
+++ b/src/libnutmeghinge/decisions/memorybudget.cpp
@@ -25,7 +25,7 @@
 
 bool MemoryBudget::resize(MemoryCharge &charge, std::uint64_t bytes, MonotonicTime now)
 {
-    while (bytes > charge.m_bytes && !fits(charge, bytes)) {
+    while (bytes > charge.m_bytes && !(fitsTotal(charge, bytes) && fitsLargeShare(charge, bytes))) {
         MemoryCharge *victim = chooseVictim(charge, bytes, now);
         ++m_refused;
         if (victim == nullptr || victim == &charge) {
@@ -44,25 +44,40 @@
     return true;
 }
 
-bool MemoryBudget::fits(const MemoryCharge &charge, std::uint64_t bytes) const
+bool MemoryBudget::isLarge(const MemoryCharge &charge, std::uint64_t bytes) const
 {
-    const std::uint64_t others = m_used - charge.m_bytes;
-    const std::uint64_t otherLarge = m_usedByLarge - (isLarge(charge.m_bytes) ? charge.m_bytes : 0);
-    if (others + bytes > m_limits.total) {
-        return false;
-    }
-    return !isLarge(bytes) || otherLarge + bytes <= m_limits.total - m_limits.smallReserve;
+    return charge.m_when == MemoryCharge::Reclaim::Always && bytes > m_limits.smallBytes;
+}
+
+bool MemoryBudget::isLarge(const MemoryCharge &charge) const
+{
+    return isLarge(charge, charge.m_bytes);
+}
+
+std::uint64_t MemoryBudget::bytesOf(const MemoryCharge &charge)
+{
+    return charge.m_bytes;
+}
+
+bool MemoryBudget::fitsLargeShare(const MemoryCharge &charge, std::uint64_t bytes) const
+{
+    const std::uint64_t others = m_usedByLarge - (isLarge(charge) ? charge.m_bytes : 0);
+    return !isLarge(charge, bytes) || others + bytes <= m_limits.total - m_limits.smallReserve;
 }
 
 MemoryCharge *MemoryBudget::chooseVictim(const MemoryCharge &requester, std::uint64_t bytes, MonotonicTime now) const
 {
+    const bool isLargeRequester = isLarge(requester, bytes);
+    const bool fitsShare = fitsLargeShare(requester, bytes);
     MemoryCharge *chosen = nullptr;
     for (MemoryCharge *candidate : m_reclaimable) {
         const bool isRequester = candidate == &requester;
-        // Memory of small holders does not help a large one, whose share is limited.
-        const bool helps = candidate->m_bytes > 0 && (!isLarge(bytes) || isLarge(candidate->m_bytes));
-        const bool allowed = candidate->m_when == MemoryCharge::Reclaim::Always || isStalled(*candidate, now);
-        if (!isRequester && (candidate->m_inUse || !helps || !allowed)) {
+        const bool stalled = isStalled(*candidate, now);
+        // A large charge takes no room from small ones at work, and their memory does not extend its share.
+        const bool helps = !isLargeRequester || isLarge(*candidate) || (stalled && fitsShare);
+        const bool allowed = candidate->m_when == MemoryCharge::Reclaim::Always || stalled;
+        const bool has = candidate->m_bytes > 0 && !candidate->m_inUse;
+        if (!allowed || (!isRequester && !(has && helps))) {
             continue;
         }
         if (chosen == nullptr || isReclaimedBefore(*candidate, *chosen, now)) {
@@ -87,8 +102,8 @@
     if (leftStalled && left.m_bytes != right.m_bytes) {
         return left.m_bytes > right.m_bytes;
     }
-    if (isLarge(left.m_bytes) != isLarge(right.m_bytes)) {
-        return isLarge(left.m_bytes);
+    if (isLarge(left) != isLarge(right)) {
+        return isLarge(left);
     }
     return left.m_number > right.m_number;
 }
@@ -97,8 +112,8 @@
 {
     assert(m_used >= charge.m_bytes);
     m_used += bytes - charge.m_bytes;
-    m_usedByLarge -= isLarge(charge.m_bytes) ? charge.m_bytes : 0;
-    m_usedByLarge += isLarge(bytes) ? bytes : 0;
+    m_usedByLarge -= isLarge(charge) ? charge.m_bytes : 0;
+    m_usedByLarge += isLarge(charge, bytes) ? bytes : 0;
     m_highest = std::max(m_highest, m_used);
     charge.m_bytes = bytes;
 }
--- a/src/libnutmeghinge/decisions/memorybudget.h
+++ b/src/libnutmeghinge/decisions/memorybudget.h
@@ -16,7 +16,8 @@
  * data completely: first from those that make no progress, the largest first; then
  * from the newest. The oldest client that makes progress is therefore always able to
  * complete, and clients that each hold a part never wait for one another. A share
- * is reserved for small holders.
+ * is reserved for small holders. Answers on their way to clients that read them are
+ * never reclaimed, and may take that share too.
  */
 class MemoryBudget
 {
@@ -53,10 +54,14 @@
 private:
     friend class MemoryCharge;
 
-    bool isLarge(std::uint64_t bytes) const { return bytes > m_limits.smallBytes; }
+    /** Returns whether the charge, with this number of bytes, is one of those whose share is limited. */
+    bool isLarge(const MemoryCharge &charge, std::uint64_t bytes) const;
+    bool isLarge(const MemoryCharge &charge) const;
     /** Changes the bytes of a charge, after reclaiming others if necessary. Returns false, without changing it, if it does not fit. */
     bool resize(MemoryCharge &charge, std::uint64_t bytes, MonotonicTime now);
-    bool fits(const MemoryCharge &charge, std::uint64_t bytes) const;
+    bool fitsTotal(const MemoryCharge &charge, std::uint64_t bytes) const { return m_used - bytesOf(charge) + bytes <= m_limits.total; }
+    bool fitsLargeShare(const MemoryCharge &charge, std::uint64_t bytes) const;
+    static std::uint64_t bytesOf(const MemoryCharge &charge);
     /** Returns the charge from which to reclaim memory next so that another one can grow to this size; null if there is none. */
     MemoryCharge *chooseVictim(const MemoryCharge &requester, std::uint64_t bytes, MonotonicTime now) const;
     bool isStalled(const MemoryCharge &charge, MonotonicTime now) const;
--- a/src/libnutmeghinge/decisions/memorycharge.cpp
+++ b/src/libnutmeghinge/decisions/memorycharge.cpp
@@ -22,10 +22,14 @@
 void MemoryCharge::setReclaimFunction(ReclaimFunction function, Reclaim reclaim)
 {
     m_reclaim = std::move(function);
-    m_when = reclaim;
     if (m_budget == nullptr) {
         return;
     }
+    // What share the bytes count towards depends on when they may be reclaimed.
+    const std::uint64_t bytes = m_bytes;
+    m_budget->setBytes(*this, 0);
+    m_when = reclaim;
+    m_budget->setBytes(*this, bytes);
     if (m_reclaim) {
         m_budget->m_reclaimable.insert(this);
     } else {
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -83,7 +83,7 @@
     , m_outputCharge(options.limits.memory, loop.now())
 {
     m_inputCharge.setReclaimFunction([this] { reclaimInput(); });
-    m_outputCharge.setReclaimFunction([this] { reset(); }, MemoryCharge::Reclaim::IfStalled);
+    m_outputCharge.setReclaimFunction([this] { reclaimOutput(); }, MemoryCharge::Reclaim::IfStalled);
     uv_tcp_init(loop.handle(), &m_socket);
     uv_timer_init(loop.handle(), &m_timer);
     m_socket.data = this;
@@ -222,12 +222,18 @@
     return m_inputCharge.resize(inputBytes(m_partial ? m_partial->request.body.capacity() : 0), m_loop.now());
 }
 
-bool PipelinedConnection::chargeOutput()
+std::size_t PipelinedConnection::outputBytes() const
 {
-    std::size_t bytes = uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket));
+    std::size_t bytes = unsentBytes();
     for (const auto &exchange : m_exchanges) {
         bytes += exchange->m_output.capacity();
     }
+    return bytes;
+}
+
+bool PipelinedConnection::chargeOutput()
+{
+    const std::size_t bytes = outputBytes();
     if (bytes < m_outputCharge.bytes()) {
         m_outputCharge.recordProgress(m_loop.now());
     } else if (m_outputCharge.bytes() == 0) {
@@ -244,13 +250,37 @@
     }
     if (hasUnfinishedRequest()) {
         refuseForMemory();
-    } else if (m_exchanges.empty()) {
+    } else if (isClosable()) {
         close();
     }
 }
 
+/** Ends the connection of a client that has read nothing of its answers since they were last charged. */
+void PipelinedConnection::reclaimOutput()
+{
+    if (outputBytes() < m_outputCharge.bytes()) {
+        static_cast<void>(chargeOutput());
+        return;
+    }
+    reset();
+}
+
+bool PipelinedConnection::isClosable() const
+{
+    const bool serves = m_state == State::Open && !m_exchanges.empty();
+    return m_state != State::Closed && !serves && unsentBytes() == 0;
+}
+
+std::size_t PipelinedConnection::unsentBytes() const
+{
+    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket));
+}
+
 void PipelinedConnection::refuseForMemory()
 {
+    if (m_state != State::Open) {
+        return;
+    }
     refuse(503, "there is no memory for the request", m_options.unavailableHeaders);
 }
 
@@ -386,7 +416,7 @@
         refuseForMemory();
         return false;
     }
-    // Reclaiming memory may have closed this connection, which its client does not read.
+    // Reclaiming memory may have closed this connection, because its client does not read.
     if (m_state != State::Open) {
         return false;
     }
@@ -408,6 +438,9 @@
         refuseForMemory();
         return;
     }
+    if (m_state != State::Open) {
+        return;
+    }
     partial.request.body.keep(charge);
     m_hasServed = true;
     m_inputEnded = !partial.keepAlive || m_closeAfterAnswers;
@@ -505,7 +538,7 @@
 
 bool PipelinedConnection::isWriteQueueFull() const
 {
-    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket)) > writeQueueLimitBytes;
+    return unsentBytes() > writeQueueLimitBytes;
 }
 
 bool PipelinedConnection::hasUnreadInput() const
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -58,7 +58,7 @@
     void refuseStalled(Duration time);
     /** Resets the connection without calling the closed functions of its exchanges. */
     void abort();
-    bool isClosable() const override { return m_state == State::Lingering || (m_state == State::Open && m_exchanges.empty()); }
+    bool isClosable() const override;
     bool hasServed() const override { return m_hasServed; }
     MonotonicTime idleSince() const override { return m_idleSince; }
     void closeForRoom() override { close(); }
@@ -111,6 +111,11 @@
     bool chargeInput();
     bool chargeOutput();
     void reclaimInput();
+    void reclaimOutput();
+    /** Returns the memory that answers take that are not sent. */
+    std::size_t outputBytes() const;
+    /** Returns the size of the socket's write queue. */
+    std::size_t unsentBytes() const;
     /** Counts received bytes. Enough of them renew the time limit of a request. */
     void recordInput(std::size_t size);
 
