Bound the memory for control messages that do not end

Callers saw nothing of it yet: found by asking which listener has no budget. Clients that open control connections and send messages of almost 8 MiB without their last byte took 256 times as much memory, past any machine of the users.

Cause: Cap'n Proto allocates a message by its announced size, and nothing bounded all connections together. The crowd test of this listener didn't show it, since a limit of the system lets the allocation fail, on which the library closes the connection.

Change: control messages have a MemoryBudget of their own, an eighth of the process's memory, charged with what was received of each message. Without room the connection is closed by the same rules. A budget of their own, so that nodes reach one another beside a crowd of clients. An idle connection of the HTTP/2-capable listener is not closed for want of descriptors while it still writes an answer.

--- a/src/libnutmeghinge/decisions/memorybudget.cpp
+++ b/src/libnutmeghinge/decisions/memorybudget.cpp
@@ -9,18 +9,29 @@
 
 namespace {
 
-/** The other half is for what the process itself needs, and for what its allocator cannot return at once. */
+/** What is left is for what the process itself needs, and for what its allocator cannot return at once. */
 constexpr std::uint64_t clientShareDivisor = 2;
+constexpr std::uint64_t controlShareDivisor = 8;
 constexpr std::uint64_t smallReserveDivisor = 8;
 
+MemoryBudget::Limits limitsOf(std::uint64_t total)
+{
+    MemoryBudget::Limits limits;
+    limits.total = total;
+    limits.smallReserve = total / smallReserveDivisor;
+    return limits;
+}
+
 } // namespace
 
 MemoryBudget::Limits MemoryBudget::limitsFor(std::uint64_t memoryBytes)
 {
-    Limits limits;
-    limits.total = memoryBytes / clientShareDivisor;
-    limits.smallReserve = limits.total / smallReserveDivisor;
-    return limits;
+    return limitsOf(memoryBytes / clientShareDivisor);
+}
+
+MemoryBudget::Limits MemoryBudget::limitsForControl(std::uint64_t memoryBytes)
+{
+    return limitsOf(memoryBytes / controlShareDivisor);
 }
 
 bool MemoryBudget::resize(MemoryCharge &charge, std::uint64_t bytes, MonotonicTime now)
--- a/src/libnutmeghinge/decisions/memorybudget.h
+++ b/src/libnutmeghinge/decisions/memorybudget.h
@@ -42,6 +42,8 @@
 
     /** Returns the limits for a process that may use the given memory, in bytes. */
     static Limits limitsFor(std::uint64_t memoryBytes);
+    /** Returns the limits for control messages of other nodes, which are not part of limitsFor(). */
+    static Limits limitsForControl(std::uint64_t memoryBytes);
 
     const Limits &limits() const { return m_limits; }
     /** Returns the bytes that all charges hold. */
--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -99,7 +99,7 @@
         {
         }
 
-        bool isClosable() const override { return running.empty(); }
+        bool isClosable() const override { return running.empty() && h2o_socket_is_writing(socket) == 0; }
         bool hasServed() const override { return served; }
         MonotonicTime idleSince() const override { return idleSinceTime; }
         void closeForRoom() override { end(); }
--- a/src/libnutmeghingeio/peerlink.cpp
+++ b/src/libnutmeghingeio/peerlink.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 struct PeerLink::Private : private kj::TaskSet::ErrorHandler {
-    Private(EventLoop &eventLoop, MessageFunction messages, ConnectionBudget *budget);
+    Private(EventLoop &eventLoop, MessageFunction messages, ClientLimits limits);
     ~Private() noexcept(false);
 
     void send(const SendPeerMessage &effect);
@@ -54,10 +54,10 @@
     void taskFailed(kj::Exception &&exception) override;
 };
 
-PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages, ConnectionBudget *budget)
+PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages, ClientLimits limits)
     : loop(eventLoop)
     , port(UvEventPort::forCurrentThread(eventLoop))
-    , server(eventLoop, bytesSent, std::move(messages), budget)
+    , server(eventLoop, bytesSent, std::move(messages), limits)
     , lastCheck(eventLoop.now())
     , timer(new uv_timer_t)
     , tasks(*this)
@@ -159,8 +159,8 @@
     spdlog::error("peer link: a task failed: {}", exception.getDescription().cStr());
 }
 
-PeerLink::PeerLink(EventLoop &loop, MessageFunction messages, ConnectionBudget *budget)
-    : m_d(std::make_unique<Private>(loop, std::move(messages), budget))
+PeerLink::PeerLink(EventLoop &loop, MessageFunction messages, ClientLimits limits)
+    : m_d(std::make_unique<Private>(loop, std::move(messages), limits))
 {
 }
 
--- a/src/libnutmeghingeio/peerlink.h
+++ b/src/libnutmeghingeio/peerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "effects.h"
 #include "endpoint.h"
 #include "events.h"
@@ -11,7 +12,6 @@
 
 namespace nutmeghinge {
 
-class ConnectionBudget;
 class EventLoop;
 
 /**
@@ -25,8 +25,8 @@
 public:
     using MessageFunction = std::function<void(PeerMessageArrived)>;
 
-    /** budget: counts the connections of other nodes; null for none. Must outlive the link. */
-    PeerLink(EventLoop &loop, MessageFunction messages, ConnectionBudget *budget = nullptr);
+    /** limits: of the connections of other nodes, and of the memory for messages that they send. */
+    PeerLink(EventLoop &loop, MessageFunction messages, ClientLimits limits = {});
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
--- a/src/libnutmeghingeio/peerserver.cpp
+++ b/src/libnutmeghingeio/peerserver.cpp
@@ -51,13 +51,16 @@
 class PeerServer::Connection
 {
 public:
-    Connection(kj::Own<UvAsyncStream> stream, capnp::Capability::Client peerControl, MonotonicTime now, ConnectionBudget *budget)
-        : m_budget(budget)
+    Connection(kj::Own<UvAsyncStream> stream, capnp::Capability::Client peerControl, MonotonicTime now, ClientLimits limits)
+        : m_budget(limits.connections)
         , m_stream(kj::mv(stream))
         , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, peerlimits::readerOptions())
         , m_rpc(capnp::makeRpcServer(m_network, kj::mv(peerControl)))
         , m_lastReceived(now)
     {
+        if (limits.memory != nullptr) {
+            m_stream->setMemoryBudget(limits.memory);
+        }
         if (m_budget != nullptr) {
             m_budget->addOwn();
         }
@@ -74,6 +77,7 @@
     kj::Promise<void> onDisconnect() { return m_network.onDisconnect(); }
     /** Returns whether a disconnected connection was closed on invalid input, not by the peer. */
     bool closedOnInvalidInput() const { return !m_stream->hasEnded(); }
+    bool isOutOfMemory() const { return m_stream->isOutOfMemory(); }
     Endpoint peer() const { return m_stream->remoteEndpoint(); }
 
     /** Returns the time of the last call of this function that found new bytes received. */
@@ -95,12 +99,13 @@
     MonotonicTime m_lastReceived;
 };
 
-PeerServer::PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ConnectionBudget *budget)
+PeerServer::PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ClientLimits limits)
     : m_loop(loop)
     , m_bytesSent(bytesSent)
-    , m_budget(budget)
-    , m_maxConnections(budget == nullptr ? peerlimits::incomingConnections
-                                         : std::clamp<std::size_t>(budget->limit() / descriptorShareDivisor, 1, peerlimits::incomingConnections))
+    , m_limits(limits)
+    , m_maxConnections(limits.connections == nullptr
+                           ? peerlimits::incomingConnections
+                           : std::clamp<std::size_t>(limits.connections->limit() / descriptorShareDivisor, 1, peerlimits::incomingConnections))
     , m_peerControl(kj::heap<PeerControlService>(std::move(messages)))
     , m_tasks(new kj::TaskSet(*this))
 {
@@ -156,7 +161,7 @@
     }
     auto accepted = UvAsyncStream::accept(m_loop, reinterpret_cast<uv_stream_t *>(m_listener), m_bytesSent);
     KJ_IF_MAYBE (stream, accepted) {
-        m_connections.push_back(std::make_unique<Connection>(kj::mv(*stream), m_peerControl, m_loop.now(), m_budget));
+        m_connections.push_back(std::make_unique<Connection>(kj::mv(*stream), m_peerControl, m_loop.now(), m_limits));
         Connection *connection = m_connections.back().get();
         // The connection must not be destroyed from within its own event.
         m_tasks->add(connection->onDisconnect().then([this, connection] { m_tasks->add(kj::evalLater([this, connection] { remove(connection); })); }));
@@ -185,6 +190,9 @@
         const Endpoint peer = connection->peer();
         spdlog::warn("closed the control connection from peer {}:{}: its input is invalid", peer.address, peer.port);
     }
+    if (connection->isOutOfMemory() && m_refusalLog.admit(m_loop.now())) {
+        spdlog::warn("closed a control connection: there is no memory for its message; {} more were closed before", m_refusalLog.takeSuppressed(m_loop.now()));
+    }
     m_connections.erase(found);
 }
 
--- a/src/libnutmeghingeio/peerserver.h
+++ b/src/libnutmeghingeio/peerserver.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "endpoint.h"
 #include "events.h"
 #include "httpserver.h"
+#include "loglimiter.h"
 #include "peermessagecodec.h"
 
 #include <functional>
@@ -15,7 +17,6 @@
 
 namespace nutmeghinge {
 
-class ConnectionBudget;
 class EventLoop;
 
 /**
@@ -28,9 +29,11 @@
 public:
     using MessageFunction = std::function<void(PeerMessageArrived)>;
 
-    /** @param bytesSent counter to which the bytes sent are added; outlives the server */
-    /** budget: counts the connections, and bounds their number to a share of its limit; null for none. Must outlive the server. */
-    PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ConnectionBudget *budget);
+    /**
+     * bytesSent: counter to which the bytes sent are added; outlives the server. limits: the connections are counted, and their
+     * number is bounded to a share of the limit; the memory is that for control messages alone.
+     */
+    PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ClientLimits limits);
     ~PeerServer() noexcept(false);
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
@@ -55,13 +58,14 @@
     EventLoop &m_loop;
     std::uint64_t &m_bytesSent;
     MessageFunction m_messages;
-    ConnectionBudget *m_budget;
+    ClientLimits m_limits;
     std::size_t m_maxConnections;
     capnp::Capability::Client m_peerControl;
     /** On the heap, since uv finishes closing it after this object is destroyed. */
     uv_tcp_t *m_listener = nullptr;
     std::list<std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<kj::TaskSet> m_tasks;
+    LogLimiter m_refusalLog{1};
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/uvasyncstream.cpp
+++ b/src/libnutmeghingeio/uvasyncstream.cpp
@@ -1,6 +1,7 @@
 #include "uvasyncstream.h"
 
 #include "eventloop.h"
+#include "memorycharge.h"
 #include "socketaddress.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 
 constexpr std::size_t chunkBytes = 16384;
 constexpr std::size_t readAheadBytes = 65536;
+/** A message that is being received makes progress if this many bytes arrive. */
+constexpr std::uint64_t progressBytes = 16384;
 
 } // namespace
 
@@ -98,7 +101,8 @@
 }
 
 UvAsyncStream::UvAsyncStream(EventLoop &loop, std::uint64_t &bytesSent)
-    : m_handle(new Handle)
+    : m_loop(loop)
+    , m_handle(new Handle)
     , m_bytesSent(bytesSent)
 {
     m_handle->stream = this;
@@ -162,6 +166,31 @@
     }
     stream->append(reinterpret_cast<const kj::byte *>(buffer->base), static_cast<std::size_t>(size));
     stream->completeRead();
+    stream->chargeReceived();
+}
+
+void UvAsyncStream::setMemoryBudget(MemoryBudget *budget)
+{
+    m_charge = std::make_unique<MemoryCharge>(budget, m_loop.now());
+    m_charge->setReclaimFunction([this] { fail(UV_ENOMEM); });
+}
+
+void UvAsyncStream::chargeReceived()
+{
+    if (!m_charge || m_error) {
+        return;
+    }
+    const MonotonicTime now = m_loop.now();
+    if (m_bytesReceived - m_progressAt >= progressBytes) {
+        m_progressAt = m_bytesReceived;
+        m_charge->recordProgress(now);
+    }
+    if (!m_read) {
+        m_charge->restart(now);
+    }
+    if (!m_charge->resize(m_buffer.capacity() + (m_read ? m_read->taken : 0), now)) {
+        fail(UV_ENOMEM);
+    }
 }
 
 void UvAsyncStream::startReading()
@@ -323,6 +352,9 @@
     m_error = status;
     m_connecting = false;
     stopReading();
+    if (m_charge) {
+        m_charge->release();
+    }
     if (m_read) {
         m_read->fulfiller->reject(disconnectedException());
         m_read.reset();
--- a/src/libnutmeghingeio/uvasyncstream.h
+++ b/src/libnutmeghingeio/uvasyncstream.h
@@ -3,6 +3,7 @@
 #include "endpoint.h"
 
 #include <kj/async-io.h>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -11,6 +12,8 @@
 namespace nutmeghinge {
 
 class EventLoop;
+class MemoryBudget;
+class MemoryCharge;
 
 /**
  * A TCP connection on the uv loop as a kj stream. Reads ahead into a bounded
@@ -28,6 +31,11 @@
     UvAsyncStream(EventLoop &loop, std::uint64_t &bytesSent);
     ~UvAsyncStream() noexcept(false);
 
+    /** Charges what is received, until it has been read as whole messages, to the budget, which must outlive the stream. The connection fails if it has no
+     * room. */
+    void setMemoryBudget(MemoryBudget *budget);
+    /** Returns whether the connection failed because the budget had no room. */
+    bool isOutOfMemory() const { return m_error == UV_ENOMEM; }
     /** Returns the number of bytes received so far. */
     std::uint64_t bytesReceived() const { return m_bytesReceived; }
     /** Returns whether the peer closed the connection or the connection failed. */
@@ -66,9 +74,11 @@
     std::size_t takeBuffered(kj::byte *buffer, std::size_t maxBytes);
     void completeRead();
     kj::Promise<void> writeLater(std::vector<kj::byte> data);
+    void chargeReceived();
     void fail(int status);
     kj::Exception disconnectedException() const;
 
+    EventLoop &m_loop;
     Handle *m_handle;
     std::uint64_t &m_bytesSent;
     std::uint64_t m_bytesReceived = 0;
@@ -76,6 +86,10 @@
     /** Offset of the unread data in m_buffer. */
     std::size_t m_bufferStart = 0;
     std::optional<PendingRead> m_read;
+    /** Null without a budget. */
+    std::unique_ptr<MemoryCharge> m_charge;
+    /** Number of received bytes that last counted as progress. */
+    std::uint64_t m_progressAt = 0;
     bool m_connecting = false;
     bool m_reading = false;
     bool m_endOfFile = false;
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -121,6 +121,7 @@
     , m_adapters(std::move(adapters))
     , m_limits(readProcessLimits(m_settings))
     , m_memory(MemoryBudget::limitsFor(m_limits.memoryBytes))
+    , m_controlMemory(MemoryBudget::limitsForControl(m_limits.memoryBytes))
     , m_connections(m_limits.descriptors)
     , m_client(loop, idleConnectionsPerEndpoint, &m_connections)
     , m_forwarder(loop, m_client, *m_adapters.requests, [this](EventBody body) { dispatch(std::move(body)); })
@@ -129,7 +130,7 @@
     , m_peerLink(
           loop,
           [this](PeerMessageArrived message) { dispatch(std::move(message)); },
-          &m_connections)
+          ClientLimits{&m_controlMemory, &m_connections})
     , m_callerServer(makeCallerServer())
     , m_peerServer(makePeerServer())
     , m_announcements(m_adapters.makeAnnouncements(loop, clientLimits(), [this](EventBody body) { dispatch(std::move(body)); }))
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -77,6 +77,8 @@
     Endpoint m_targetEndpoint;
     ProcessLimits m_limits;
     MemoryBudget m_memory;
+    /** For messages of other nodes, which must get through while clients fill the other one. */
+    MemoryBudget m_controlMemory;
     /** Most memory held for clients since free memory was last returned to the system, in bytes. */
     std::uint64_t m_highestMemory = 0;
     ConnectionBudget m_connections;
--- a/tests/process/clientcrowdtest.cpp
+++ b/tests/process/clientcrowdtest.cpp
@@ -179,6 +179,12 @@
     checkCrowd({.door = Door::Control, .clients = 20, .stream = shortControlMessage()});
 }
 
+// Where the system limits the process, Cap'n Proto itself closes a connection whose message finds no memory.
+TEST_CASE("A node keeps its memory beside clients whose control messages stop one byte short")
+{
+    checkCrowd({.door = Door::Control, .clients = 20, .stream = shortControlMessage(), .limit = MemoryLimit::OfSettings});
+}
+
 TEST_CASE("A node that other nodes send many bodies stays within its memory")
 {
     CrowdedDesk desk(Door::Callers, 2);
--- a/tests/process/crowdeddesk.cpp
+++ b/tests/process/crowdeddesk.cpp
@@ -24,19 +24,23 @@
     return 0;
 }
 
-NodeEnvironment environmentOf(Door door, std::uint64_t memoryBytes)
+NodeEnvironment environmentOf(Door door, std::uint64_t memoryBytes, MemoryLimit limit)
 {
     NodeEnvironment environment;
     environment.settings = door == Door::PlainCallers ? "" : "pipelining: true\n";
-    environment.dataBytes = memoryBytes;
+    if (limit == MemoryLimit::OfSettings) {
+        environment.settings += "memoryBytes: " + std::to_string(memoryBytes) + '\n';
+    } else {
+        environment.dataBytes = memoryBytes;
+    }
     environment.descriptors = crowdedDescriptors;
     return environment;
 }
 
 } // namespace
 
-CrowdedDesk::CrowdedDesk(Door door, std::size_t vmCount, std::uint64_t memoryBytes)
-    : m_desk(vmCount, "limits:\n  queue: 400\n  requestBody: 67108864\n", environmentOf(door, memoryBytes))
+CrowdedDesk::CrowdedDesk(Door door, std::size_t vmCount, std::uint64_t memoryBytes, MemoryLimit limit)
+    : m_desk(vmCount, "limits:\n  queue: 400\n  requestBody: 67108864\n", environmentOf(door, memoryBytes, limit))
 {
 }
 
@@ -81,7 +85,7 @@
 
 void checkCrowd(const CrowdPlan &plan)
 {
-    CrowdedDesk desk(plan.door);
+    CrowdedDesk desk(plan.door, 1, crowdedMemoryBytes, plan.limit);
     REQUIRE(desk.ordinaryRequest() == 200);
     const std::uint64_t memoryBefore = desk.memory();
     TestCluster::control(desk.vm().targetEndpoint, {{"serviceTimeMs", plan.serviceTimeMs}});
--- a/tests/process/crowdeddesk.h
+++ b/tests/process/crowdeddesk.h
@@ -19,6 +19,14 @@
     Operations,
 };
 
+/** How a node learns of its memory. */
+enum class MemoryLimit : std::uint8_t {
+    /** The system limits the data of the process. */
+    OfProcess,
+    /** The settings state it, and the system gives as much as the process asks for. */
+    OfSettings,
+};
+
 /** Clients that connect to one listener at the same time, and what they send. */
 struct CrowdPlan {
     Door door = Door::Callers;
@@ -27,6 +35,7 @@
     ClientCrowd::Reading reading = ClientCrowd::Reading::Yes;
     /** Time that the target works at a request, in milliseconds. */
     std::uint64_t serviceTimeMs = 1;
+    MemoryLimit limit = MemoryLimit::OfProcess;
 };
 
 /** Memory of the machine in these tests, in bytes, and descriptors of its node. */
@@ -41,7 +50,7 @@
 class CrowdedDesk
 {
 public:
-    explicit CrowdedDesk(Door door, std::size_t vmCount = 1, std::uint64_t memoryBytes = crowdedMemoryBytes);
+    explicit CrowdedDesk(Door door, std::size_t vmCount = 1, std::uint64_t memoryBytes = crowdedMemoryBytes, MemoryLimit limit = MemoryLimit::OfProcess);
 
     DeskCluster &desk() { return m_desk; }
     VmProcesses &vm(std::size_t index = 0) { return m_desk.cluster().vm(index); }
