Count the bytes of all connections by use, and report answers that are cut

Change: LinkTraffic counts bytes sent, received and waiting for callers, peers, control, platform and target; the node logs a second that takes over 40 % of the link or leaves 64 KB waiting; AnswerCut says how much of an answer was not sent; metrics for all of it and for the time from an answer's start until its last byte was taken.

Tests: 488 of 488 of the tests before this change passed with it; the new one passes.

--- a/src/libnutmeghingeio/httpclient.cpp
+++ b/src/libnutmeghingeio/httpclient.cpp
@@ -24,10 +24,11 @@
 struct HttpClient::Private final : HttpClientConnection::Owner {
     using Exchange = HttpClientConnection::Exchange;
 
-    Private(EventLoop &usedLoop, std::size_t idleLimit, ConnectionBudget *usedBudget)
+    Private(EventLoop &usedLoop, std::size_t idleLimit, ConnectionBudget *usedBudget, LinkTraffic *usedTraffic)
         : loop(usedLoop)
         , idlePerEndpoint(idleLimit)
         , budget(usedBudget)
+        , traffic(usedTraffic)
         , buffer(readBufferBytes)
     {
         finishTimer = new uv_timer_t;
@@ -78,6 +79,18 @@
     }
 
     std::span<char> readBuffer() override { return buffer; }
+    void countSent(ConnectionUse use, std::size_t bytes) override
+    {
+        if (traffic != nullptr) {
+            traffic->of(use).sent += bytes;
+        }
+    }
+    void countReceived(ConnectionUse use, std::size_t bytes) override
+    {
+        if (traffic != nullptr) {
+            traffic->of(use).received += bytes;
+        }
+    }
 
     void addToPool(HttpClientConnection &connection)
     {
@@ -146,6 +159,7 @@
     EventLoop &loop;
     std::size_t idlePerEndpoint;
     ConnectionBudget *budget;
+    LinkTraffic *traffic;
     std::vector<char> buffer;
     CallId lastCall = 0;
     std::unordered_set<HttpClientConnection *> connections;
@@ -155,8 +169,8 @@
     uv_timer_t *finishTimer = nullptr;
 };
 
-HttpClient::HttpClient(EventLoop &loop, std::size_t idlePerEndpoint, ConnectionBudget *budget)
-    : m_d(std::make_unique<Private>(loop, idlePerEndpoint, budget))
+HttpClient::HttpClient(EventLoop &loop, std::size_t idlePerEndpoint, ConnectionBudget *budget, LinkTraffic *traffic)
+    : m_d(std::make_unique<Private>(loop, idlePerEndpoint, budget, traffic))
 {
 }
 
--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "endpoint.h"
 #include "httpmessage.h"
+#include "linktraffic.h"
 #include "requestbody.h"
 #include "units.h"
 
@@ -36,6 +37,8 @@
 /** A request to send. */
 struct HttpClientRequest {
     Endpoint to;
+    /** What the request is for, under which its bytes are counted. */
+    ConnectionUse use = ConnectionUse::Target;
     std::string method = "GET";
     std::string path = "/";
     /** Headers without content-length, which the client sets. */
@@ -80,10 +83,10 @@
     using CallId = std::uint64_t;
 
     /**
-     * idlePerEndpoint: largest number of idle connections to keep for one endpoint. budget: counts the connections; null for
-     * none.
+     * idlePerEndpoint: largest number of idle connections to keep for one endpoint. budget: counts the connections; traffic: counts
+     * their bytes; null for none. Both must outlive the client.
      */
-    HttpClient(EventLoop &loop, std::size_t idlePerEndpoint, ConnectionBudget *budget = nullptr);
+    HttpClient(EventLoop &loop, std::size_t idlePerEndpoint, ConnectionBudget *budget = nullptr, LinkTraffic *traffic = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -147,6 +147,7 @@
         return false;
     }
     m_state = State::Busy;
+    m_owner.countSent(request.use, m_requestHead.size() + m_requestBody.size());
     writeRest(static_cast<std::size_t>(std::max(0, written)));
     startReading();
     recordProgress();
@@ -218,6 +219,7 @@
         return;
     }
     recordProgress();
+    m_owner.countReceived(m_exchange->request.use, static_cast<std::size_t>(size));
     const std::span<char> bytes(data, static_cast<std::size_t>(size));
     if (m_headComplete) {
         receivedBody(bytes);
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -36,6 +36,8 @@
         virtual void idleClosed(HttpClientConnection &connection) = 0;
         /** Returns the buffer that all connections share for reading. Its content is valid during one read only. */
         virtual std::span<char> readBuffer() = 0;
+        virtual void countSent(ConnectionUse use, std::size_t bytes) = 0;
+        virtual void countReceived(ConnectionUse use, std::size_t bytes) = 0;
     };
 
     HttpClientConnection(EventLoop &loop, Owner &owner);
--- a/src/libnutmeghingeio/httplistener.h
+++ b/src/libnutmeghingeio/httplistener.h
@@ -3,6 +3,7 @@
 #include "clientlimits.h"
 #include "endpoint.h"
 #include "httpmessage.h"
+#include "linktraffic.h"
 #include "units.h"
 
 #include <cstdint>
@@ -36,6 +37,9 @@
         ClientLimits limits{};
         /** Headers of an answer 503 to a request for which there is no memory. */
         HttpHeaders unavailableHeaders{};
+        /** Counts what a PipelinedServer sends and receives, under this use; null for none. Must outlive the listener. */
+        LinkTraffic *traffic = nullptr;
+        ConnectionUse use = ConnectionUse::Callers;
     };
 
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -1,5 +1,6 @@
 #include "nodemetrics.h"
 
+#include "linktraffic.h"
 #include "requestrouter.h"
 
 #include <boost/accumulators/accumulators.hpp>
@@ -43,6 +44,16 @@
     text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} gauge\nnutmeghinge_{0} {2}\n", name, help, value);
 }
 
+void appendTraffic(std::string &text, std::string_view name, std::string_view help, const LinkTraffic &traffic, std::uint64_t ByteCounts::*count)
+{
+    const std::string_view type = count == &ByteCounts::waiting ? "gauge" : "counter";
+    text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} {2}\n", name, help, type);
+    for (std::size_t i = 0; i < LinkTraffic::uses; ++i) {
+        const auto use = static_cast<ConnectionUse>(i);
+        text += fmt::format("nutmeghinge_{}{{use=\"{}\"}} {}\n", name, nameOf(use), traffic.of(use).*count);
+    }
+}
+
 void appendSummary(std::string &text, std::string_view name, std::string_view help, const Seconds &seconds)
 {
     text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} summary\n", name, help);
@@ -64,6 +75,7 @@
 struct NodeMetrics::Private {
     Seconds requestSeconds{accumulators::extended_p_square_probabilities = quantiles};
     Seconds targetSeconds{accumulators::extended_p_square_probabilities = quantiles};
+    Seconds deliverySeconds{accumulators::extended_p_square_probabilities = quantiles};
     Seconds documentDelaySeconds{accumulators::extended_p_square_probabilities = quantiles};
     std::unordered_map<RequestId, MonotonicTime> requestStarts;
     struct Attempt {
@@ -153,6 +165,11 @@
     }
 }
 
+void NodeMetrics::observeDelivery(Duration duration)
+{
+    m_d->deliverySeconds(secondsOf(duration));
+}
+
 std::string NodeMetrics::toText(const RequestCounters &requests, const DocumentState &documents, const AdapterCounters &adapters) const
 {
     std::string text;
@@ -205,6 +222,13 @@
                   "Time from when the earlier document was last known to be the newest until a newer one was in force.",
                   m_d->documentDelaySeconds);
     appendSummary(text, "request_seconds", "Time from the arrival of a request to its complete answer.", m_d->requestSeconds);
+    appendSummary(text, "answer_delivery_seconds", "Time from the start of an answer until the system has taken its last byte.", m_d->deliverySeconds);
+    appendCounter(text, "answers_cut_total", "Answers whose connection closed before the system had taken their last byte.", adapters.cutAnswers);
+    if (adapters.traffic != nullptr) {
+        appendTraffic(text, "sent_bytes_total", "Bytes sent, by the use of the connection.", *adapters.traffic, &ByteCounts::sent);
+        appendTraffic(text, "received_bytes_total", "Bytes received, by the use of the connection.", *adapters.traffic, &ByteCounts::received);
+        appendTraffic(text, "waiting_bytes", "Bytes that the system has not taken yet, by the use of the connection.", *adapters.traffic, &ByteCounts::waiting);
+    }
     appendSummary(text, "target_seconds", "Time from sending a request to the target to its complete answer.", m_d->targetSeconds);
     return text;
 }
--- a/src/libnutmeghingeio/nodemetrics.h
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -10,6 +10,7 @@
 
 namespace nutmeghinge {
 
+class LinkTraffic;
 struct RequestCounters;
 
 /** Counters kept by the adapters, which the reducer does not know. */
@@ -29,6 +30,9 @@
     std::size_t cellMembers = 0;
     /** Nodes that the cell does not admit because it is full, as its coordinator knows them. */
     std::size_t nodesWithoutRoom = 0;
+    /** Null if it is not counted. */
+    const LinkTraffic *traffic = nullptr;
+    std::uint64_t cutAnswers = 0;
 };
 
 /** State of the document in force when the metrics are read. */
@@ -52,6 +56,8 @@
 
     void observeEvent(const Event &event);
     void observeEffect(const Effect &effect, MonotonicTime now);
+    /** Records the time from the start of an answer until the system has taken its last byte. */
+    void observeDelivery(Duration duration);
     /** Returns the text for /metrics. Times are in seconds. */
     std::string toText(const RequestCounters &requests, const DocumentState &documents, const AdapterCounters &adapters) const;
 
--- a/src/libnutmeghingeio/peerconnection.cpp
+++ b/src/libnutmeghingeio/peerconnection.cpp
@@ -25,11 +25,11 @@
 
 } // namespace
 
-PeerConnection::PeerConnection(EventLoop &loop, const Endpoint &peer, std::uint64_t &bytesSent, ErrorFunction onError)
+PeerConnection::PeerConnection(EventLoop &loop, const Endpoint &peer, ByteCounts &traffic, ErrorFunction onError)
     : m_loop(loop)
     , m_peer(peer)
     , m_onError(std::move(onError))
-    , m_stream(UvAsyncStream::connect(loop, peer, bytesSent))
+    , m_stream(UvAsyncStream::connect(loop, peer, traffic))
     , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, peerlimits::readerOptions())
     , m_rpc(capnp::makeRpcClient(m_network))
     , m_peerControl(bootstrapOf(m_rpc))
--- a/src/libnutmeghingeio/peerconnection.h
+++ b/src/libnutmeghingeio/peerconnection.h
@@ -12,6 +12,7 @@
 namespace nutmeghinge {
 
 class EventLoop;
+struct ByteCounts;
 
 /**
  * One outgoing control connection to a peer, with its outstanding calls. It does
@@ -33,9 +34,9 @@
     /**
      * Starts to connect. The error function is called at most once, and never
      * before the constructor has returned.
-     * @param bytesSent counter to which the bytes sent are added; outlives the connection
+     * @param traffic counts the bytes sent and received; outlives the connection
      */
-    PeerConnection(EventLoop &loop, const Endpoint &peer, std::uint64_t &bytesSent, ErrorFunction onError);
+    PeerConnection(EventLoop &loop, const Endpoint &peer, ByteCounts &traffic, ErrorFunction onError);
 
     DeliverResult deliver(const SendPeerMessage &effect);
     /** Returns whether any call was answered, so that the peer was reachable over this connection. */
--- a/src/libnutmeghingeio/peerlink.cpp
+++ b/src/libnutmeghingeio/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "peerlink.h"
 
 #include "eventloop.h"
+#include "linktraffic.h"
 #include "peerconnection.h"
 #include "peerlimits.h"
 #include "peerserver.h"
@@ -26,7 +27,7 @@
 } // namespace
 
 struct PeerLink::Private : private kj::TaskSet::ErrorHandler {
-    Private(EventLoop &eventLoop, MessageFunction messages, ClientLimits limits);
+    Private(EventLoop &eventLoop, MessageFunction messages, ClientLimits limits, ByteCounts *usedTraffic);
     ~Private() noexcept(false);
 
     void send(const SendPeerMessage &effect);
@@ -36,7 +37,8 @@
 
     EventLoop &loop;
     std::shared_ptr<UvEventPort> port;
-    std::uint64_t bytesSent = 0;
+    ByteCounts ownTraffic;
+    ByteCounts &traffic;
     std::uint64_t messagesSent = 0;
     PeerServer server;
     std::map<Endpoint, Peer> peers;
@@ -54,10 +56,11 @@
     void taskFailed(kj::Exception &&exception) override;
 };
 
-PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages, ClientLimits limits)
+PeerLink::Private::Private(EventLoop &eventLoop, MessageFunction messages, ClientLimits limits, ByteCounts *usedTraffic)
     : loop(eventLoop)
     , port(UvEventPort::forCurrentThread(eventLoop))
-    , server(eventLoop, bytesSent, std::move(messages), limits)
+    , traffic(usedTraffic != nullptr ? *usedTraffic : ownTraffic)
+    , server(eventLoop, traffic, std::move(messages), limits)
     , lastCheck(eventLoop.now())
     , timer(new uv_timer_t)
     , tasks(*this)
@@ -104,7 +107,7 @@
 {
     if (!peer.connection && now >= peer.reconnectAt) {
         const auto onError = [this, endpoint](const std::string &reason) { connectionFailed(endpoint, reason); };
-        peer.connection = std::make_unique<PeerConnection>(loop, endpoint, bytesSent, onError);
+        peer.connection = std::make_unique<PeerConnection>(loop, endpoint, traffic, onError);
     }
     return peer.connection.get();
 }
@@ -159,8 +162,8 @@
     spdlog::error("peer link: a task failed: {}", exception.getDescription().cStr());
 }
 
-PeerLink::PeerLink(EventLoop &loop, MessageFunction messages, ClientLimits limits)
-    : m_d(std::make_unique<Private>(loop, std::move(messages), limits))
+PeerLink::PeerLink(EventLoop &loop, MessageFunction messages, ClientLimits limits, ByteCounts *traffic)
+    : m_d(std::make_unique<Private>(loop, std::move(messages), limits, traffic))
 {
 }
 
@@ -183,7 +186,7 @@
 
 std::uint64_t PeerLink::bytesSent() const
 {
-    return m_d->bytesSent;
+    return m_d->traffic.sent;
 }
 
 std::uint64_t PeerLink::messagesSent() const
--- a/src/libnutmeghingeio/peerlink.h
+++ b/src/libnutmeghingeio/peerlink.h
@@ -13,6 +13,7 @@
 namespace nutmeghinge {
 
 class EventLoop;
+struct ByteCounts;
 
 /**
  * Exchanges control messages with other nodes by Cap'n Proto RPC on the uv loop.
@@ -25,8 +26,9 @@
 public:
     using MessageFunction = std::function<void(PeerMessageArrived)>;
 
-    /** limits: of the connections of other nodes, and of the memory for messages that they send. */
-    PeerLink(EventLoop &loop, MessageFunction messages, ClientLimits limits = {});
+    /** limits: of the connections of other nodes, and of the memory for messages that they send. traffic: counts the bytes of all connections; null for none.
+     */
+    PeerLink(EventLoop &loop, MessageFunction messages, ClientLimits limits = {}, ByteCounts *traffic = nullptr);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
--- a/src/libnutmeghingeio/peerserver.cpp
+++ b/src/libnutmeghingeio/peerserver.cpp
@@ -99,9 +99,9 @@
     MonotonicTime m_lastReceived;
 };
 
-PeerServer::PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ClientLimits limits)
+PeerServer::PeerServer(EventLoop &loop, ByteCounts &traffic, MessageFunction messages, ClientLimits limits)
     : m_loop(loop)
-    , m_bytesSent(bytesSent)
+    , m_traffic(traffic)
     , m_limits(limits)
     , m_maxConnections(limits.connections == nullptr
                            ? peerlimits::incomingConnections
@@ -159,7 +159,7 @@
     if (m_connections.size() >= m_maxConnections) {
         closeLongestIdle();
     }
-    auto accepted = UvAsyncStream::accept(m_loop, reinterpret_cast<uv_stream_t *>(m_listener), m_bytesSent);
+    auto accepted = UvAsyncStream::accept(m_loop, reinterpret_cast<uv_stream_t *>(m_listener), m_traffic);
     KJ_IF_MAYBE (stream, accepted) {
         m_connections.push_back(std::make_unique<Connection>(kj::mv(*stream), m_peerControl, m_loop.now(), m_limits));
         Connection *connection = m_connections.back().get();
--- a/src/libnutmeghingeio/peerserver.h
+++ b/src/libnutmeghingeio/peerserver.h
@@ -18,6 +18,7 @@
 namespace nutmeghinge {
 
 class EventLoop;
+struct ByteCounts;
 
 /**
  * Accepts control connections from other nodes and passes on their messages.
@@ -30,10 +31,10 @@
     using MessageFunction = std::function<void(PeerMessageArrived)>;
 
     /**
-     * bytesSent: counter to which the bytes sent are added; outlives the server. limits: the connections are counted, and their
+     * traffic: counts the bytes sent and received; outlives the server. limits: the connections are counted, and their
      * number is bounded to a share of the limit; the memory is that for control messages alone.
      */
-    PeerServer(EventLoop &loop, std::uint64_t &bytesSent, MessageFunction messages, ClientLimits limits);
+    PeerServer(EventLoop &loop, ByteCounts &traffic, MessageFunction messages, ClientLimits limits);
     ~PeerServer() noexcept(false);
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
@@ -56,7 +57,7 @@
     void taskFailed(kj::Exception &&exception) override;
 
     EventLoop &m_loop;
-    std::uint64_t &m_bytesSent;
+    ByteCounts &m_traffic;
     MessageFunction m_messages;
     ClientLimits m_limits;
     std::size_t m_maxConnections;
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -165,6 +165,9 @@
         handleDisconnect();
         return;
     }
+    if (m_options.traffic != nullptr) {
+        m_options.traffic->of(m_options.use).received += static_cast<std::uint64_t>(size);
+    }
     if (m_state == State::Lingering || m_inputEnded) {
         discardInput(static_cast<std::size_t>(size));
         return;
@@ -483,6 +486,7 @@
         front->m_writableFunction = nullptr;
         m_exchanges.pop_front();
         popped = true;
+        recordAnswered(*front);
         if (!front->m_keepAlive || (m_closeAfterAnswers && m_inputEnded && m_exchanges.empty())) {
             finish();
         }
@@ -510,6 +514,9 @@
 {
     auto *stream = reinterpret_cast<uv_stream_t *>(&m_socket);
     std::size_t written = 0;
+    if (m_options.traffic != nullptr) {
+        m_options.traffic->of(m_options.use).sent += bytes.size();
+    }
     if (uv_stream_get_write_queue_size(stream) == 0) {
         uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         const int result = uv_try_write(stream, &buffer, 1);
@@ -534,6 +541,44 @@
     if (uv_write(&write->request, stream, &buffer, 1, onWritten) != 0) {
         delete write;
     }
+    recordUnsent();
+}
+
+void PipelinedConnection::recordUnsent()
+{
+    if (m_options.traffic == nullptr) {
+        return;
+    }
+    const std::uint64_t unsent = m_state == State::Closed ? 0 : unsentBytes();
+    m_options.traffic->of(m_options.use).waiting += unsent - m_waitingBytes;
+    m_waitingBytes = unsent;
+    if (unsent == 0 && m_state != State::Closed) {
+        for (const PendingAnswer &answer : std::exchange(m_pendingAnswers, {})) {
+            m_options.traffic->answerDelivered(m_loop.now() - answer.begunAt);
+        }
+    }
+}
+
+void PipelinedConnection::recordAnswered(const PipelinedExchange &exchange)
+{
+    if (m_options.traffic != nullptr && m_state == State::Open) {
+        m_pendingAnswers.push_back({exchange.m_begunAt, exchange.m_answerBytes});
+        recordUnsent();
+    }
+}
+
+void PipelinedConnection::reportCutAnswers()
+{
+    if (m_options.traffic == nullptr) {
+        return;
+    }
+    std::deque<PendingAnswer> cut = std::exchange(m_pendingAnswers, {});
+    if (!m_exchanges.empty() && m_exchanges.front()->m_answerBegun) {
+        cut.push_back({m_exchanges.front()->m_begunAt, m_exchanges.front()->m_answerBytes});
+    }
+    for (const PendingAnswer &answer : cut) {
+        m_options.traffic->answerCut({m_options.use, answer.bytes, std::min<std::uint64_t>(unsentBytes(), answer.bytes), m_loop.now() - answer.begunAt});
+    }
 }
 
 bool PipelinedConnection::isWriteQueueFull() const
@@ -551,6 +596,7 @@
 void PipelinedConnection::handleWritten()
 {
     if (m_state != State::Closed) {
+        recordUnsent();
         static_cast<void>(chargeOutput());
     }
     if (m_state == State::Lingering) {
@@ -657,7 +703,9 @@
     if (m_state == State::Closed) {
         return;
     }
+    reportCutAnswers();
     m_state = State::Closed;
+    recordUnsent();
     m_partial.reset();
     std::string().swap(m_input);
     m_inputCharge.release();
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -126,6 +126,12 @@
     /** Returns whether the client has sent bytes that were not read yet. */
     bool hasUnreadInput() const;
     void handleWritten();
+    /** Counts the bytes that the socket has not taken, and reports complete answers whose last byte it has taken. */
+    void recordUnsent();
+    /** Remembers a complete answer until the socket has taken its last byte. */
+    void recordAnswered(const PipelinedExchange &exchange);
+    /** Reports the answers that end with the connection. */
+    void reportCutAnswers();
     void handleDisconnect();
     void reset();
     void finish();
@@ -164,6 +170,15 @@
     std::string m_input;
     std::optional<PartialRequest> m_partial;
     std::deque<std::shared_ptr<PipelinedExchange>> m_exchanges;
+    /** An answer that is complete, or was begun, and has not been sent completely. */
+    struct PendingAnswer {
+        MonotonicTime begunAt;
+        std::uint64_t bytes = 0;
+    };
+    /** Complete answers of which the socket has not taken the last byte. */
+    std::deque<PendingAnswer> m_pendingAnswers;
+    /** Bytes that this connection has counted as waiting. */
+    std::uint64_t m_waitingBytes = 0;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/pipelinedexchange.cpp
+++ b/src/libnutmeghingeio/pipelinedexchange.cpp
@@ -1,5 +1,6 @@
 #include "pipelinedexchange.h"
 
+#include "eventloop.h"
 #include "pipelinedconnection.h"
 
 #include <algorithm>
@@ -50,6 +51,7 @@
         return;
     }
     m_answerBegun = true;
+    m_begunAt = m_connection->m_loop.now();
     m_bodyless = hasNoBody(head.status) || m_request.method == "HEAD";
     m_chunked = !m_bodyless && !head.contentLength;
     m_bodyLeft = head.contentLength;
@@ -67,6 +69,7 @@
         m_output += "transfer-encoding: chunked\r\n";
     }
     m_output += m_keepAlive ? "\r\n" : "connection: close\r\n\r\n";
+    m_answerBytes = m_output.size();
     if (!m_bodyless && head.contentLength == 0U) {
         return;
     }
@@ -85,6 +88,7 @@
         }
         *m_bodyLeft -= data.size();
     }
+    m_answerBytes += data.size();
     if (m_chunked) {
         m_output += fmt::format("{:x}\r\n", data.size());
         m_output += data;
--- a/src/libnutmeghingeio/pipelinedexchange.h
+++ b/src/libnutmeghingeio/pipelinedexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpexchange.h"
+#include "units.h"
 
 #include <optional>
 
@@ -35,6 +36,9 @@
     /** True if the connection stays open after this answer. */
     bool m_keepAlive;
     bool m_answerBegun = false;
+    MonotonicTime m_begunAt;
+    /** Bytes of the answer that were formatted so far. */
+    std::uint64_t m_answerBytes = 0;
     bool m_finished = false;
     bool m_bodyless = false;
     bool m_chunked = false;
--- a/src/libnutmeghingeio/platformtable.cpp
+++ b/src/libnutmeghingeio/platformtable.cpp
@@ -148,6 +148,7 @@
 {
     HttpClientRequest request;
     request.to = m_platform;
+    request.use = ConnectionUse::Platform;
     request.method = std::move(method);
     request.path = std::move(path);
     request.headers = {{"host", m_platform.address + ':' + std::to_string(m_platform.port)}};
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -142,6 +142,7 @@
     const Duration timeLeft = std::max(Duration::zero(), destination.deadline - loop.now());
     headers.emplace_back("host", request.host());
     return {.to = destination.endpoint,
+            .use = destination.kind == AttemptDestination::Target ? ConnectionUse::Target : ConnectionUse::Peers,
             .method = request.method(),
             .path = request.path(),
             .headers = std::move(headers),
--- a/src/libnutmeghingeio/uvasyncstream.cpp
+++ b/src/libnutmeghingeio/uvasyncstream.cpp
@@ -1,6 +1,7 @@
 #include "uvasyncstream.h"
 
 #include "eventloop.h"
+#include "linktraffic.h"
 #include "memorycharge.h"
 #include "socketaddress.h"
 
@@ -69,9 +70,9 @@
 
 } // namespace
 
-kj::Own<UvAsyncStream> UvAsyncStream::connect(EventLoop &loop, const Endpoint &to, std::uint64_t &bytesSent)
+kj::Own<UvAsyncStream> UvAsyncStream::connect(EventLoop &loop, const Endpoint &to, ByteCounts &traffic)
 {
-    auto stream = kj::heap<UvAsyncStream>(loop, bytesSent);
+    auto stream = kj::heap<UvAsyncStream>(loop, traffic);
     const std::optional<SocketAddress> address = SocketAddress::fromEndpoint(to);
     if (!address) {
         stream->fail(UV_EINVAL);
@@ -89,9 +90,9 @@
     return stream;
 }
 
-kj::Maybe<kj::Own<UvAsyncStream>> UvAsyncStream::accept(EventLoop &loop, uv_stream_t *listener, std::uint64_t &bytesSent)
+kj::Maybe<kj::Own<UvAsyncStream>> UvAsyncStream::accept(EventLoop &loop, uv_stream_t *listener, ByteCounts &traffic)
 {
-    auto stream = kj::heap<UvAsyncStream>(loop, bytesSent);
+    auto stream = kj::heap<UvAsyncStream>(loop, traffic);
     if (uv_accept(listener, stream->stream()) != 0) {
         return nullptr;
     }
@@ -100,10 +101,10 @@
     return kj::mv(stream);
 }
 
-UvAsyncStream::UvAsyncStream(EventLoop &loop, std::uint64_t &bytesSent)
+UvAsyncStream::UvAsyncStream(EventLoop &loop, ByteCounts &traffic)
     : m_loop(loop)
     , m_handle(new Handle)
-    , m_bytesSent(bytesSent)
+    , m_traffic(traffic)
 {
     m_handle->stream = this;
     uv_tcp_init(loop.handle(), &m_handle->socket);
@@ -113,6 +114,7 @@
 UvAsyncStream::~UvAsyncStream() noexcept(false)
 {
     m_handle->stream = nullptr;
+    countWaiting(0);
     uv_close(reinterpret_cast<uv_handle_t *>(&m_handle->socket), [](uv_handle_t *handle) { delete static_cast<Handle *>(handle->data); });
 }
 
@@ -215,6 +217,7 @@
 void UvAsyncStream::append(const kj::byte *data, std::size_t size)
 {
     m_bytesReceived += size;
+    m_traffic.received += size;
     m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_bufferStart));
     m_bufferStart = 0;
     m_buffer.insert(m_buffer.end(), data, data + size);
@@ -285,7 +288,7 @@
         return disconnectedException();
     }
     const std::size_t size = sizeOf(pieces);
-    m_bytesSent += size;
+    m_traffic.sent += size;
     const std::vector<uv_buf_t> buffers = buffersOf(pieces);
     const int sent = uv_try_write(stream(), buffers.data(), static_cast<unsigned>(buffers.size()));
     if (sent < 0 && sent != UV_EAGAIN) {
@@ -299,15 +302,23 @@
     return writeLater(remainderOf(pieces, skipped));
 }
 
+void UvAsyncStream::countWaiting(std::uint64_t bytes)
+{
+    m_traffic.waiting += bytes - m_waitingBytes;
+    m_waitingBytes = bytes;
+}
+
 kj::Promise<void> UvAsyncStream::writeLater(std::vector<kj::byte> data)
 {
     auto pair = kj::newPromiseAndFulfiller<void>();
     auto pending = std::make_unique<PendingWrite>();
     pending->data = std::move(data);
     pending->fulfiller = kj::mv(pair.fulfiller);
+    countWaiting(m_waitingBytes + pending->data.size());
     const uv_buf_t buffer = uv_buf_init(reinterpret_cast<char *>(pending->data.data()), static_cast<unsigned>(pending->data.size()));
     const int result = uv_write(&pending->request, stream(), &buffer, 1, onWritten);
     if (result != 0) {
+        countWaiting(m_waitingBytes - pending->data.size());
         fail(result);
         return disconnectedException();
     }
@@ -322,6 +333,7 @@
     if (stream == nullptr) {
         return;
     }
+    stream->countWaiting(stream->m_waitingBytes - pending->data.size());
     if (status == 0) {
         pending->fulfiller->fulfill();
         return;
--- a/src/libnutmeghingeio/uvasyncstream.h
+++ b/src/libnutmeghingeio/uvasyncstream.h
@@ -12,6 +12,7 @@
 namespace nutmeghinge {
 
 class EventLoop;
+struct ByteCounts;
 class MemoryBudget;
 class MemoryCharge;
 
@@ -23,12 +24,12 @@
 class UvAsyncStream final : public kj::AsyncIoStream
 {
 public:
-    /** Starts connecting; writes wait until the connection is established. Each write adds its size to bytesSent, which must outlive the stream. */
-    static kj::Own<UvAsyncStream> connect(EventLoop &loop, const Endpoint &to, std::uint64_t &bytesSent);
+    /** Starts connecting; writes wait until the connection is established. The bytes are counted in traffic, which must outlive the stream. */
+    static kj::Own<UvAsyncStream> connect(EventLoop &loop, const Endpoint &to, ByteCounts &traffic);
     /** Accepts the next connection of a listener. Returns null if accepting fails. */
-    static kj::Maybe<kj::Own<UvAsyncStream>> accept(EventLoop &loop, uv_stream_t *listener, std::uint64_t &bytesSent);
+    static kj::Maybe<kj::Own<UvAsyncStream>> accept(EventLoop &loop, uv_stream_t *listener, ByteCounts &traffic);
 
-    UvAsyncStream(EventLoop &loop, std::uint64_t &bytesSent);
+    UvAsyncStream(EventLoop &loop, ByteCounts &traffic);
     ~UvAsyncStream() noexcept(false);
 
     /** Charges what is received, until it has been read as whole messages, to the budget, which must outlive the stream. The connection fails if it has no
@@ -73,6 +74,7 @@
     void append(const kj::byte *data, std::size_t size);
     std::size_t takeBuffered(kj::byte *buffer, std::size_t maxBytes);
     void completeRead();
+    void countWaiting(std::uint64_t bytes);
     kj::Promise<void> writeLater(std::vector<kj::byte> data);
     void chargeReceived();
     void fail(int status);
@@ -80,8 +82,10 @@
 
     EventLoop &m_loop;
     Handle *m_handle;
-    std::uint64_t &m_bytesSent;
+    ByteCounts &m_traffic;
     std::uint64_t m_bytesReceived = 0;
+    /** Bytes that this stream has counted as waiting. */
+    std::uint64_t m_waitingBytes = 0;
     std::vector<kj::byte> m_buffer;
     /** Offset of the unread data in m_buffer. */
     std::size_t m_bufferStart = 0;
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -27,8 +27,14 @@
  */
 constexpr std::uint32_t loggedFailuresPerSecond = 10;
 constexpr Duration suppressedCountInterval = std::chrono::seconds(1);
+constexpr double bytesPerMegabit = 125000;
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 constexpr Duration retryAfterWithoutMemory = std::chrono::seconds(1);
+constexpr Duration trafficInterval = std::chrono::seconds(1);
+/** Percentage of the VM's link that the traffic of a second must take, in one direction, to be logged. */
+constexpr std::uint64_t loggedLinkPercent = 40;
+/** Bytes waiting to be sent from which the traffic is logged whatever it takes of the link. */
+constexpr std::uint64_t loggedWaitingBytes = 65536;
 constexpr Duration memoryReturnInterval = std::chrono::seconds(1);
 /** Freed memory below this size stays with the allocator; bytes. */
 constexpr std::uint64_t memoryWorthReturning = 8388608;
@@ -123,14 +129,15 @@
     , m_memory(MemoryBudget::limitsFor(m_limits.memoryBytes))
     , m_controlMemory(MemoryBudget::limitsForControl(m_limits.memoryBytes))
     , m_connections(m_limits.descriptors)
-    , m_client(loop, idleConnectionsPerEndpoint, &m_connections)
+    , m_client(loop, idleConnectionsPerEndpoint, &m_connections, &m_traffic)
     , m_forwarder(loop, m_client, *m_adapters.requests, [this](EventBody body) { dispatch(std::move(body)); })
     , m_targetClient(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
     , m_platform(m_adapters.makePlatform(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); }))
     , m_peerLink(
           loop,
           [this](PeerMessageArrived message) { dispatch(std::move(message)); },
-          ClientLimits{&m_controlMemory, &m_connections})
+          ClientLimits{&m_controlMemory, &m_connections},
+          &m_traffic.of(ConnectionUse::Control))
     , m_callerServer(makeCallerServer())
     , m_peerServer(makePeerServer())
     , m_announcements(m_adapters.makeAnnouncements(loop, clientLimits(), [this](EventBody body) { dispatch(std::move(body)); }))
@@ -149,7 +156,9 @@
                                         .name = "callers",
                                         .idleTimeout = callerIdleTimeout,
                                         .limits = clientLimits(),
-                                        .unavailableHeaders = m_adapters.requests->refusalHeaders(refusal)};
+                                        .unavailableHeaders = m_adapters.requests->refusalHeaders(refusal),
+                                        .traffic = &m_traffic,
+                                        .use = ConnectionUse::Callers};
     if (m_settings.pipelining) {
         return std::make_unique<PipelinedServer>(m_loop, options, accept);
     }
@@ -167,7 +176,9 @@
                               .limits = clientLimits(),
                               .unavailableHeaders = {{std::string(wire::outcome), std::string(wire::notRun)},
                                                      {std::string(wire::reason), std::string(nameOf(NotRunReason::Overloaded))},
-                                                     {std::string(wire::retryAfterMs), std::to_string(milliseconds)}}},
+                                                     {std::string(wire::retryAfterMs), std::to_string(milliseconds)}},
+                              .traffic = &m_traffic,
+                              .use = ConnectionUse::Peers},
         [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); });
 }
 
@@ -197,6 +208,9 @@
     runRecord(Record{std::move(started)});
     m_loop.callEvery(tickInterval, [this] { dispatch(Tick{}); });
     m_loop.callEvery(suppressedCountInterval, [this] { logSuppressedCounts(); });
+    m_traffic.setDeliveredFunction([this](Duration duration) { m_metrics.observeDelivery(duration); });
+    m_traffic.setCutFunction([this](const CutAnswer &answer) { logCutAnswer(answer); });
+    m_loop.callEvery(trafficInterval, [this] { logTraffic(); });
     m_loop.callEvery(memoryReturnInterval, [this] { returnMemory(); });
     return std::nullopt;
 }
@@ -333,6 +347,47 @@
     }
 }
 
+void Node::logTraffic()
+{
+    std::string uses;
+    ByteCounts second;
+    for (const ConnectionUse use : {ConnectionUse::Callers, ConnectionUse::Peers, ConnectionUse::Control, ConnectionUse::Platform}) {
+        const ByteCounts &counts = m_traffic.of(use);
+        ByteCounts &logged = m_loggedTraffic[static_cast<std::size_t>(use)];
+        uses += fmt::format("; {}: {} out, {} in, {} waiting", nameOf(use), counts.sent - logged.sent, counts.received - logged.received, counts.waiting);
+        second.sent += counts.sent - logged.sent;
+        second.received += counts.received - logged.received;
+        logged = counts;
+    }
+    const std::uint64_t waiting = m_traffic.total().waiting;
+    const auto link = static_cast<std::uint64_t>(m_settings.linkMegabits * bytesPerMegabit);
+    const std::uint64_t busier = std::max(second.sent, second.received);
+    if (waiting >= loggedWaitingBytes || (link > 0 && busier * 100 >= link * loggedLinkPercent)) {
+        const RequestCounters &requests = m_reducer->router().counters();
+        spdlog::info("LinkTraffic bytes in the last second: {} out, {} in, {} waiting, link {}{}; {} requests at the target, {} queued",
+                     second.sent,
+                     second.received,
+                     waiting,
+                     link,
+                     uses,
+                     requests.inFlight,
+                     requests.queued);
+    }
+}
+
+void Node::logCutAnswer(const CutAnswer &answer)
+{
+    ++m_cutAnswers;
+    if (m_cutAnswerLog.admit(m_loop.now())) {
+        spdlog::info("AnswerCut an answer to one of the {} was cut {} ms after it had begun: {} of its {} bytes were not sent; {} more were cut before",
+                     nameOf(answer.use),
+                     std::chrono::duration_cast<std::chrono::milliseconds>(answer.age).count(),
+                     answer.unsentBytes,
+                     answer.bytes,
+                     m_cutAnswerLog.takeSuppressed(m_loop.now()));
+    }
+}
+
 void Node::returnMemory()
 {
     m_highestMemory = std::max(m_highestMemory, m_memory.used());
@@ -397,6 +452,8 @@
     adapters.largestRowBytes = m_platform->largestRowBytes();
     adapters.cellMembers = cell.members().size();
     adapters.nodesWithoutRoom = cell.nodesWithoutRoom(m_loop.now());
+    adapters.traffic = &m_traffic;
+    adapters.cutAnswers = m_cutAnswers;
     return m_metrics.toText(m_reducer->router().counters(), {cell.documentRevision(), cell.documentAge(m_loop.now())}, adapters);
 }
 
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -6,6 +6,7 @@
 #include "events.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "linktraffic.h"
 #include "loglimiter.h"
 #include "memorybudget.h"
 #include "nodeadapters.h"
@@ -19,6 +20,7 @@
 #include "targetclient.h"
 #include "timelinering.h"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -46,6 +48,8 @@
     int exitCode() const { return m_exitCode; }
 
 private:
+    static constexpr std::uint32_t loggedCutAnswersPerSecond = 10;
+
     void dispatch(EventBody body);
     void handle(const Event &event);
     void run(const Effect &effect);
@@ -54,6 +58,9 @@
     void runRecord(const Record &effect);
     void logRequestRecords(const TimelineRecord &end);
     void logSuppressedCounts();
+    /** Logs the traffic of the last second if it took much of the VM's link. */
+    void logTraffic();
+    void logCutAnswer(const CutAnswer &answer);
     void runCloseListeners();
     void onListenerClosed();
     void runExit(const Exit &effect);
@@ -82,6 +89,11 @@
     /** Most memory held for clients since free memory was last returned to the system, in bytes. */
     std::uint64_t m_highestMemory = 0;
     ConnectionBudget m_connections;
+    LinkTraffic m_traffic;
+    /** State of m_traffic when it was last logged. */
+    std::array<ByteCounts, LinkTraffic::uses> m_loggedTraffic;
+    std::uint64_t m_cutAnswers = 0;
+    LogLimiter m_cutAnswerLog{loggedCutAnswersPerSecond};
     HttpClient m_client;
     RequestForwarder m_forwarder;
     TargetClient m_targetClient;
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -1,6 +1,7 @@
 #include "pipelinedserver.h"
 #include "eventloop.h"
 #include "httpexchange.h"
+#include "linktraffic.h"
 #include "rawconnection.h"
 #include "rununtil.h"
 
@@ -66,6 +67,44 @@
     CHECK(received.find("second") < received.find("third"));
 }
 
+TEST_CASE("The bytes of a listener's connections are counted, also those that wait for a client that does not read, and its cut answer is reported")
+{
+    EventLoop loop;
+    LinkTraffic traffic;
+    std::vector<Duration> delivered;
+    std::vector<CutAnswer> cut;
+    traffic.setDeliveredFunction([&](Duration duration) { delivered.push_back(duration); });
+    traffic.setCutFunction([&](const CutAnswer &answer) { cut.push_back(answer); });
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    const PipelinedServer::Options options{.bodyLimit = 1000, .name = "test", .traffic = &traffic, .use = ConnectionUse::Peers};
+    PipelinedServer server(loop, options, [&](std::shared_ptr<HttpExchange> exchange) { exchanges.push_back(std::move(exchange)); });
+    auto client = std::make_unique<RawConnection>(loop, std::get<Endpoint>(server.listen({"127.0.0.1", 0})));
+    const ByteCounts &peers = traffic.of(ConnectionUse::Peers);
+    client->send(get);
+    REQUIRE(runUntil(loop, [&] { return exchanges.size() == 1; }));
+    CHECK(peers.received == get.size());
+    exchanges[0]->answer(200, {}, "teak");
+    REQUIRE(runUntil(loop, [&] { return client->received().find("teak") != std::string::npos; }));
+    CHECK(peers.sent == client->received().size());
+    CHECK(peers.waiting == 0);
+    CHECK(delivered.size() == 1);
+
+    client->send(get);
+    REQUIRE(runUntil(loop, [&] { return exchanges.size() == 2; }));
+    const std::size_t large = 32U << 20U;
+    client->pause();
+    exchanges[1]->answer(200, {}, std::string(large, 'x'));
+    CHECK(peers.waiting > large / 2);
+    CHECK(delivered.size() == 1);
+    client.reset();
+    REQUIRE(runUntil(loop, [&] { return !cut.empty(); }));
+    CHECK(cut[0].use == ConnectionUse::Peers);
+    CHECK(cut[0].bytes > large);
+    CHECK(cut[0].unsentBytes > large / 2);
+    CHECK(peers.waiting == 0);
+    CHECK(traffic.of(ConnectionUse::Callers).sent == 0);
+}
+
 TEST_CASE("Pipelining: bodies with a content length or chunked encoding are complete, even if they arrive in several parts")
 {
     Setup setup;
