Tell a node with each request when the stopping node that passes it on breaks it off

Cause: a stopping node announces its end of requests to the members that it knows then. A node that joins afterwards - ten to seventeen targets are replaced at a time, so many do - never learns of it, gets requests from the stopping node for five more seconds, and lets its target work at them for their whole time limit.

Change: a request that a stopping node passes on states the time until that node breaks it off; the node beside the target limits the work by it, or refuses it as not run, as it does after a notice. The notice is still needed for requests that were passed on before.

Test: nodes join while others stop in the property test of stops. It failed before for every seed of 12 nodes ('a request was begun 1462 ms after the stop request and broken off after 5144'), also with only the statement left out.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -45,7 +45,7 @@
 
 MonotonicTime StopSchedule::workEnd(const Request &request) const
 {
-    MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : peerRequestsEnd();
+    MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : std::min(peerRequestsEnd(), request.entryEndsAt);
     if (const auto entry = m_members.find(request.entry); request.hops > 0 && entry != m_members.end()) {
         end = std::min(end, entry->second);
     }
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -166,6 +166,8 @@
     std::uint32_t hops = 0;
     /** Member that received the request from its caller; noMember if it is in another cell, or not a member yet. */
     MemberSlot entry = noMember;
+    /** Time until that node breaks the request off, if it stops. */
+    std::optional<Duration> entryEndsIn{};
     bool deadlineForHeadOnly = false;
     bool mayBeIdle = false;
     /** Set if the sender's document has routes. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -261,6 +261,8 @@
     /** Id that the caller gave the request; empty if none. */
     std::string callerId;
     std::uint64_t bodySize = 0;
+    /** Time until that node breaks the request off, if it stops and the request was forwarded after it was told to. */
+    std::optional<Duration> entryEndsIn{};
     RequestBody body{};
     /** What identifies the caller; empty if nothing does. */
     std::string caller{};
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -68,6 +68,8 @@
     std::uint32_t hops = 0;
     /** Member that received the request from its caller, if that is another one and known; else noMember. */
     MemberSlot entry = noMember;
+    /** Time at which the node that received the request from its caller breaks it off, because that node stops; MonotonicTime::max() if not known to. */
+    MonotonicTime entryEndsAt = MonotonicTime::max();
     bool safe = false;
     bool idempotent = false;
     /** Service that runs the request; empty if the request is for another service's host, see otherHost. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -95,6 +95,9 @@
         effect.routed = RoutedRequest{request.service, request.idempotent, request.priority, left, request.workClass};
     }
     effect.freshConnection = request.freshConnection;
+    if (request.entryEndsAt != MonotonicTime::max()) {
+        effect.entryEndsIn = std::max(Duration::zero(), request.entryEndsAt - now);
+    }
     if (destination == Request::Destination::Member) {
         effect.relayed = m_memberTargets.statementFor(to.member->node, now);
     }
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -35,6 +35,11 @@
     return {arrived.method, arrived.host, arrived.path, key, arrived.caller, arrived.body};
 }
 
+MonotonicTime entryEnd(const RequestArrived &arrived, MonotonicTime now)
+{
+    return arrived.entryEndsIn ? now + *arrived.entryEndsIn : MonotonicTime::max();
+}
+
 Request makeRequest(const RequestArrived &arrived, const Document &document, MonotonicTime now)
 {
     Request request;
@@ -43,6 +48,7 @@
     request.deadline = now + std::min(arrived.timeout.value_or(document.deadline), document.deadline);
     request.hops = arrived.hops;
     request.entry = arrived.entry;
+    request.entryEndsAt = entryEnd(arrived, now);
     request.safe = isSafeMethod(arrived.method);
     request.idempotent = isIdempotentMethod(arrived.method);
     request.source = sourceOf(arrived, {});
@@ -117,6 +123,7 @@
     request.arrivedAt = event.at;
     request.hops = arrived.hops;
     request.entry = arrived.entry;
+    request.entryEndsAt = entryEnd(arrived, event.at);
     request.routed = true;
     request.source = sourceOf(arrived, {});
     RoutedRequest routed;
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -566,6 +566,9 @@
 
 void RequestRouter::Private::admit(Request &request, const RouteToTarget &target, const Context &context)
 {
+        if (request.hops == 0) {
+            request.entryEndsAt = stopSchedule.ownRequestsEnd();
+        }
     request.shard = target.shard;
     if (!request.loadCounted) {
         request.loadCounted = true;
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -102,6 +102,7 @@
     event.relayed = relayedStatementOf(received);
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
     event.entry = MemberSlot(static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::entry).value_or(noMember.value()), maxSlot)));
+    event.entryEndsIn = timeoutOfMilliseconds(numberIn(received, wire::entryEndsMs));
     event.time.wall = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(numberIn(received, wire::clockMilliseconds).value_or(0))));
     event.time.counter = static_cast<std::uint32_t>(numberIn(received, wire::clockCounter).value_or(0));
     return event;
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -231,6 +231,9 @@
     if (effect.entry != noMember) {
         headers.emplace_back(wire::entry, std::to_string(effect.entry.value()));
     }
+    if (effect.entryEndsIn) {
+        headers.emplace_back(wire::entryEndsMs, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*effect.entryEndsIn).count()));
+    }
     if (effect.routed) {
         const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(effect.routed->objective);
         headers.emplace_back(wire::service, effect.routed->service.value());
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -18,6 +18,8 @@
 inline constexpr std::string_view hops = "nutmeghinge-hops";
 /** Node to node: slot of the member that received the request from its caller. */
 inline constexpr std::string_view entry = "nutmeghinge-entry";
+/** Node to node: time until the node that received the request from its caller breaks it off, because it stops. */
+inline constexpr std::string_view entryEndsMs = "nutmeghinge-entry-ends-ms";
 // Node to node, if the sender's document has routes: its routing decision.
 inline constexpr std::string_view service = "nutmeghinge-service";
 inline constexpr std::string_view repeatable = "nutmeghinge-repeatable";
@@ -61,8 +63,8 @@
 inline constexpr std::string_view unknown = "unknown";
 
 /** Headers that nodes send each other and strip from callers' requests. */
-inline constexpr std::array peerHeaders{
-    deadline,     hops,      entry,   service, repeatable,    priority,    objective,     workClass, retryAfterMs,      clockMilliseconds,
-    clockCounter, requestId, outcome, reason,  crashedTarget, targetLimit, targetLeaving, target,    targetIncarnation, targetLeavingForMs};
+inline constexpr std::array peerHeaders{deadline,  hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
+                                        objective, workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
+                                        reason,    crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs};
 
 } // namespace nutmeghinge::wire
--- a/tests/core/requestplay.cpp
+++ b/tests/core/requestplay.cpp
@@ -255,6 +255,7 @@
     RequestArrived arrived = accepted.arrived;
     arrived.hops = forward.hops;
     arrived.entry = forward.entry;
+    arrived.entryEndsIn = forward.entryEndsIn;
     arrived.routed = forward.routed;
     arrived.timeout = m_harness.timeUntil(node, forward.deadline);
     expireAt(from, forward.deadline);
--- a/tests/core/stopschedulepropertytest.cpp
+++ b/tests/core/stopschedulepropertytest.cpp
@@ -46,6 +46,21 @@
         for (std::size_t i = 0; i < count; ++i) {
             m_harness.callLater(std::chrono::milliseconds(random(1000)), [this, node = random(m_harness.size())] { stop(node); });
         }
+        if (!m_absent.empty()) {
+            m_harness.callLater(std::chrono::milliseconds(random(1500)), [this, node = m_absent.back()] { m_harness.startNode(node); });
+            m_absent.pop_back();
+        }
+    }
+
+    /** Ends a node, which joins again after some of the others have been told to stop. */
+    void removeOne()
+    {
+        m_absent.push_back(random(m_harness.size()));
+        if (m_harness.isUp(m_absent.back())) {
+            m_harness.killNode(m_absent.back());
+        } else {
+            m_absent.pop_back();
+        }
     }
 
     /** Returns what went wrong with a request; empty if nothing did. */
@@ -163,6 +178,7 @@
     std::vector<std::unique_ptr<RequestPlay::Call>> m_calls;
     /** First stop requests by node and its incarnation. */
     std::map<std::pair<std::size_t, std::uint64_t>, Duration> m_stoppedAt;
+    std::vector<std::size_t> m_absent;
 };
 
 } // namespace
@@ -174,7 +190,10 @@
     for (std::uint64_t seed = 1; seed <= (nodes == 62 ? 6 : 12); ++seed) {
         StopPlay play(nodes, seed);
         REQUIRE(play.begin());
-        play.run(3s);
+        for (unsigned removed = 0; nodes > 3 && removed < 3; ++removed) {
+            play.removeOne();
+        }
+        play.run(6s);
         for (int wave = 0; wave < 3; ++wave) {
             play.stopSome();
             play.run(std::chrono::milliseconds(1000 + 700 * wave));
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -115,6 +115,34 @@
     }
 }
 
+// Guards against a node that joined after the stop request of a caller's node, got no notice of it and let its target run on (LOST).
+TEST_CASE("A node that does not know of a stop is told with each request when the stopping node breaks it off", "[request]")
+{
+    RouterFixture stopping;
+    stopping.m_ownership.setOwner(MemberSlot(2));
+    stopping.ownershipChanged();
+    stopping.arrive(requestWithin(5s, 1));
+    CHECK_FALSE(stopping.only<ForwardRequest>().entryEndsIn);
+    stopping.stop(stopLimit);
+    stopping.tickAfter(1s);
+    stopping.arrive(requestWithin(4s, 2));
+    const std::optional<Duration> entryEndsIn = stopping.only<ForwardRequest>().entryEndsIn;
+    CHECK(entryEndsIn == ownRequestsEnd - 1s);
+
+    RouterFixture owner(true, 1);
+    owner.m_router.setStopLimit(stopLimit);
+    RequestArrived arrived = requestWithin(60s, 2, 1);
+    arrived.entryEndsIn = entryEndsIn;
+    arrived.entry = MemberSlot(2);
+    const MonotonicTime receivedAt = owner.m_now;
+    owner.arrive(arrived);
+    CHECK(owner.all<SendToTarget>().empty());
+    CHECK(owner.only<RefuseRequest>().outcome == Outcome::NotRun);
+    arrived.timeout = 4s;
+    owner.arrive(arrived);
+    CHECK(owner.only<SendToTarget>().workEnd == receivedAt + *entryEndsIn - stopLimit / 20);
+}
+
 // Guards against other nodes that do not recognise the requests of a stopping node once it has left the cell (LOST).
 TEST_CASE("A stopping node that is not a member any more states the slot that it had", "[request]")
 {
