Write large answers to other nodes at the pace of the VM's link, the one with least left first

Cause: a node passed answers to the system as fast as its target gave them. On a VM whose link carries 2.25 MB a second that was 2.2 to 4.5 MB a second for ten seconds and more. The system queued the excess in the connections' buffers, where heartbeats, votes, refusals, small answers and new connections wait behind it; nothing can pass there, and the process sees none of it.

Change: answers of more than 8 KB to clients on other VMs wait in the process for their turn (LinkPacer), in chunks, the one with the least left first, within nine tenths of linkMegabits (LinkCapacity); small ones go at once and are counted. Callers on the VM itself are not paced. Without linkMegabits nothing changes.

--- a/src/libnutmeghingeio/httplistener.h
+++ b/src/libnutmeghingeio/httplistener.h
@@ -15,6 +15,7 @@
 namespace nutmeghinge {
 
 class HttpExchange;
+class LinkPacer;
 
 /** Reports why a listener could not be opened. */
 struct ListenError {
@@ -40,6 +41,8 @@
         /** Counts what a PipelinedServer sends and receives, under this use; null for none. Must outlive the listener. */
         LinkTraffic *traffic = nullptr;
         ConnectionUse use = ConnectionUse::Callers;
+        /** Shares the VM's link among the large answers of a PipelinedServer; null for none. Must outlive the listener. */
+        LinkPacer *pacer = nullptr;
     };
 
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -116,6 +116,8 @@
         close();
         return false;
     }
+    const bool isPaced = m_options.pacer != nullptr && !m_options.pacer->isUnlimited();
+    m_usesLink = isPaced && SocketAddress::localEndpoint(&m_socket).address != client().address;
     uv_tcp_nodelay(&m_socket, 1);
     uv_tcp_keepalive(&m_socket, 1, 1);
     setOption(m_socket, TCP_USER_TIMEOUT, acknowledgementTimeoutMs);
@@ -276,7 +278,7 @@
 
 std::size_t PipelinedConnection::unsentBytes() const
 {
-    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket));
+    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_socket)) + m_outgoingBytes;
 }
 
 void PipelinedConnection::refuseForMemory()
@@ -510,13 +512,81 @@
     }
 }
 
+bool PipelinedConnection::isPaced() const
+{
+    return m_usesLink && (m_outgoingBytes > 0 || !m_exchanges.front()->m_small);
+}
+
 void PipelinedConnection::send(std::string bytes)
 {
-    auto *stream = reinterpret_cast<uv_stream_t *>(&m_socket);
-    std::size_t written = 0;
     if (m_options.traffic != nullptr) {
         m_options.traffic->of(m_options.use).sent += bytes.size();
     }
+    if (isPaced()) {
+        m_outgoingBytes += bytes.size();
+        m_outgoing.push_back(std::move(bytes));
+        m_options.pacer->request(*this);
+    } else {
+        if (m_usesLink) {
+            m_options.pacer->sent(bytes.size());
+        }
+        write(std::move(bytes));
+    }
+    recordUnsent();
+}
+
+std::uint64_t PipelinedConnection::bytesLeft() const
+{
+    const std::optional<std::uint64_t> unwritten = m_exchanges.empty() ? std::nullopt : m_exchanges.front()->m_bodyLeft;
+    return m_outgoingBytes + unwritten.value_or(0);
+}
+
+bool PipelinedConnection::writeChunk(std::uint64_t bytes)
+{
+    const std::shared_ptr<PipelinedConnection> self = shared_from_this();
+    auto *stream = reinterpret_cast<uv_stream_t *>(&m_socket);
+    if (m_outgoingBytes == 0 || uv_stream_get_write_queue_size(stream) > 0) {
+        return false;
+    }
+    const bool wasFull = isWriteQueueFull();
+    std::string chunk = takeOutgoing(bytes);
+    m_options.pacer->sent(chunk.size());
+    write(std::move(chunk));
+    if (m_state == State::Lingering && m_outgoingBytes == 0) {
+        shutDownSocket();
+    }
+    if (wasFull && !isWriteQueueFull()) {
+        handleWritten();
+    } else {
+        recordUnsent();
+        static_cast<void>(chargeOutput());
+    }
+    return m_outgoingBytes > 0 && uv_stream_get_write_queue_size(stream) == 0;
+}
+
+/** Removes the next bytes from those that wait for the link, up to a number. */
+std::string PipelinedConnection::takeOutgoing(std::uint64_t bytes)
+{
+    std::string taken;
+    while (!m_outgoing.empty() && taken.size() < bytes) {
+        std::string &front = m_outgoing.front();
+        if (front.size() <= bytes - taken.size()) {
+            taken += front;
+            m_outgoing.pop_front();
+        } else {
+            const std::size_t part = bytes - taken.size();
+            taken.append(front, 0, part);
+            front.erase(0, part);
+        }
+    }
+    m_outgoingBytes -= taken.size();
+    return taken;
+}
+
+void PipelinedConnection::write(std::string bytes)
+{
+    auto *stream = reinterpret_cast<uv_stream_t *>(&m_socket);
+    std::size_t written = 0;
     if (uv_stream_get_write_queue_size(stream) == 0) {
         uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         const int result = uv_try_write(stream, &buffer, 1);
@@ -541,7 +611,6 @@
     if (uv_write(&write->request, stream, &buffer, 1, onWritten) != 0) {
         delete write;
     }
-    recordUnsent();
 }
 
 void PipelinedConnection::recordUnsent()
@@ -599,6 +668,9 @@
         recordUnsent();
         static_cast<void>(chargeOutput());
     }
+    if (m_state != State::Closed && m_outgoingBytes > 0) {
+        m_options.pacer->request(*this);
+    }
     if (m_state == State::Lingering) {
         armTimer(m_options.idleTimeout);
     }
@@ -684,6 +756,13 @@
     }
     // The last answer may still be queued; a slow client gets all of it.
     armTimer(m_options.idleTimeout);
+    if (m_outgoingBytes == 0) {
+        shutDownSocket();
+    }
+}
+
+void PipelinedConnection::shutDownSocket()
+{
     auto *request = new uv_shutdown_t;
     const auto onShutdown = [](uv_shutdown_t *done, int) {
         auto *connection = static_cast<PipelinedConnection *>(done->handle->data);
@@ -704,6 +783,11 @@
         return;
     }
     reportCutAnswers();
+    if (m_usesLink) {
+        m_options.pacer->withdraw(*this);
+        m_outgoing.clear();
+        m_outgoingBytes = 0;
+    }
     m_state = State::Closed;
     recordUnsent();
     m_partial.reset();
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -3,6 +3,7 @@
 #include "connectionbudget.h"
 #include "httpexchange.h"
 #include "httplistener.h"
+#include "linkpacer.h"
 #include "memorycharge.h"
 #include "picohttpparser.h"
 #include "socketaddress.h"
@@ -25,8 +26,9 @@
  * exchanges and sends the answers in the order of the requests. Kept alive by the
  * server and by its handles in the loop. What it holds for the client is charged to
  * the memory budget, which may reclaim an unfinished request or unread answers.
+ * Large answers to clients on other VMs are written at the pace of the VM's link.
  */
-class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>, public ConnectionBudget::Holder
+class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>, public ConnectionBudget::Holder, public LinkPacer::Writer
 {
 public:
     /** Interface to the server, which outlives its connections. */
@@ -62,6 +64,8 @@
     bool hasServed() const override { return m_hasServed; }
     MonotonicTime idleSince() const override { return m_idleSince; }
     void closeForRoom() override { close(); }
+    std::uint64_t bytesLeft() const override;
+    bool writeChunk(std::uint64_t bytes) override;
     /** Returns the client's endpoint; empty if the client has disconnected. */
     Endpoint client() const { return SocketAddress::remoteEndpoint(&m_socket); }
 
@@ -114,7 +118,7 @@
     void reclaimOutput();
     /** Returns the memory that answers take that are not sent. */
     std::size_t outputBytes() const;
-    /** Returns the size of the socket's write queue. */
+    /** Returns the bytes of answers that the system has not taken, in the socket's write queue or waiting for the link. */
     std::size_t unsentBytes() const;
     /** Counts received bytes. Enough of them renew the time limit of a request. */
     void recordInput(std::size_t size);
@@ -122,6 +126,12 @@
     /** Sends the available output of the first exchange and removes complete exchanges. */
     void flush();
     void send(std::string bytes);
+    /** Passes the bytes to the socket. */
+    void write(std::string bytes);
+    /** Returns whether the answer being sent leaves the VM and is large enough to wait for its turn on the link. */
+    bool isPaced() const;
+    std::string takeOutgoing(std::uint64_t bytes);
+    void shutDownSocket();
     bool isWriteQueueFull() const;
     /** Returns whether the client has sent bytes that were not read yet. */
     bool hasUnreadInput() const;
@@ -175,6 +185,11 @@
         MonotonicTime begunAt;
         std::uint64_t bytes = 0;
     };
+    /** Bytes that wait for their turn on the VM's link. */
+    std::deque<std::string> m_outgoing;
+    std::uint64_t m_outgoingBytes = 0;
+    /** The client is on another VM, and the link is shared by a pacer. */
+    bool m_usesLink = false;
     /** Complete answers of which the socket has not taken the last byte. */
     std::deque<PendingAnswer> m_pendingAnswers;
     /** Bytes that this connection has counted as waiting. */
--- a/src/libnutmeghingeio/pipelinedexchange.cpp
+++ b/src/libnutmeghingeio/pipelinedexchange.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/** Largest body of an answer that does not wait behind larger ones. */
+constexpr std::uint64_t smallAnswerBytes = 8192;
 /** Size of the buffered output at which the source of the answer must pause. */
 constexpr std::size_t outputLimitBytes = 65536;
 /** Headers that the server generates itself; those of the answer are dropped. */
@@ -55,6 +57,7 @@
     m_bodyless = hasNoBody(head.status) || m_request.method == "HEAD";
     m_chunked = !m_bodyless && !head.contentLength;
     m_bodyLeft = head.contentLength;
+    m_small = m_bodyless || (head.contentLength && *head.contentLength <= smallAnswerBytes);
     const bool last = m_connection->m_closeAfterAnswers && m_connection->m_inputEnded && m_connection->m_exchanges.back().get() == this;
     m_keepAlive = m_keepAlive && !last;
     m_output = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reasonPhrase(head.status));
--- a/src/libnutmeghingeio/pipelinedexchange.h
+++ b/src/libnutmeghingeio/pipelinedexchange.h
@@ -39,6 +39,8 @@
     MonotonicTime m_begunAt;
     /** Bytes of the answer that were formatted so far. */
     std::uint64_t m_answerBytes = 0;
+    /** The answer is complete in so few bytes that it does not wait behind larger ones. */
+    bool m_small = false;
     bool m_finished = false;
     bool m_bodyless = false;
     bool m_chunked = false;
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -129,6 +129,7 @@
     , m_memory(MemoryBudget::limitsFor(m_limits.memoryBytes))
     , m_controlMemory(MemoryBudget::limitsForControl(m_limits.memoryBytes))
     , m_connections(m_limits.descriptors)
+    , m_pacer(loop, m_settings.linkMegabits * bytesPerMegabit)
     , m_client(loop, idleConnectionsPerEndpoint, &m_connections, &m_traffic)
     , m_forwarder(loop, m_client, *m_adapters.requests, [this](EventBody body) { dispatch(std::move(body)); })
     , m_targetClient(loop, m_client, [this](EventBody body) { dispatch(std::move(body)); })
@@ -158,7 +159,8 @@
                                         .limits = clientLimits(),
                                         .unavailableHeaders = m_adapters.requests->refusalHeaders(refusal),
                                         .traffic = &m_traffic,
-                                        .use = ConnectionUse::Callers};
+                                        .use = ConnectionUse::Callers,
+                                        .pacer = &m_pacer};
     if (m_settings.pipelining) {
         return std::make_unique<PipelinedServer>(m_loop, options, accept);
     }
@@ -178,7 +180,8 @@
                                                      {std::string(wire::reason), std::string(nameOf(NotRunReason::Overloaded))},
                                                      {std::string(wire::retryAfterMs), std::to_string(milliseconds)}},
                               .traffic = &m_traffic,
-                              .use = ConnectionUse::Peers},
+                              .use = ConnectionUse::Peers,
+                              .pacer = &m_pacer},
         [this](std::shared_ptr<HttpExchange> exchange) { m_forwarder.accept(std::move(exchange), RequestForwarder::Source::Peer); });
 }
 
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -6,6 +6,7 @@
 #include "events.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "linkpacer.h"
 #include "linktraffic.h"
 #include "loglimiter.h"
 #include "memorybudget.h"
@@ -91,6 +92,9 @@
     ConnectionBudget m_connections;
     LinkTraffic m_traffic;
     /** State of m_traffic when it was last logged. */
+    LinkPacer m_pacer;
+    /** Bytes waiting for peers that the reducer knows of. */
+    std::uint64_t m_measuredLinkQueue = 0;
     std::array<ByteCounts, LinkTraffic::uses> m_loggedTraffic;
     std::uint64_t m_cutAnswers = 0;
     LogLimiter m_cutAnswerLog{loggedCutAnswersPerSecond};
