--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -365,7 +365,7 @@
     if (!request || request->cancelled) {
         return;
     }
-    m_d->replies.record(TimelineRecord::Kind::RequestRefused, *request, effects, "the caller cancelled the request");
+    m_d->replies.record(TimelineRecord::Kind::RequestCancelled, *request, effects, request->answerBegun ? "its answer had begun" : "");
     request->cancelled = true;
     if (request->state == Request::State::AwaitingTargetCheck) {
         return;
--- a/src/libnutmeghinge/timelinerecord.cpp
+++ b/src/libnutmeghinge/timelinerecord.cpp
@@ -9,13 +9,15 @@
 
 // One name per kind, in the order of the enumerators.
 constexpr std::array kindNames{
-    "NodeStarted",         "StopRequested",    "NodeStopped",      "TargetAnnounced",     "TargetSilent",      "TargetUnproven",   "TargetLimitNamed",
-    "TargetLimitEnded",    "TargetLeaving",    "TargetCrashed",    "SuspectCleared",      "SuspectExpired",    "TermStarted",      "TermEnded",
-    "LeaseGranted",        "LeaseHeld",        "LeaseLapsed",      "ShardGranted",        "ShardReleasing",    "ShardReleased",    "ShardLost",
-    "HandoverSent",        "HandoverReceived", "MemberAdded",      "MemberRemoved",       "CellFull",          "RowWritten",       "RowConflict",
-    "RowRefused",          "PlatformDown",     "PlatformUp",       "TableRestored",       "DocumentInForce",   "DocumentRejected", "HotKeySplit",
-    "HotKeyMerged",        "RequestArrived",   "RequestForwarded", "RequestSentToTarget", "RequestRetried",    "RequestQueued",    "RequestAnswered",
-    "RequestAnsweredLate", "RequestRefused",   "RequestUnknown",   "DuplicateJoined",     "DuplicateAnswered", "StaleFence",       "BadInput",
+    "NodeStarted",         "StopRequested",    "NodeStopped",         "TargetAnnounced",  "TargetSilent",     "TargetUnproven",
+    "TargetLimitNamed",    "TargetLimitEnded", "TargetLeaving",       "TargetCrashed",    "SuspectCleared",   "SuspectExpired",
+    "TermStarted",         "TermEnded",        "LeaseGranted",        "LeaseHeld",        "LeaseLapsed",      "ShardGranted",
+    "ShardReleasing",      "ShardReleased",    "ShardLost",           "HandoverSent",     "HandoverReceived", "MemberAdded",
+    "MemberRemoved",       "CellFull",         "RowWritten",          "RowConflict",      "RowRefused",       "PlatformDown",
+    "PlatformUp",          "TableRestored",    "DocumentInForce",     "DocumentRejected", "HotKeySplit",      "HotKeyMerged",
+    "RequestArrived",      "RequestForwarded", "RequestSentToTarget", "RequestRetried",   "RequestQueued",    "RequestAnswered",
+    "RequestAnsweredLate", "RequestRefused",   "RequestUnknown",      "RequestCancelled", "DuplicateJoined",  "DuplicateAnswered",
+    "StaleFence",          "BadInput",
 };
 static_assert(kindNames.size() == static_cast<std::size_t>(TimelineRecord::Kind::BadInput) + 1);
 
@@ -39,7 +41,15 @@
 
 bool isRequestFailure(TimelineRecord::Kind kind)
 {
-    return kind == TimelineRecord::Kind::RequestRefused || kind == TimelineRecord::Kind::RequestUnknown || kind == TimelineRecord::Kind::RequestAnsweredLate;
+    switch (kind) {
+    case TimelineRecord::Kind::RequestAnsweredLate:
+    case TimelineRecord::Kind::RequestRefused:
+    case TimelineRecord::Kind::RequestUnknown:
+    case TimelineRecord::Kind::RequestCancelled:
+        return true;
+    default:
+        return false;
+    }
 }
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -70,6 +70,8 @@
         RequestAnsweredLate,
         RequestRefused,
         RequestUnknown,
+        /** The caller, or the node that forwarded the request, no longer waits for its answer. */
+        RequestCancelled,
         DuplicateJoined,
         DuplicateAnswered,
         StaleFence,
--- a/src/nutmeghingectl/requesttrace.cpp
+++ b/src/nutmeghingectl/requesttrace.cpp
@@ -33,7 +33,8 @@
 
 bool endsRequest(const std::string &kind)
 {
-    constexpr std::array<std::string_view, 5> ends{"RequestAnswered", "RequestAnsweredLate", "RequestRefused", "RequestUnknown", "DuplicateAnswered"};
+    constexpr std::array<std::string_view, 6> ends{
+        "RequestAnswered", "RequestAnsweredLate", "RequestRefused", "RequestUnknown", "RequestCancelled", "DuplicateAnswered"};
     return isAnyOf(kind, ends);
 }
 
--- a/tests/core/requestadmissiontest.cpp
+++ b/tests/core/requestadmissiontest.cpp
@@ -99,6 +99,7 @@
     node.arrive(RouterFixture::request(5));
     node.cancel(1);
     CHECK(node.only<CancelAttempt>().attempt == safe.front());
+    CHECK(node.only<Record>().record.kind == TimelineRecord::Kind::RequestCancelled);
     CHECK(node.all<SendToTarget>().empty());
     node.cancel(3);
     CHECK(node.all<CancelAttempt>().empty());
