Let no target work at an attempt for longer than a stop would leave it

Cause: a target was told the rest of the request's time limit (8 s) until a stop was known of, and only then the time that a stop leaves (6 s in all, less a seventh for the node's answers and a twentieth for the way back). What had begun before could outlast the node, and nothing ended it but the cut.

Change: StopSchedule::workEnd() bounds each attempt by the limit that a stop would leave it if it came as the attempt begins, derived from stopLimit; without stopLimit nothing changes. When a target ends a read so (504 of its own, not before that time), the node that received the read sends it once more, within the retry budget and the rest of the caller's time, if a replica is known that needs less than the rest (work so far, by the ratio of the measured service times); otherwise the caller gets 504 at once. Requests that must not run twice are bounded too: they get the target's own 504, which says that it ended the work, instead of a cut that leaves the outcome open.

--- a/src/libnutmeghinge/activedocument.cpp
+++ b/src/libnutmeghinge/activedocument.cpp
@@ -57,11 +57,22 @@
     record.kind = TimelineRecord::Kind::DocumentInForce;
     record.document = copy.revision;
     record.longestDelay = arrival.unconfirmedFor;
-    record.detail = describe(arrival.source);
+    record.detail = describe(arrival.source) + describeLongRoutes();
     effects.record(std::move(record));
     return true;
 }
 
+std::string ActiveDocument::describeLongRoutes() const
+{
+    const RequestRoute *longest = m_documents->routes.longest();
+    if (!longest || longest->timeout <= m_longestWork) {
+        return {};
+    }
+    const auto toText = [](Duration time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + " ms"; };
+    return "; the time limit of route " + longest->name + ", " + toText(longest->timeout) + ", is longer than a target may work at an attempt, "
+           + toText(m_longestWork) + ", since a stop ends the node";
+}
+
 DocumentRevision ActiveDocument::highestRevisionSeen() const
 {
     return std::max(m_copy.revision, m_rejected);
--- a/src/libnutmeghinge/activedocument.h
+++ b/src/libnutmeghinge/activedocument.h
@@ -39,6 +39,9 @@
     /** The format must outlive this object; null selects YAML. */
     explicit ActiveDocument(const DocumentFormat *format = nullptr);
 
+    /** Sets the longest time for which a target may work at an attempt; routes with a longer time limit are recorded. */
+    void setLongestWork(Duration longest) { m_longestWork = longest; }
+
     /**
      * Puts a document in force if its revision is higher and it is valid. Returns whether the document came into force.
      * @param service service of the target beside the node
@@ -61,7 +64,11 @@
     std::string validationError(const DocumentSet &next, const ServiceName &service, std::uint32_t assignedShards) const;
     void reject(const DocumentCopy &copy, std::string reason, EffectList &effects);
 
+    /** Names a route whose time limit exceeds the longest work; empty if there is none. */
+    std::string describeLongRoutes() const;
+
     const DocumentFormat *m_format;
+    Duration m_longestWork = Duration::max();
     std::shared_ptr<const DocumentSet> m_documents;
     const Document *m_document = nullptr;
     DocumentCopy m_copy;
--- a/src/libnutmeghinge/cellcontext.cpp
+++ b/src/libnutmeghinge/cellcontext.cpp
@@ -2,6 +2,7 @@
 
 #include "effectlist.h"
 #include "shardactivity.h"
+#include "stopschedule.h"
 
 #include <algorithm>
 
@@ -24,6 +25,7 @@
     , target(timings)
     , row(timings)
 {
+    documents.setLongestWork(StopSchedule::longestWork(timings.stopLimit));
 }
 
 Member CellContext::announcement() const
--- a/src/libnutmeghinge/decisions/replicachoice.cpp
+++ b/src/libnutmeghinge/decisions/replicachoice.cpp
@@ -81,6 +81,25 @@
     return m_candidates.empty() ? std::nullopt : std::optional(m_candidates.front().slot);
 }
 
+std::optional<MemberSlot> ReplicaChoice::chooseFaster(const OwnershipView &ownership, const Request &request, MonotonicTime now, WallTime wallTime)
+{
+    if (m_stale) {
+        refresh(ownership, now, wallTime);
+    }
+    const auto last = std::ranges::find(m_candidates, request.member, &Candidate::slot);
+    const double lastSlowness = last == m_candidates.end() ? 1 : last->slowness;
+    const Duration left = request.deadline - now;
+    std::vector<const Candidate *> faster;
+    for (const Candidate &candidate : m_candidates) {
+        const bool healthy = candidate.isSelf ? m_ownHealthy : candidate.healthy;
+        const auto needed = std::chrono::duration<double>(request.expiredWork) * (candidate.slowness / lastSlowness);
+        if (candidate.slot != request.member && healthy && needed <= left) {
+            faster.push_back(&candidate);
+        }
+    }
+    return faster.empty() ? std::nullopt : std::optional(chooseBetterOfTwo(faster, request).slot);
+}
+
 /** Returns whether the request is expected to wait less at the candidate than a transfer to another zone would take. */
 bool ReplicaChoice::hasCapacity(const Candidate &candidate, const Request &request) const
 {
--- a/src/libnutmeghinge/decisions/replicachoice.h
+++ b/src/libnutmeghinge/decisions/replicachoice.h
@@ -42,6 +42,11 @@
     void attemptEnded(MemberSlot member);
     /** Returns a member other than the one that the request was last sent to, if there is another; nothing if no member may serve the request. */
     std::optional<MemberSlot> choose(const OwnershipView &ownership, const Request &request, MonotonicTime now, WallTime wallTime);
+    /**
+     * Returns a member whose target is expected to end the request in the rest of its time, although the one that it was last sent to
+     * did not end it in request.expiredWork; nothing if there is none.
+     */
+    std::optional<MemberSlot> chooseFaster(const OwnershipView &ownership, const Request &request, MonotonicTime now, WallTime wallTime);
     /**
      * Returns the member for a request with an Idempotency-Key, so that its
      * repeats reach the same member. All nodes choose the same member for the
--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -35,7 +35,7 @@
 {
     const bool hasObjective = request.objectiveAt != MonotonicTime::max();
     const MonotonicTime expectedEnd = hasObjective ? now + (request.objectiveAt - request.arrivedAt) : request.deadline;
-    return std::min(request.deadline, expectedEnd) <= workEnd(request);
+    return std::min(request.deadline, expectedEnd) <= stopEnd(request);
 }
 
 bool StopSchedule::mayPassOn(const Request &request) const
@@ -43,7 +43,17 @@
     return request.hops == 0 || request.deadline <= peerRequestsEnd();
 }
 
-MonotonicTime StopSchedule::workEnd(const Request &request) const
+MonotonicTime StopSchedule::workEnd(const Request &request, MonotonicTime now) const
+{
+    return m_limit > Duration::zero() ? std::min(stopEnd(request), now + longestWork(m_limit)) : stopEnd(request);
+}
+
+Duration StopSchedule::longestWork(Duration limit)
+{
+    return limit > Duration::zero() ? limit - limit / ownAnswersDivisor - limit / answerDivisor : Duration::max();
+}
+
+MonotonicTime StopSchedule::stopEnd(const Request &request) const
 {
     MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : std::min(peerRequestsEnd(), request.entryEndsAt);
     if (const auto entry = m_members.find(request.entry); request.hops > 0 && entry != m_members.end()) {
--- a/src/libnutmeghinge/decisions/stopschedule.h
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -16,7 +16,8 @@
  * load: the process is ended from outside after a fixed time, and a request at which a
  * target is at work then is lost. A target therefore gets no more time than its callers'
  * node has left, and answers by itself when that is over; what is not expected to end
- * by then is refused at once. Without a limit it decides nothing.
+ * by then is refused at once. As a stop may come at any time, no attempt at a target
+ * gets more time than a stop would leave it. Without a limit it decides nothing.
  */
 class StopSchedule
 {
@@ -36,8 +37,13 @@
     bool mayBegin(const Request &request, MonotonicTime now) const;
     /** Returns whether a request of another node may be passed on: only if its time limit ends first, as the target would not know this node's stop. */
     bool mayPassOn(const Request &request) const;
-    /** Returns the time at which a target that begins the request must stop working at it; MonotonicTime::max() if no stop limits it. */
-    MonotonicTime workEnd(const Request &request) const;
+    /** Returns the time at which a target that begins the request now must stop working at it; MonotonicTime::max() without a limit. */
+    MonotonicTime workEnd(const Request &request, MonotonicTime now) const;
+    /**
+     * Returns how long a target may work at an attempt beside a node with the given limit, so that its answer is in time if a stop
+     * request comes as it begins; Duration::max() without a limit.
+     */
+    static Duration longestWork(Duration limit);
 
     /** Returns the time at which the node answers the requests of its callers itself; MonotonicTime::max() if never. */
     MonotonicTime ownRequestsEnd() const;
@@ -47,6 +53,8 @@
     bool endsPeerRequests(MonotonicTime now) const { return now >= peerRequestsEnd(); }
 
 private:
+    /** Returns the time at which a stop that is known of ends the target's work; MonotonicTime::max() if none does. */
+    MonotonicTime stopEnd(const Request &request) const;
     MonotonicTime peerRequestsEnd() const;
 
     Duration m_limit{0};
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -145,6 +145,8 @@
     MonotonicTime deadline;
     /** Time at which the target is to stop working and to answer, as it is told; if not before the deadline, it is told the deadline. */
     MonotonicTime workEnd = MonotonicTime::max();
+    /** True if a target's answer that this time is over ends the attempt as AttemptUnknown, since the request may be sent to another one. */
+    bool retriesExpiredWork = false;
     /** True if the deadline applies only to the head of the answer; the body may take longer as long as it makes progress. */
     bool deadlineForHeadOnly = false;
     /** True if the other side may send nothing until the deadline, because the request may wait there for a slot. */
@@ -196,6 +198,8 @@
     std::string detail;
     /** Target that crashed while it may have been running the request; sent only to peers. */
     std::optional<TargetRun> crashedTarget{};
+    /** The target ended its work because the time that it was given was over; sent only to peers. */
+    bool workTimeExpired = false;
 };
 
 /** Answers with the stored answer to an earlier request that had the same idempotency key. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -324,11 +324,13 @@
         TruncatedAnswer,
         /** The other node reported the outcome "unknown". */
         PeerUnknown,
+        /** The target answered, at the time at which it was to stop working, that its time was over, here or at the other node. */
+        WorkTimeExpired,
     };
     Reason reason = Reason::ConnectionLost;
     /** True if part of the answer was sent to the caller. The caller's stream was reset, so no other answer is possible. */
     bool answerBegun = false;
-    /** HTTP status with which the other node refused the request, if the reason is PeerUnknown; otherwise 0. */
+    /** HTTP status with which the other side refused the request, if the reason is PeerUnknown or WorkTimeExpired; otherwise 0. */
     std::uint16_t status = 0;
     /** Target that crashed while it may have been running the request, as the other node reports it. */
     std::optional<TargetRun> crashedTarget{};
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -140,6 +140,9 @@
     /** The member that the attempt was sent to has been handing the shard over since, so it ends or refuses the attempt itself. */
     bool ownerReleases = false;
 
+    /** Longest time for which the target of an attempt worked at the request until its time was over; zero if none did. */
+    Duration expiredWork{0};
+
     /** Number of attempts that have ended. */
     std::uint32_t attempts = 0;
     /** Number of attempts that ended with an unknown outcome. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -22,7 +22,7 @@
 
 bool isTargetFailure(const Request &request, const AttemptUnknown &result, Duration executionLimit, MonotonicTime now)
 {
-    if (request.cancelled) {
+    if (request.cancelled || result.reason == AttemptUnknown::Reason::WorkTimeExpired) {
         return false;
     }
     // A deadline shorter than the execution limit says nothing about the target.
@@ -63,6 +63,7 @@
     effect.fence = target.fence;
     effect.deadline = time.deadline;
     effect.workEnd = time.workEnd;
+    effect.retriesExpiredWork = request.idempotent && !request.sharded;
     effect.deadlineForHeadOnly = request.safe;
     effect.mayBeIdle = request.routed || !request.safe;
     request.target = m_admission.health().instance();
--- a/src/libnutmeghinge/requestreplies.cpp
+++ b/src/libnutmeghinge/requestreplies.cpp
@@ -35,6 +35,7 @@
     effect.retryAfter = effect.status == 503 ? std::max(refusal.retryAfter, minimumRetryAfter) : refusal.retryAfter;
     effect.detail = std::move(refusal.detail);
     effect.crashedTarget = request.crashedTarget;
+    effect.workTimeExpired = request.expiredWork > Duration::zero();
     ++(request.outcomeUnknown ? m_counters.unknown : m_counters.notRun);
     record(request.outcomeUnknown ? TimelineRecord::Kind::RequestUnknown : TimelineRecord::Kind::RequestRefused, request, effects, effect.detail);
     effects.add(std::move(effect));
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -58,6 +58,11 @@
     }
 }
 
+bool hasUsedUpAttempts(const Request &request)
+{
+    return request.maximumAttempts != 0 && request.unknownAttempts >= request.maximumAttempts;
+}
+
 /** Time of the event being handled, and the list that takes its effects. */
 struct Context {
     MonotonicTime now;
@@ -111,6 +116,9 @@
     void handleResult(Request &request, const AttemptAnswered &result, const Context &context);
     void handleResult(Request &request, const AttemptNotRun &result, const Context &context);
     void handleResult(Request &request, const AttemptUnknown &result, const Context &context);
+    /** Sends a request whose target had too little time to a replica that needs less, or gives it up. */
+    void handleExpiredWork(Request &request, const AttemptUnknown &result, const Context &context);
+    bool mayRepeatExpiredWork(const Request &request, const Context &context);
     void applyDecision(Request &request, const RetryDecision &decision, const Context &context);
 
     // Deduplication.
@@ -760,7 +768,7 @@
     if (usesDeduplication(request)) {
         deduplicationMemory.begin(request);
     }
-    attempts.sendToTarget(request, target, ownership->self(), {deadline, stopSchedule.workEnd(request)}, context.now, context.effects);
+    attempts.sendToTarget(request, target, ownership->self(), {deadline, stopSchedule.workEnd(request, context.now)}, context.now, context.effects);
 }
 
 void RequestRouter::Private::handleResult(Request &request, const AttemptAnswered &result, const Context &context)
@@ -843,7 +851,11 @@
         erase(request);
         return;
     }
-    const bool attemptsExhausted = request.maximumAttempts != 0 && request.unknownAttempts >= request.maximumAttempts;
+    if (result.reason == AttemptUnknown::Reason::WorkTimeExpired) {
+        handleExpiredWork(request, result, context);
+        return;
+    }
+    const bool attemptsExhausted = hasUsedUpAttempts(request);
     // The node that received the request from its caller decides whether another target may run it.
     const bool endsHere = request.crashedTarget && request.hops > 0;
     if (request.idempotent && !attemptsExhausted && !endsHere) {
@@ -854,6 +866,26 @@
     refuse(request, {result.status == 0 ? status : result.status, NotRunReason::Overloaded, {}, "the request may have run and may not be sent again"}, context);
 }
 
+void RequestRouter::Private::handleExpiredWork(Request &request, const AttemptUnknown &result, const Context &context)
+{
+    ++replies.counters().workTimeExpired;
+    request.expiredWork = std::max(request.expiredWork, context.now - request.sentAt);
+    if (mayRepeatExpiredWork(request, context)) {
+        applyDecision(request, retryPolicy.decideAfterUnknown(request, result, context.now), context);
+        return;
+    }
+    refuse(request,
+           {result.status, NotRunReason::DeadlineExpired, {}, "the target did not end its work in the time that a stop of a node would leave it"},
+           context);
+}
+
+bool RequestRouter::Private::mayRepeatExpiredWork(const Request &request, const Context &context)
+{
+    // The node that received the request from its caller chooses the replica.
+    const bool mayBeSent = request.hops == 0 && request.idempotent && !request.sharded && !hasUsedUpAttempts(request) && mayBegin(request, context);
+    return mayBeSent && planner.replicasFor(request).chooseFaster(*ownership, request, context.now, context.wallTime).has_value();
+}
+
 void RequestRouter::Private::applyDecision(Request &request, const RetryDecision &decision, const Context &context)
 {
     if (!mayBegin(request, context) && !std::holds_alternative<GiveUp>(decision)) {
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -23,6 +23,8 @@
     std::uint64_t unknown = 0;
     /** Requests of other nodes refused because the VM's link could not carry their answers in time. */
     std::uint64_t refusedForLink = 0;
+    /** Attempts that targets ended because the time that they were given, less than the request had, was over. */
+    std::uint64_t workTimeExpired = 0;
     std::uint64_t retries = 0;
     std::uint64_t retriesDenied = 0;
     std::uint64_t forwarded = 0;
--- a/src/libnutmeghinge/routeplanner.cpp
+++ b/src/libnutmeghinge/routeplanner.cpp
@@ -102,7 +102,9 @@
     } else if (request.suspect) {
         chosen = replicas.chooseForSuspect(ownership, request, now, wallTime);
     } else {
-        chosen = replicas.choose(ownership, request, now, wallTime);
+        const bool needsFaster = request.expiredWork > Duration::zero();
+        chosen = needsFaster ? replicas.chooseFaster(ownership, request, now, wallTime) : std::nullopt;
+        chosen = chosen ? chosen : replicas.choose(ownership, request, now, wallTime);
     }
     if (!chosen) {
         return NoRoute{};
--- a/src/libnutmeghinge/routetable.cpp
+++ b/src/libnutmeghinge/routetable.cpp
@@ -1,5 +1,7 @@
 #include "routetable.h"
 
+#include <algorithm>
+
 namespace nutmeghinge {
 
 namespace {
@@ -41,4 +43,11 @@
     return nullptr;
 }
 
+const RequestRoute *RouteTable::longest() const
+{
+    const auto isShorter = [](const auto &a, const auto &b) { return a.second.timeout < b.second.timeout; };
+    const auto found = std::max_element(m_routes.begin(), m_routes.end(), isShorter);
+    return found == m_routes.end() ? nullptr : &found->second;
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/routetable.h
+++ b/src/libnutmeghinge/routetable.h
@@ -22,6 +22,8 @@
 
     /** Returns null if no route matches. The path may include a query. */
     const RequestRoute *find(std::string_view host, std::string_view path) const;
+    /** Returns a route with the longest time limit; null if there is no route. */
+    const RequestRoute *longest() const;
     std::size_t size() const { return m_routes.size(); }
     bool isEmpty() const { return m_routes.empty(); }
 
--- a/src/libnutmeghingeio/answerrefusal.cpp
+++ b/src/libnutmeghingeio/answerrefusal.cpp
@@ -54,6 +54,9 @@
         if (crashed && from == AttemptDestination::Peer) {
             refusal.crashedTarget = TargetRun(*crashed);
         }
+        if (from == AttemptDestination::Peer && findHeader(head.headers, wire::workTimeExpired)) {
+            refusal.reason = AttemptUnknown::Reason::WorkTimeExpired;
+        }
         return refusal;
     }
     return std::nullopt;
--- a/src/libnutmeghingeio/forwardedattempt.cpp
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -1,6 +1,7 @@
 #include "forwardedattempt.h"
 
 #include "endtoendheaders.h"
+#include "eventloop.h"
 #include "forwardedrequest.h"
 #include "relayedstatementheaders.h"
 #include "wireheaders.h"
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::uint16_t gatewayTimeout = 504;
+
 AttemptUnknown::Reason unknownReasonOf(HttpCallResult result)
 {
     switch (result) {
@@ -31,8 +34,14 @@
 
 } // namespace
 
-ForwardedAttempt::ForwardedAttempt(HttpClient &client, std::shared_ptr<ForwardedRequest> request, Options options, EventFunction events, EndFunction ended)
-    : m_client(client)
+ForwardedAttempt::ForwardedAttempt(EventLoop &loop,
+                                   HttpClient &client,
+                                   std::shared_ptr<ForwardedRequest> request,
+                                   Options options,
+                                   EventFunction events,
+                                   EndFunction ended)
+    : m_loop(loop)
+    , m_client(client)
     , m_request(std::move(request))
     , m_options(std::move(options))
     , m_events(std::move(events))
@@ -103,8 +112,16 @@
     return findHeader(head.headers, wire::requestId).value_or(m_options.call.attemptId) == m_options.call.attemptId;
 }
 
+bool ForwardedAttempt::saysWorkTimeExpired(const HttpAnswerHead &head) const
+{
+    return head.status == gatewayTimeout && m_options.expiredWorkFrom && m_loop.now() >= *m_options.expiredWorkFrom;
+}
+
 std::optional<std::variant<AttemptNotRun, AttemptUnknown>> ForwardedAttempt::parseRefusal(const HttpAnswerHead &head) const
 {
+    if (saysWorkTimeExpired(head)) {
+        return AttemptUnknown{.reason = AttemptUnknown::Reason::WorkTimeExpired, .answerBegun = false, .status = head.status};
+    }
     const bool fromTarget = m_options.destination == AttemptDestination::Target;
     return fromTarget ? m_request->protocol().refusalOf(head) : refusalOf(head, AttemptDestination::Peer);
 }
--- a/src/libnutmeghingeio/forwardedattempt.h
+++ b/src/libnutmeghingeio/forwardedattempt.h
@@ -11,6 +11,7 @@
 
 namespace nutmeghinge {
 
+class EventLoop;
 class ForwardedRequest;
 
 /**
@@ -25,6 +26,8 @@
         AttemptDestination destination = AttemptDestination::Target;
         /** Parameters of the call to the target. An attempt at a peer uses the attempt id only. */
         TargetCall call;
+        /** Time from which on the target's answer that its time is over ends the attempt as unknown; such an answer before it goes to the caller. */
+        std::optional<MonotonicTime> expiredWorkFrom;
         /** Whether to buffer the answer until it is complete, unless its body exceeds bufferLimit. */
         bool keepAnswer = false;
         /** Largest answer body to buffer, in bytes. */
@@ -34,7 +37,7 @@
     /** Called with the result of the client's call when it has ended. */
     using EndFunction = std::function<void(HttpCallResult)>;
 
-    ForwardedAttempt(HttpClient &client, std::shared_ptr<ForwardedRequest> request, Options options, EventFunction events, EndFunction ended);
+    ForwardedAttempt(EventLoop &loop, HttpClient &client, std::shared_ptr<ForwardedRequest> request, Options options, EventFunction events, EndFunction ended);
 
     /** Sends the request. Must be called exactly once. */
     void send(HttpClientRequest request);
@@ -62,6 +65,7 @@
 
     void readStatement(const HttpAnswerHead &head);
     bool isAnswerToAttempt(const HttpAnswerHead &head) const;
+    bool saysWorkTimeExpired(const HttpAnswerHead &head) const;
     std::optional<std::variant<AttemptNotRun, AttemptUnknown>> parseRefusal(const HttpAnswerHead &head) const;
     void acceptAnswer(const HttpAnswerHead &head);
     void startStreaming();
@@ -71,6 +75,7 @@
     void onAnswerFailed(HttpCallResult result);
     void finish(std::variant<AttemptAnswered, AttemptNotRun, AttemptUnknown> result);
 
+    EventLoop &m_loop;
     HttpClient &m_client;
     std::shared_ptr<ForwardedRequest> m_request;
     Options m_options;
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -177,6 +177,9 @@
     if (refusal.crashedTarget) {
         headers.emplace_back(wire::crashedTarget, std::to_string(refusal.crashedTarget->value()));
     }
+    if (refusal.workTimeExpired) {
+        headers.emplace_back(wire::workTimeExpired, yes);
+    }
     if (refusal.outcome == Outcome::NotRun) {
         headers.emplace_back(wire::reason, nameOf(refusal.reason));
     }
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -178,6 +178,8 @@
     appendCounter(text, "requests_not_run_total", "Requests refused without being executed.", requests.notRun);
     appendCounter(
         text, "requests_refused_for_link_total", "Requests of peers refused because the link could not carry their answers in time.", requests.refusedForLink);
+    appendCounter(
+        text, "attempts_work_time_expired_total", "Attempts that targets ended because a stop would leave them no more time.", requests.workTimeExpired);
     appendCounter(text, "requests_unknown_total", "Requests that ended with an unknown outcome.", requests.unknown);
     appendCounter(text, "requests_forwarded_total", "Requests forwarded to another node.", requests.forwarded);
     appendCounter(text, "target_requests_total", "Requests sent to the target beside this node, retries included.", requests.sentToTarget);
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::size_t bufferedAnswerLimitBytes = 65536;
+/** Times are stated in whole milliseconds. */
+constexpr Duration statedTimeUnit = std::chrono::milliseconds(1);
 constexpr Duration safeProgressTimeout = std::chrono::seconds(5);
 
 /** Returns a random prefix that makes attempt ids unique among the processes that share a target. */
@@ -44,6 +46,8 @@
         MonotonicTime deadline;
         /** Time that the destination is told as its limit; not after the deadline. */
         MonotonicTime statedDeadline;
+        /** See ForwardedAttempt::Options. */
+        std::optional<MonotonicTime> expiredWorkFrom;
         bool freshConnection;
         bool keepAnswer;
         bool deadlineForHeadOnly;
@@ -121,11 +125,13 @@
     }
     HttpClientRequest sending = makeRequest(*request, destination, std::move(headers));
     const auto sent = std::make_shared<ForwardedAttempt>(
+        loop,
         client,
         request,
         ForwardedAttempt::Options{.id = attempt,
                                   .destination = destination.kind,
                                   .call = std::move(call),
+                                  .expiredWorkFrom = destination.expiredWorkFrom,
                                   .keepAnswer = destination.keepAnswer,
                                   .bufferLimit = bufferedAnswerLimitBytes},
         [this, id](EventBody event) {
@@ -208,10 +214,15 @@
 
 void RequestForwarder::run(const SendToTarget &effect)
 {
+    std::optional<MonotonicTime> expiredWorkFrom;
+    if (effect.retriesExpiredWork && effect.workEnd < effect.deadline) {
+        expiredWorkFrom = effect.workEnd - statedTimeUnit;
+    }
     const Private::Destination target{.kind = AttemptDestination::Target,
                                       .endpoint = effect.endpoint,
                                       .deadline = effect.deadline,
                                       .statedDeadline = std::min(effect.deadline, effect.workEnd),
+                                      .expiredWorkFrom = expiredWorkFrom,
                                       .freshConnection = effect.freshConnection,
                                       .keepAnswer = effect.keepAnswer,
                                       .deadlineForHeadOnly = effect.deadlineForHeadOnly,
@@ -249,6 +260,7 @@
                                     .endpoint = effect.peer,
                                     .deadline = effect.deadline,
                                     .statedDeadline = effect.deadline,
+                                    .expiredWorkFrom = {},
                                     .freshConnection = effect.freshConnection,
                                     .keepAnswer = false,
                                     .deadlineForHeadOnly = effect.deadlineForHeadOnly,
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -47,6 +47,8 @@
 inline constexpr std::string_view targetLeavingForMs = "nutmeghinge-target-leaving-for-ms";
 /** Node to node, with the outcome "unknown": number of the target run that crashed while it may have been running the request. */
 inline constexpr std::string_view crashedTarget = "nutmeghinge-crashed-target";
+/** Node to node, with the outcome "unknown": "1" if the target ended its work because the time that it was given was over. */
+inline constexpr std::string_view workTimeExpired = "nutmeghinge-work-time-expired";
 /** In refusals of targets and nodes: "not-run" or "unknown". */
 inline constexpr std::string_view outcome = "nutmeghinge-outcome";
 /** Node to node with "not-run": name of the NotRunReason, such as "not-owner". */
@@ -63,8 +65,9 @@
 inline constexpr std::string_view unknown = "unknown";
 
 /** Headers that nodes send each other and strip from callers' requests. */
-inline constexpr std::array peerHeaders{deadline,  hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
-                                        objective, workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
-                                        reason,    crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs};
+inline constexpr std::array peerHeaders{deadline,       hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
+                                        objective,      workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
+                                        reason,         crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs,
+                                        workTimeExpired};
 
 } // namespace nutmeghinge::wire
--- a/src/nutmeghinge/main.cpp
+++ b/src/nutmeghinge/main.cpp
@@ -5,6 +5,7 @@
 #include "node.h"
 #include "nodesettingsparser.h"
 #include "processlimits.h"
+#include "stopschedule.h"
 
 #include <csignal>
 #include <fstream>
@@ -116,6 +117,10 @@
     }
     if (commandLine.checkOnly) {
         std::cout << commandLine.settingsFile << ": ok\n";
+        if (const Duration limit = std::get<NodeSettings>(settings).stopLimit; limit > Duration::zero()) {
+            const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(StopSchedule::longestWork(limit));
+            std::cout << "stopLimit: a target works at an attempt for " << longest.count() << " ms at most, also where a route's time limit is longer\n";
+        }
         return 0;
     }
     return runNode(commandLine, std::get<NodeSettings>(settings));
--- a/tests/core/stopschedulepropertytest.cpp
+++ b/tests/core/stopschedulepropertytest.cpp
@@ -91,6 +91,28 @@
         return m_harness.violation();
     }
 
+    /** Makes the targets unequal: work that takes the longest time on the slowest ones takes less than half of it on the others. */
+    void useUnequalTargets() { m_play.speeds = {0.7, 0.7, 1.6}; }
+
+    /** Returns the first request that was given up at a stop although a target worked at it, and a stop was all that ended it; empty if none was. */
+    std::string givenUp() const
+    {
+        for (const auto &call : m_calls) {
+            const std::optional<Duration> stoppedAt = stopAfter(call->entry, call->sentAt);
+            if (stoppedAt && call->brokenOffAt && *call->brokenOffAt >= *stoppedAt + messageTime) {
+                return "given up " + toText(*call->brokenOffAt - *stoppedAt) + " after the stop request: " + describe(*call);
+            }
+        }
+        return {};
+    }
+
+    /** Returns the number of requests that got no target's answer because their time was over. */
+    std::size_t endedLate() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_calls, [](const auto &call) { return call->endedLate > 0; }));
+    }
+    std::size_t calls() const { return m_calls.size(); }
+
     /** Returns the time within which all but one in 100 of the large answers had been carried by a link. */
     Duration linkTime() const
     {
@@ -256,3 +278,23 @@
         CHECK(play.linkTime() <= objective);
     }
 }
+
+// Guards against a read that outlasts the stop of its node because no stop was known of when it began (review/4, LOST).
+TEST_CASE("Nothing that a target works at is given up at a stop, whenever the stop comes")
+{
+    const auto nodes = GENERATE(3U, 12U, 62U);
+    for (std::uint64_t seed = 1; seed <= (nodes == 62 ? 6 : 12); ++seed) {
+        StopPlay play(nodes, seed);
+        play.useUnequalTargets();
+        REQUIRE(play.begin());
+        play.run(6s);
+        for (int wave = 0; wave < 3; ++wave) {
+            play.stopSome();
+            play.run(std::chrono::milliseconds(1000 + 700 * wave));
+        }
+        play.run(20s);
+        INFO("nodes " << nodes << ", seed " << seed << ", " << play.calls() << " requests, " << play.endedLate() << " ended as late");
+        CHECK(play.givenUp() == "");
+        CHECK(play.violation() == "");
+    }
+}
--- a/tests/io/requestforwardertest.cpp
+++ b/tests/io/requestforwardertest.cpp
@@ -550,3 +550,59 @@
     CHECK(runUntil(setup.loop, [&] { return setup.target.connections()[0]->isEnded(); }));
     CHECK(caller.received().empty());
 }
+
+// Guards against a read that is not sent to a faster replica because the target's answer that its time is over went to the caller.
+TEST_CASE("A target's answer that its time is over goes to the caller only if it comes before the end of that time")
+{
+    for (const bool atEnd : {true, false}) {
+        ForwarderSetup setup;
+        setup.onEvent = [&](const EventBody &event) {
+            if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+                SendToTarget effect = setup.toTarget(arrived->request, arrived->request.value());
+                effect.workEnd = setup.loop.now() + (atEnd ? Duration(0) : std::chrono::seconds(20));
+                effect.retriesExpiredWork = true;
+                setup.forwarder.run(effect);
+            }
+        };
+        setup.onTargetRequest = [&](RawConnection &connection) { connection.send("HTTP/1.1 504 Late\r\nContent-Length: 4\r\n\r\nlate"); };
+        RawConnection caller(setup.loop, setup.callerEndpoint);
+        caller.send(getRequest);
+        REQUIRE(setup.await<AttemptFinished>());
+        if (atEnd) {
+            REQUIRE(setup.result<AttemptUnknown>());
+            CHECK(setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::WorkTimeExpired);
+            CHECK(setup.result<AttemptUnknown>()->status == 504);
+            CHECK(setup.forwarder.openRequests() == 1);
+        } else {
+            REQUIRE(setup.result<AttemptAnswered>());
+            CHECK(runUntil(setup.loop, [&] { return caller.received().ends_with("late"); }));
+        }
+    }
+}
+
+TEST_CASE("A node learns from the node that it forwarded a request to that the target's time was over")
+{
+    ForwarderSetup setup;
+    setup.sendToPeer();
+    setup.onTargetRequest = [&](RawConnection &connection) {
+        connection.send("HTTP/1.1 504 Late\r\nnutmeghinge-outcome: unknown\r\nnutmeghinge-work-time-expired: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+    RawConnection caller(setup.loop, setup.callerEndpoint);
+    caller.send(getRequest);
+    REQUIRE(setup.await<AttemptFinished>());
+    REQUIRE(setup.result<AttemptUnknown>());
+    CHECK(setup.result<AttemptUnknown>()->reason == AttemptUnknown::Reason::WorkTimeExpired);
+
+    setup.onEvent = nullptr;
+    RawConnection peer(setup.loop, setup.peerEndpoint);
+    peer.send("GET /a HTTP/1.1\r\nHost: d\r\nnutmeghinge-hops: 1\r\nnutmeghinge-request-id: a-1\r\n\r\n");
+    REQUIRE(setup.await<RequestArrived>(2));
+    RefuseRequest refusal;
+    refusal.request = setup.all<RequestArrived>().at(1).request;
+    refusal.status = 504;
+    refusal.outcome = Outcome::Unknown;
+    refusal.workTimeExpired = true;
+    setup.forwarder.run(refusal);
+    REQUIRE(runUntil(setup.loop, [&] { return contains(peer.received(), "\r\n\r\n"); }));
+    CHECK(valueOf(peer.received(), "nutmeghinge-work-time-expired") == "1");
+}
--- a/tests/process/badinputtest.cpp
+++ b/tests/process/badinputtest.cpp
@@ -32,3 +32,21 @@
     CHECK(node.output().find(":2: zones") != std::string::npos);
     CHECK(node.output().find(":3: platform") != std::string::npos);
 }
+
+TEST_CASE("nutmeghinge --check says how long a stop lets a target work at an attempt")
+{
+    TestCluster cluster("advice-desk");
+    const std::string file = cluster.folder() + "/stop.yaml";
+    {
+        ChildProcess write({"/bin/sh",
+                            "-c",
+                            "printf 'node: a\\nzone: z\\nregion: r\\nplatform: 127.0.0.1:9\\nstopLimit: 6s\\nlisten:\\n  callers: 127.0.0.1:1\\n  peers: "
+                            "127.0.0.1:2\\n  control: 127.0.0.1:3\\n  target: 127.0.0.1:4\\n  operations: 127.0.0.1:5\\n' > "
+                                + file},
+                           cluster.folder() + "/write.log");
+        REQUIRE(write.wait() == 0);
+    }
+    ChildProcess node({NODE_BINARY, "--settings", file, "--check"}, cluster.folder() + "/check.log");
+    CHECK(node.wait() == 0);
+    CHECK(node.output().find("4842 ms") != std::string::npos);
+}
