Expect a returning caller's request to take its route's whole objective at a stop

Cause: StopSchedule::mayBegin() took what was left of the objective for the time that a request needs. For a caller that has returned after a refusal that is counted from its first attempt, so it may be nothing or less, and such a request was always expected to end in time.

Change: the request keeps its route's objective; nothing begins after the end of the work that a stop allows.

Test: "A stopping node expects a request to take as long as its route's objective..." failed with the former condition (2 of 3 checks) and passes.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -33,9 +33,10 @@
 
 bool StopSchedule::mayBegin(const Request &request, MonotonicTime now) const
 {
-    const bool hasObjective = request.objectiveAt != MonotonicTime::max();
-    const MonotonicTime expectedEnd = hasObjective ? now + (request.objectiveAt - request.arrivedAt) : request.deadline;
-    return std::min(request.deadline, expectedEnd) <= stopEnd(request);
+    // Not what is left of the objective: a caller that has returned after a refusal has used some of it, or all.
+    const MonotonicTime expectedEnd = request.objective > Duration::zero() ? now + request.objective : request.deadline;
+    const MonotonicTime end = stopEnd(request);
+    return now < end && std::min(request.deadline, expectedEnd) <= end;
 }
 
 bool StopSchedule::mayPassOn(const Request &request) const
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -80,6 +80,8 @@
     std::uint32_t priority = 0;
     /** End of the route's latency objective; MonotonicTime::max() if the route has none. */
     MonotonicTime objectiveAt = MonotonicTime::max();
+    /** Time within which the route expects an answer, from the arrival of an attempt on; zero if the route has no objective. */
+    Duration objective{0};
     /** The answer is large: transferring it between zones costs more than waiting for a replica in this node's zone. */
     bool largeAnswer = false;
     /** Requests of the same work class are expected to need similar service times. */
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -151,6 +151,7 @@
     request.idempotent = routed.repeatable;
     request.priority = routed.priority;
     request.workClass = routed.workClass;
+    request.objective = routed.objective;
     request.objectiveAt = routed.objective == Duration::zero() ? MonotonicTime::max() : event.at + routed.objective;
     if (!arrived.routed) {
         readCallerIdentity(request, arrived, *document, event.at);
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -290,3 +290,21 @@
     node.arrive(once);
     CHECK_FALSE(node.only<SendToTarget>().retriesExpiredWork);
 }
+
+// Guards against a request that is begun just before its node ends because its caller's objective has passed (review/4).
+TEST_CASE("A stopping node expects a request to take as long as its route's objective, also if the caller has returned after a refusal", "[request]")
+{
+    StopSchedule schedule;
+    schedule.setLimit(stopLimit);
+    const MonotonicTime stoppedAt(100s);
+    schedule.stopRequested(stoppedAt);
+    Request request;
+    request.arrivedAt = stoppedAt + 1s;
+    request.objective = 1s;
+    request.objectiveAt = request.arrivedAt - 500ms;
+    request.deadline = stoppedAt + 20s;
+    CHECK(schedule.mayBegin(request, stoppedAt + workEnd - 1s));
+    CHECK_FALSE(schedule.mayBegin(request, stoppedAt + workEnd - 1s + 1ms));
+    request.deadline = stoppedAt + workEnd;
+    CHECK_FALSE(schedule.mayBegin(request, stoppedAt + workEnd));
+}
