Change all members that are due in one row, and count no votes of members that leave

Members that had ended as planned counted for majorities until somebody removed them, and nobody could once they were the majority.

Change: - All joins, departures and updates that are due go into one row. Sets of voters that differ in one member overlap in any majorities. For more, the row states a MemberChange, and elections, the term, acknowledged maps and the end of the change need majorities of the voters before and after it (joint consensus, Ongaro and Ousterhout, section 6), until a majority of both knows it. The map goes into each row, so that a successor from the new voters alone knows what the former ones had acknowledged. As many join as leave those that vote now a majority. - A member that announces that it leaves has no vote from the next change on, while it still holds keys, if those that stay and vote are a majority of those that stay and three or more; it gets it back if it stays. This needs nothing of the member itself, so it holds if that is killed, and of the store only the row. - Candidates that leave come last. - Metrics cell_members_ended, _leaving, cell_voters, cell_votes, cell_votes_needed, cell_nodes_waiting, cell_longest_wait_ms, cell_member_changes_total, cell_latest_member_change_ms; lines MembersChanged and ElectionFailed; TermEnded "majority lapsed" says how many votes there were, of how many, and who had ended.

Weighed: changes cut so that majorities overlap (one or two voters a row, which is the fault); a member that gives its vote up and is left out by whoever reads so (two candidates that know of different members may then not overlap in what they know of terms and maps; the row decides for all at once).

--- a/src/libnutmeghinge/cell.cpp
+++ b/src/libnutmeghinge/cell.cpp
@@ -704,6 +704,11 @@
     return m_d->coordinator.nodesWithoutRoom(now);
 }
 
+MembershipState Cell::membershipState(MonotonicTime now) const
+{
+    return m_d->coordinator.membershipState(now);
+}
+
 std::optional<TargetInstance> Cell::target() const
 {
     const std::optional<TargetAnnounced> &latest = m_d->context.target.latest();
--- a/src/libnutmeghinge/cell.h
+++ b/src/libnutmeghinge/cell.h
@@ -13,6 +13,7 @@
 class DocumentFormat;
 class EffectList;
 class ShardActivity;
+struct MembershipState;
 
 /**
  * State of this node within its cell: membership, coordinator terms, leases,
@@ -82,6 +83,8 @@
     MemberSlot coordinator() const;
     /** Returns the number of nodes that the cell does not admit because it is full; 0 if this node is not the coordinator. */
     std::size_t nodesWithoutRoom(MonotonicTime now) const;
+    /** Returns how well the list of members keeps up with the nodes. */
+    MembershipState membershipState(MonotonicTime now) const;
     /** Returns the incarnation of the target beside this node that is in use; empty before the first announcement. */
     std::optional<TargetInstance> target() const;
     /** Returns the time at which this node's member lease, or its term as coordinator, expires. */
--- a/src/libnutmeghinge/cellrow.h
+++ b/src/libnutmeghinge/cellrow.h
@@ -6,11 +6,26 @@
 #include "ownershipmap.h"
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <vector>
 
 namespace nutmeghinge {
 
+/**
+ * Change of several of a cell's voters at once. Until a majority of the voters before
+ * the change and of those after it knows the row, elections and the coordinator need a
+ * majority of both.
+ */
+struct MemberChange {
+    /** Slots of members whose votes did not count before the change, among them those that it has added. */
+    std::vector<MemberSlot> formerNonVoting;
+    /** Slots of members that the end of the change removes; they are nonVoting. */
+    std::vector<MemberSlot> departing;
+
+    friend bool operator==(const MemberChange &, const MemberChange &) = default;
+};
+
 /**
  * Row of the platform's table that describes a cell: its members, the owner of
  * each shard and the successors of that owner. Replaced by a conditional write.
@@ -23,6 +38,10 @@
     MemberSlot nextSlot{1};
     /** Members, in the order in which they become candidates for coordinator. */
     std::vector<Member> members;
+    /** Slots of members whose votes do not count, because they are about to leave. */
+    std::vector<MemberSlot> nonVoting;
+    /** Change of several voters in progress; empty if there is none. */
+    std::optional<MemberChange> change;
     /** Nodes of slots that are no longer in members but still named by the map. */
     std::vector<std::pair<MemberSlot, NodeName>> former;
     /** Ownership at the time of the write. */
--- a/src/libnutmeghinge/coordinator.cpp
+++ b/src/libnutmeghinge/coordinator.cpp
@@ -8,7 +8,7 @@
 #include "shardhandover.h"
 
 #include <algorithm>
-#include <functional>
+#include <tuple>
 
 namespace nutmeghinge {
 
@@ -22,19 +22,21 @@
 constexpr Duration suspectsWriteInterval = std::chrono::milliseconds(100);
 /** Interval between checks, and so records, of a full cell. */
 constexpr Duration fullCellInterval = std::chrono::seconds(10);
+/** Minimum interval between records of failed elections. */
+constexpr Duration failureRecordInterval = std::chrono::seconds(1);
 constexpr Duration planInterval = std::chrono::seconds(1);
 /** A member's load by shard is dropped if no new report arrives for this long. */
 constexpr Duration loadLifetime = std::chrono::seconds(3);
 /** Number of writes of the cell row within one hold limit. */
 constexpr int rowWritesPerHoldLimit = 4;
 
-TimelineRecord termRecord(TimelineRecord::Kind kind, MemberSlot self, Term term, const char *detail)
+TimelineRecord termRecord(TimelineRecord::Kind kind, MemberSlot self, Term term, std::string detail)
 {
     TimelineRecord record;
     record.kind = kind;
     record.member = self;
     record.fence = Fence{term, 0};
-    record.detail = detail;
+    record.detail = std::move(detail);
     return record;
 }
 
@@ -55,7 +57,7 @@
     }
     updateTermEnd(now);
     if (isElected() && now >= m_termEnd) {
-        end("majority lapsed", event, effects);
+        end("majority lapsed: " + describeVotes(now), event, effects);
     }
     if (isElected() && m_ledger.map().version.sequence >= m_context.timings.mapVersionsPerTerm) {
         end("map versions of the term used up", event, effects);
@@ -63,6 +65,10 @@
     }
     if (m_term.hasElectionFailed(now)) {
         ++m_failedElections;
+        if (now >= m_nextFailureRecord) {
+            m_nextFailureRecord = now + failureRecordInterval;
+            effects.record(termRecord(TimelineRecord::Kind::ElectionFailed, m_context.self, m_term.term(), describeVotes(now)));
+        }
         end("no majority", event, effects);
     }
     startElectionIfDue(event, effects);
@@ -90,6 +96,7 @@
         pushMap(now, effects);
     }
     recordFullCell(now, effects);
+    recordMemberChange(now, effects);
     writeRowIfDue(now, effects);
     resignIfIdle(event, effects);
 }
@@ -234,7 +241,7 @@
     publish();
 }
 
-void Coordinator::end(const char *reason, const Event &event, EffectList &effects)
+void Coordinator::end(const std::string &reason, const Event &event, EffectList &effects)
 {
     if (isElected()) {
         effects.record(termRecord(TimelineRecord::Kind::TermEnded, m_context.self, m_term.term(), reason));
@@ -569,7 +576,7 @@
         const Member *member = m_context.members.find(slot);
         const Document *document = member && m_context.spansServices() ? m_context.documents.documents()->find(member->service) : own;
         const bool eligible = member && document && !document->isLeaving(member->target, event.wallTime) && !status.leaseExpired && !status.leaving
-                              && !member->leaving && status.load.healthy && !m_context.members.hasEnded(slot);
+                              && !member->leaving && status.load.healthy && !m_context.members.hasEnded(slot) && !m_context.members.isDeparting(slot);
         if (eligible && !status.eligible) {
             status.eligibleSince = event.at;
         }
@@ -608,21 +615,11 @@
 
 Fence Coordinator::acknowledgedVersion(MonotonicTime now) const
 {
-    std::vector<Fence> versions;
-    for (const Member &member : m_context.members.members()) {
-        if (m_context.members.isExcludedFromMajority(member.slot, now)) {
-            continue;
-        }
-        const auto status = m_status.find(member.slot);
-        const bool own = member.slot == m_context.self;
-        versions.push_back(own ? m_ledger.map().version : status == m_status.end() ? Fence() : status->second.mapVersion);
-    }
-    if (versions.empty()) {
-        return Fence();
-    }
-    const auto deciding = versions.begin() + static_cast<std::ptrdiff_t>(versions.size() / 2);
-    std::nth_element(versions.begin(), deciding, versions.end(), std::greater<>());
-    return *deciding;
+    const auto versionOf = [this](MemberSlot slot) {
+        const auto status = m_status.find(slot);
+        return slot == m_context.self ? m_ledger.map().version : status == m_status.end() ? Fence() : status->second.mapVersion;
+    };
+    return m_context.members.majorityValue<Fence>(versionOf, now);
 }
 
 std::vector<MemberLoad> Coordinator::collectLoads() const
@@ -936,7 +933,7 @@
     std::optional<CellRow> change;
     if (isActive(now) && isMemberChangeComplete(now)) {
         change = m_admission.nextChange(
-            known->row, [&](MemberSlot slot) { return mayRemove(slot, now); }, now);
+            known->row, [&](MemberSlot slot) { return mayRemove(slot, now); }, [&](MemberSlot slot) { return m_term.hasVoteFrom(slot, now); }, now);
     }
     const bool renewalDue = holdLimitEnd() - now < document->holdLimit * (rowWritesPerHoldLimit - 1) / rowWritesPerHoldLimit;
     const std::vector<CrashSuspect> &suspects = m_context.activity.crashSuspects().lasting();
@@ -955,11 +952,60 @@
         row.former = formerNodes(row);
     }
     ++row.mark;
+    if (change) {
+        m_memberChange.emplace(row.revision, now);
+    }
     m_nextRowWrite = now + m_context.timings.rowWriteInterval;
     m_nextSuspectsWrite = now + suspectsWriteInterval;
     m_context.row.write(std::move(row), now, effects);
 }
 
+void Coordinator::recordMemberChange(MonotonicTime now, EffectList &effects)
+{
+    if (!m_memberChange || m_context.members.revision() < m_memberChange->first || !isMemberChangeComplete(now)) {
+        return;
+    }
+    m_latestMemberChange = now - m_memberChange->second;
+    ++m_memberChanges;
+    m_memberChange.reset();
+    const MembershipState state = membershipState(now);
+    const auto milliseconds = [](Duration time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + " ms"; };
+    TimelineRecord record;
+    record.kind = TimelineRecord::Kind::MembersChanged;
+    record.detail = "revision " + std::to_string(m_context.members.revision().value()) + ", known to a majority after " + milliseconds(m_latestMemberChange)
+                    + (m_context.members.isChanging() ? ", needs majorities of the former and the new voters; " : "; ") + describeVotes(now) + "; "
+                    + std::to_string(state.waiting) + " nodes wait to join, the longest for " + milliseconds(state.longestWait);
+    effects.record(std::move(record));
+}
+
+MembershipState Coordinator::membershipState(MonotonicTime now) const
+{
+    MembershipState state;
+    const std::vector<Member> &members = m_context.members.members();
+    state.members = members.size();
+    state.ended = m_context.members.endedCount();
+    state.leaving = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const Member &member) { return member.leaving; }));
+    state.voters = m_context.members.voterCount();
+    if (!isIdle()) {
+        const auto votes = [&](const Member &member) { return m_context.members.isVoting(member.slot) && m_term.hasVoteFrom(member.slot, now); };
+        state.votes = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), votes));
+        state.votesNeeded = state.voters / 2 + 1;
+    }
+    if (isElected()) {
+        std::tie(state.waiting, state.longestWait) = m_admission.waitingNodes(m_context.members, now);
+        state.changes = m_memberChanges;
+        state.latestChange = m_latestMemberChange;
+    }
+    return state;
+}
+
+std::string Coordinator::describeVotes(MonotonicTime now) const
+{
+    const MembershipState state = membershipState(now);
+    return std::to_string(state.votes) + " votes of " + std::to_string(state.voters) + " voters, " + std::to_string(state.votesNeeded) + " needed; "
+           + std::to_string(state.members) + " members, " + std::to_string(state.ended) + " ended, " + std::to_string(state.leaving) + " leave";
+}
+
 bool Coordinator::isMemberChangeComplete(MonotonicTime now) const
 {
     const CellRevision revision = m_context.members.revision();
--- a/src/libnutmeghinge/coordinator.h
+++ b/src/libnutmeghinge/coordinator.h
@@ -4,6 +4,7 @@
 #include "coordinatorterm.h"
 #include "ids.h"
 #include "memberadmission.h"
+#include "membershipstate.h"
 #include "memberstatus.h"
 #include "ownershipledger.h"
 #include "ownershipmaphistory.h"
@@ -12,6 +13,9 @@
 #include "units.h"
 
 #include <map>
+#include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace nutmeghinge {
@@ -46,7 +50,7 @@
     /** Returns whether another coordinator wrote the row, so that this node's term must end. */
     bool isSupersededBy(const CellRow &row) const;
     /** Ends the term or the election. The reason goes into the timeline if a term ends. */
-    void end(const char *reason, const Event &event, EffectList &effects);
+    void end(const std::string &reason, const Event &event, EffectList &effects);
     /**
      * Ends this node's term or election and starts an election with a higher term and new fences, because a target reported a newer
      * fence. Does nothing if this node is a follower.
@@ -66,6 +70,8 @@
     MonotonicTime activeUntil() const;
     /** Returns the number of nodes that the cell does not admit because it is full; 0 if this node is not the coordinator. */
     std::size_t nodesWithoutRoom(MonotonicTime now) const;
+    /** Returns how well the list of members keeps up. */
+    MembershipState membershipState(MonotonicTime now) const;
     /** Returns the term of the latest election of this node. */
     Term term() const { return m_term.term(); }
 
@@ -135,6 +141,10 @@
     void recordFullCell(MonotonicTime now, EffectList &effects);
     void writeRowIfDue(MonotonicTime now, EffectList &effects);
     bool isMemberChangeComplete(MonotonicTime now) const;
+    /** Records the change of members that this node has written once a majority knows it. */
+    void recordMemberChange(MonotonicTime now, EffectList &effects);
+    /** Describes the votes that this node has and needs, for the record of a term or an election that ends. */
+    std::string describeVotes(MonotonicTime now) const;
     bool mayRemove(MemberSlot slot, MonotonicTime now) const;
 
     CellContext &m_context;
@@ -163,6 +173,11 @@
     /** Time since which the votes are a majority only if ended members are not counted; empty while they are a majority of all members. */
     std::optional<MonotonicTime> m_majorityReducedSince;
     std::uint32_t m_failedElections = 0;
+    MonotonicTime m_nextFailureRecord;
+    /** Revision of the members that this node has written, and the time of the write, until a majority knows it. */
+    std::optional<std::pair<CellRevision, MonotonicTime>> m_memberChange;
+    std::uint64_t m_memberChanges = 0;
+    Duration m_latestMemberChange{0};
     bool m_renewFences = false;
 };
 
--- a/src/libnutmeghinge/coordinatorterm.cpp
+++ b/src/libnutmeghinge/coordinatorterm.cpp
@@ -3,8 +3,6 @@
 #include "memberlist.h"
 
 #include <algorithm>
-#include <functional>
-#include <vector>
 
 namespace nutmeghinge {
 
@@ -98,20 +96,11 @@
 
 MonotonicTime CoordinatorTerm::endsAt(const MemberList &members, MonotonicTime now) const
 {
-    std::vector<MonotonicTime> ends;
-    for (const Member &member : members.members()) {
-        if (members.isExcludedFromMajority(member.slot, now)) {
-            continue;
-        }
-        const auto vote = m_voteExpiry.find(member.slot);
-        ends.push_back(vote == m_voteExpiry.end() ? MonotonicTime() : vote->second);
-    }
-    if (ends.empty()) {
-        return now;
-    }
-    const auto deciding = ends.begin() + static_cast<std::ptrdiff_t>(ends.size() / 2);
-    std::nth_element(ends.begin(), deciding, ends.end(), std::greater<>());
-    return *deciding;
+    const auto expiryOf = [this](MemberSlot slot) {
+        const auto vote = m_voteExpiry.find(slot);
+        return vote == m_voteExpiry.end() ? MonotonicTime() : vote->second;
+    };
+    return members.majorityValue<MonotonicTime>(expiryOf, now);
 }
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/memberlist.cpp
+++ b/src/libnutmeghinge/memberlist.cpp
@@ -10,6 +10,13 @@
 {
     m_members = row.members;
     m_revision = row.revision;
+    m_nonVoting = {row.nonVoting.begin(), row.nonVoting.end()};
+    m_formerNonVoting.reset();
+    m_departing.clear();
+    if (row.change) {
+        m_formerNonVoting.emplace(row.change->formerNonVoting.begin(), row.change->formerNonVoting.end());
+        m_departing = {row.change->departing.begin(), row.change->departing.end()};
+    }
     std::erase_if(m_ended, [this](const auto &entry) { return !find(entry.first); });
 }
 
@@ -51,7 +58,11 @@
 
 bool MemberList::haveMostEnded() const
 {
-    return 2 * m_ended.size() > m_members.size();
+    const std::vector<std::vector<MemberSlot>> lists = electorates();
+    return std::any_of(lists.begin(), lists.end(), [this](const std::vector<MemberSlot> &list) {
+        const auto ended = std::count_if(list.begin(), list.end(), [this](MemberSlot slot) { return hasEnded(slot); });
+        return 2 * static_cast<std::size_t>(ended) > list.size();
+    });
 }
 
 bool MemberList::haveAllEnded() const
@@ -67,22 +78,47 @@
 
 bool MemberList::isMajority(const Predicate &predicate, MonotonicTime now) const
 {
-    std::size_t counted = 0;
-    std::size_t agreed = 0;
-    for (const Member &member : m_members) {
-        if (isExcludedFromMajority(member.slot, now)) {
-            continue;
+    const std::vector<std::vector<MemberSlot>> lists = electorates();
+    return std::all_of(lists.begin(), lists.end(), [&](const std::vector<MemberSlot> &list) {
+        std::size_t counted = 0;
+        std::size_t agreed = 0;
+        for (const MemberSlot slot : list) {
+            if (!isExcludedFromMajority(slot, now)) {
+                ++counted;
+                agreed += predicate(slot) ? 1 : 0;
+            }
         }
-        ++counted;
-        agreed += predicate(member.slot) ? 1 : 0;
-    }
-    return agreed * 2 > counted;
+        return agreed * 2 > counted;
+    });
 }
 
 bool MemberList::isMajorityOfAll(const Predicate &predicate) const
 {
-    const auto agreed = std::count_if(m_members.begin(), m_members.end(), [&](const Member &member) { return predicate(member.slot); });
-    return static_cast<std::size_t>(agreed) * 2 > m_members.size();
+    const std::vector<std::vector<MemberSlot>> lists = electorates();
+    return std::all_of(lists.begin(), lists.end(), [&](const std::vector<MemberSlot> &list) {
+        const auto agreed = std::count_if(list.begin(), list.end(), predicate);
+        return static_cast<std::size_t>(agreed) * 2 > list.size();
+    });
+}
+
+std::vector<std::vector<MemberSlot>> MemberList::electorates() const
+{
+    if (!m_formerNonVoting) {
+        return {membersWithout(m_nonVoting)};
+    }
+    return {membersWithout(*m_formerNonVoting), membersWithout(m_nonVoting)};
+}
+
+std::vector<MemberSlot> MemberList::membersWithout(const std::set<MemberSlot> &excluded) const
+{
+    std::vector<MemberSlot> result;
+    result.reserve(m_members.size());
+    for (const Member &member : m_members) {
+        if (!excluded.contains(member.slot)) {
+            result.push_back(member.slot);
+        }
+    }
+    return result;
 }
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/tablepolling.cpp
+++ b/src/libnutmeghinge/tablepolling.cpp
@@ -306,6 +306,8 @@
     row.termFloor = CoordinatorTerm::termBeyondHoldLimit(std::max(row.termFloor, row.map.version.term));
     row.termFloor = CoordinatorTerm::termBeyondRestorations(row.termFloor, m_context.row.epoch().value() - known->epoch.value());
     const std::vector<Member> before = std::exchange(row.members, {});
+    row.nonVoting.clear();
+    row.change.reset();
     for (const Member &member : before) {
         row.former.emplace_back(member.slot, member.node);
     }
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -35,6 +35,8 @@
         SuspectExpired,
         TermStarted,
         TermEnded,
+        /** A candidate got no majority in time. */
+        ElectionFailed,
         LeaseGranted,
         LeaseHeld,
         LeaseLapsed,
@@ -46,6 +48,8 @@
         HandoverReceived,
         MemberAdded,
         MemberRemoved,
+        /** A majority knows a change of the members that the coordinator has written. */
+        MembersChanged,
         /** The cell has its largest number of members, and others request to join. */
         CellFull,
         RowWritten,
--- a/src/libnutmeghingeio/cellrowcodec.cpp
+++ b/src/libnutmeghingeio/cellrowcodec.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t crashFields = 4;
 /** Left out if there are none. */
 constexpr const char *suspectsField = "suspects";
+/** Left out if all members vote. */
+constexpr const char *nonVotingField = "nonVoting";
+/** Left out unless several members change. */
+constexpr const char *changeField = "change";
 
 std::uint64_t millisecondsOf(WallTime time)
 {
@@ -79,11 +83,11 @@
 
 std::vector<MemberSlot> slotsOf(JsonReader &reader, const json &from)
 {
-    reader.check(from.is_array(), "successorLists");
+    reader.check(from.is_array(), "slots");
     std::vector<MemberSlot> slots;
     if (from.is_array()) {
         for (const json &slot : from) {
-            slots.emplace_back(static_cast<std::uint32_t>(reader.element(slot, "successor", std::numeric_limits<std::uint32_t>::max())));
+            slots.emplace_back(static_cast<std::uint32_t>(reader.element(slot, "slot", std::numeric_limits<std::uint32_t>::max())));
         }
     }
     return slots;
@@ -225,6 +229,12 @@
             result[suspectsField].push_back(toJson(suspect));
         }
     }
+    if (!row.nonVoting.empty()) {
+        result[nonVotingField] = toJson(row.nonVoting);
+    }
+    if (row.change) {
+        result[changeField] = {{"formerNonVoting", toJson(row.change->formerNonVoting)}, {"departing", toJson(row.change->departing)}};
+    }
     writeIndexed(result, "successorLists", "successors", row.successors);
     return jsonToText(result);
 }
@@ -250,6 +260,13 @@
             row.suspects.push_back(suspectOf(reader, suspect));
         }
     }
+    if (from.is_object() && from.contains(nonVotingField)) {
+        row.nonVoting = slotsOf(reader, from[nonVotingField]);
+    }
+    if (from.is_object() && from.contains(changeField)) {
+        const json change = reader.object(from, changeField);
+        row.change = MemberChange{slotsOf(reader, reader.list(change, "formerNonVoting")), slotsOf(reader, reader.list(change, "departing"))};
+    }
     row.mark = reader.number(from, "mark");
     row.termFloor = Term(reader.number(from, "termFloor"));
     row.document = DocumentRevision(reader.number(from, "document"));
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -39,6 +39,11 @@
     text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} counter\nnutmeghinge_{0} {2}\n", name, help, value);
 }
 
+std::uint64_t millisecondsOf(Duration time)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 void appendGauge(std::string &text, std::string_view name, std::string_view help, std::uint64_t value)
 {
     text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} gauge\nnutmeghinge_{0} {2}\n", name, help, value);
@@ -202,7 +207,17 @@
     appendCounter(text, "table_writes_total", "Write requests sent to the platform.", m_d->tableWrites);
     appendCounter(text, "table_restorations_total", "Restorations of the platform's table from an older copy, since the node started.", m_d->tableRestorations);
     appendGauge(text, "table_largest_row_bytes", "Size of the largest value written to the platform's table.", adapters.largestRowBytes);
-    appendGauge(text, "cell_members", "Members of the cell.", adapters.cellMembers);
+    const MembershipState &membership = adapters.membership;
+    appendGauge(text, "cell_members", "Members of the cell.", membership.members);
+    appendGauge(text, "cell_members_ended", "Members known to have ended.", membership.ended);
+    appendGauge(text, "cell_members_leaving", "Members that have announced that they leave.", membership.leaving);
+    appendGauge(text, "cell_voters", "Members whose votes count.", membership.voters);
+    appendGauge(text, "cell_votes", "Voters that vote for this node as coordinator or candidate.", membership.votes);
+    appendGauge(text, "cell_votes_needed", "Votes that this node needs as coordinator or candidate.", membership.votesNeeded);
+    appendGauge(text, "cell_nodes_waiting", "Nodes that ask this coordinator to join and are not members.", membership.waiting);
+    appendGauge(text, "cell_longest_wait_ms", "Longest time for which one of them has asked.", millisecondsOf(membership.longestWait));
+    appendCounter(text, "cell_member_changes_total", "Changes of members by this coordinator that a majority knows.", membership.changes);
+    appendGauge(text, "cell_latest_member_change_ms", "Time until a majority knew the latest of them.", millisecondsOf(membership.latestChange));
     appendGauge(
         text, "cell_nodes_without_room", "Nodes that the cell does not admit because it is full; 0 at all but its coordinator.", adapters.nodesWithoutRoom);
     appendCounter(text, "refused_inputs_total", "Requests refused for invalid framing or excessive size.", adapters.refusedInputs);
--- a/src/libnutmeghingeio/nodemetrics.h
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -2,6 +2,7 @@
 
 #include "effects.h"
 #include "events.h"
+#include "membershipstate.h"
 
 #include <cstdint>
 #include <memory>
@@ -27,7 +28,7 @@
     std::uint64_t connectionsClosedForRoom = 0;
     /** Size of the largest value written to the platform's table, in bytes as sent; 0 if it is not counted. */
     std::size_t largestRowBytes = 0;
-    std::size_t cellMembers = 0;
+    MembershipState membership;
     /** Nodes that the cell does not admit because it is full, as its coordinator knows them. */
     std::size_t nodesWithoutRoom = 0;
     /** Null if it is not counted. */
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -463,7 +463,7 @@
     adapters.connectionLimit = m_connections.limit();
     adapters.connectionsClosedForRoom = m_connections.closed();
     adapters.largestRowBytes = m_platform->largestRowBytes();
-    adapters.cellMembers = cell.members().size();
+    adapters.membership = cell.membershipState(m_loop.now());
     adapters.nodesWithoutRoom = cell.nodesWithoutRoom(m_loop.now());
     adapters.traffic = &m_traffic;
     adapters.cutAnswers = m_cutAnswers;
--- a/src/nutmeghingectl/requesttrace.cpp
+++ b/src/nutmeghingectl/requesttrace.cpp
@@ -13,7 +13,7 @@
 /** Groups of record kinds that describe the same part of a node's state: the last entry of a group replaces the earlier ones. */
 constexpr std::array<std::array<std::string_view, 3>, 6> nodeStateKinds{{
     {"NodeStarted", "StopRequested", "NodeStopped"},
-    {"TermStarted", "TermEnded", ""},
+    {"TermStarted", "TermEnded", "ElectionFailed"},
     {"LeaseHeld", "LeaseLapsed", ""},
     {"PlatformDown", "PlatformUp", ""},
     {"TargetAnnounced", "TargetSilent", ""},
--- a/tests/core/memberadmissiontest.cpp
+++ b/tests/core/memberadmissiontest.cpp
@@ -58,8 +58,8 @@
     admission.setAnnounced({first, second});
     CHECK(admission.nodesWithoutRoom(row, MonotonicTime()) == 0);
     const auto mayNotRemove = [](MemberSlot) { return false; };
-    const std::optional<CellRow> full = admission.nextChange(row, mayNotRemove, MonotonicTime());
+    const std::optional<CellRow> full = admission.nextChange(row, mayNotRemove, mayNotRemove, MonotonicTime());
     REQUIRE(full);
     CHECK(admission.nodesWithoutRoom(*full, MonotonicTime()) == 1);
-    CHECK_FALSE(admission.nextChange(*full, mayNotRemove, MonotonicTime()));
+    CHECK_FALSE(admission.nextChange(*full, mayNotRemove, mayNotRemove, MonotonicTime()));
 }
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -162,7 +162,7 @@
     entry.disturbedUntil = m_now;
     entry.silentConnection = false;
     NodeIdentity identity;
-    identity.node = NodeName("node" + std::to_string(node));
+    identity.node = NodeName("node" + std::to_string(node) + (entry.formerVms > 0 ? "-" + std::to_string(entry.formerVms) : ""));
     identity.incarnation = Incarnation(entry.incarnation);
     identity.zone = ZoneName("zone" + std::to_string(node % 3));
     identity.service = serviceOf(node);
@@ -170,13 +170,23 @@
     identity.controlEndpoint = Endpoint{"10.0.0.1", static_cast<std::uint16_t>(node)};
     identity.peerEndpoint = Endpoint{"10.0.0.3", static_cast<std::uint16_t>(node)};
     identity.seed = random(1000000);
-    identity.firstStart = entry.incarnation == 1;
+    identity.firstStart = entry.incarnation == entry.formerVms + 1;
     identity.startedAt = clock(node);
     identity.linkMegabits = m_linkMegabits;
     entry.reducer = std::make_unique<Reducer>(identity, m_timings, m_format.get());
     schedule(Duration(static_cast<std::int64_t>(random(10000))), [this, node, incarnation = entry.incarnation] { tickLoop(node, incarnation); });
 }
 
+void TargetLeaseHarness::replaceVm(std::size_t node)
+{
+    killNode(node);
+    killTarget(node);
+    // Also the number of processes that had run there, so that the first one of the new VM knows that it is.
+    m_nodes[node].formerVms = m_nodes[node].incarnation;
+    startTarget(node);
+    startNode(node);
+}
+
 void TargetLeaseHarness::stopNode(std::size_t node)
 {
     deliver(node, m_nodes[node].incarnation, StopRequested{});
@@ -197,6 +207,15 @@
     return std::nullopt;
 }
 
+std::size_t TargetLeaseHarness::coordinators() const
+{
+    std::size_t count = 0;
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        count += isUp(node) && m_nodes[node].reducer->cell().isCoordinator(clock(node)) ? 1 : 0;
+    }
+    return count;
+}
+
 void TargetLeaseHarness::killTarget(std::size_t node)
 {
     m_nodes[node].target.up = false;
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -47,6 +47,8 @@
 
     void killNode(std::size_t node);
     void startNode(std::size_t node);
+    /** Ends the VM of the node and of its target for good, if it still runs, and starts another one with a new name in its place. */
+    void replaceVm(std::size_t node);
     /** Requests a planned stop of the node; the test kills it when it would have ended. */
     void stopNode(std::size_t node);
     /** Tells the stopping node that all connections of callers and peers are closed. */
@@ -55,6 +57,10 @@
     bool hasExited(std::size_t node) const { return m_exited.contains({node, m_nodes[node].incarnation}); }
     /** Returns the coordinator; nothing if there is none. */
     std::optional<std::size_t> coordinator() const;
+    /** Returns the number of nodes that act as coordinator. */
+    std::size_t coordinators() const;
+    /** Returns whether the node is a member of the cell, as far as it knows. */
+    bool isMember(std::size_t node) const { return isUp(node) && m_nodes[node].reducer->cell().self() != noMember; }
     /** Ends the target's process, which loses its leases. */
     void killTarget(std::size_t node);
     /** Starts a new incarnation of the target, without leases. */
@@ -176,6 +182,8 @@
     struct Node {
         std::unique_ptr<Reducer> reducer;
         std::uint64_t incarnation = 0;
+        /** Number of VMs that had the place of this one before. */
+        std::uint64_t formerVms = 0;
         Duration pausedUntil{0};
         double clockRate = 1;
         bool isolated = false;
--- a/tests/io/cellrowgenerator.cpp
+++ b/tests/io/cellrowgenerator.cpp
@@ -54,6 +54,10 @@
     row.revision = CellRevision(any<std::uint64_t>());
     row.nextSlot = MemberSlot(any<std::uint32_t>());
     row.members = *rc::gen::container<std::vector<Member>>(anyMember());
+    if (any<bool>()) {
+        row.nonVoting = {slot()};
+        row.change = MemberChange{{slot()}, {slot(), slot()}};
+    }
     row.former = {{slot(), NodeName(name())}};
     row.map.version = {Term(any<std::uint64_t>()), any<std::uint64_t>()};
     row.map.shards = *rc::gen::container<std::vector<ShardOwnership>>(rc::gen::exec(ownership));
