Let a member with too many runs of shards give whole runs away

Cause: a member with 39 runs or more was taken out of those that give shards away, because a part of a run may leave it with more runs. That is the member on which scattered shards have been piled.

Change: such a member gives whole runs, which leaves it with fewer.

--- a/src/libnutmeghinge/decisions/rangestrategy.cpp
+++ b/src/libnutmeghinge/decisions/rangestrategy.cpp
@@ -56,7 +56,10 @@
     void assign(std::size_t shard, Holder &to);
     double meanLoadPerCapacity() const;
     std::size_t runsOf(MemberSlot slot) const;
+    /** Returns whether the shard continues the run of the one before it: the same owner holds both under one fence. */
+    bool continuesRun(std::size_t shard) const;
     Slice bestSlice(const Holder &from, double wanted) const;
+    Slice bestRun(const Holder &from, double wanted) const;
     Slice moveSlice(Holder &from, Holder &to, double mean, std::size_t budget);
 
     const BalanceInput &m_input;
@@ -188,12 +191,16 @@
     }
 }
 
+bool RangePlan::continuesRun(std::size_t shard) const
+{
+    return shard > 0 && m_owners[shard - 1] == m_owners[shard] && m_input.map.shards[shard - 1].fence == m_input.map.shards[shard].fence;
+}
+
 std::size_t RangePlan::runsOf(MemberSlot slot) const
 {
     std::size_t runs = 0;
     for (std::size_t shard = 0; shard < m_owners.size(); ++shard) {
-        const bool begins = shard == 0 || m_owners[shard - 1] != slot || m_input.map.shards[shard - 1].fence != m_input.map.shards[shard].fence;
-        runs += m_owners[shard] == slot && begins ? 1 : 0;
+        runs += m_owners[shard] == slot && !continuesRun(shard) ? 1 : 0;
     }
     return runs;
 }
@@ -223,11 +230,31 @@
     return best;
 }
 
+/** Returns the member's run with the highest load up to about the wanted one; empty if every run exceeds it or has a shard that may not move. */
+RangePlan::Slice RangePlan::bestRun(const Holder &from, double wanted) const
+{
+    Slice best;
+    for (std::size_t first = 0; first < m_owners.size();) {
+        Slice run{first, first + 1, m_weights[first]};
+        bool movable = m_owners[first] == from.slot && m_movable[first];
+        for (; run.end < m_owners.size() && continuesRun(run.end); ++run.end) {
+            run.load += m_weights[run.end];
+            movable = movable && m_movable[run.end];
+        }
+        if (movable && run.load <= wanted * largestSlice && (best.isEmpty() || run.load > best.load)) {
+            best = run;
+        }
+        first = run.end;
+    }
+    return best;
+}
+
 /** Moves a slice from one member to another. Returns the moved slice, which is empty if none fits. */
 RangePlan::Slice RangePlan::moveSlice(Holder &from, Holder &to, double mean, std::size_t budget)
 {
     const double wanted = std::min(from.load - mean * from.capacity, mean * to.capacity - to.load);
-    const Slice slice = bestSlice(from, wanted);
+    // A member with too many runs gives whole ones, since a part of one would leave it as many or more.
+    const Slice slice = runsOf(from.slot) + 1 >= maximumRuns ? bestRun(from, wanted) : bestSlice(from, wanted);
     if (slice.isEmpty() || slice.end - slice.first > budget) {
         return Slice();
     }
@@ -262,7 +289,7 @@
             destinations.erase(to);
             continue;
         }
-        const Slice moved = runsOf((*from)->slot) + 1 >= maximumRuns ? Slice() : moveSlice(**from, **to, mean, budget);
+        const Slice moved = moveSlice(**from, **to, mean, budget);
         if (moved.isEmpty()) {
             sources.erase(from);
             continue;
--- a/tests/core/rangestrategytest.cpp
+++ b/tests/core/rangestrategytest.cpp
@@ -134,3 +134,21 @@
     cell.cooling.assign(512, false);
     CHECK(RangeStrategy().plan(cell.input(0)).empty());
 }
+
+// Guards against an owner of many scattered shards that is relieved of none until its lease ends (review/4).
+TEST_CASE("A member with too many runs gives whole runs away")
+{
+    constexpr std::uint32_t members = 8;
+    FakeShardCell cell = settled(members);
+    std::fill(cell.loads.begin(), cell.loads.end(), 100);
+    for (std::size_t i = 0; i < cell.loads.size(); i += 6) {
+        cell.map.shards[i].owner = MemberSlot(1);
+    }
+    const std::size_t runsBefore = runsOf(cell, MemberSlot(1));
+    REQUIRE(runsBefore > 70);
+    for (int round = 0; round < 100; ++round) {
+        cell.apply(RangeStrategy().plan(cell.input()));
+    }
+    CHECK(runsOf(cell, MemberSlot(1)) < runsBefore);
+    CHECK(loadsOf(cell)[MemberSlot(1)] <= cell.document.targetRatio * 512 * 100 / members);
+}
