State why a node answers in a target's place, and count it by cause until it has stopped

Change: RequestUnknown states the cause of its last attempt, the member, and the times since it was sent and since the request arrived. An owner tells the node before it why it does not know the outcome (header nutmeghinge-unknown-cause; a node that does not send it is read as before). A lease that ended, the execution limit and the caller's time limit are told apart; so are a connection that was closed, one that was not acknowledged, and one that the node itself cancelled. NodeStopped states the counts by cause since the stop request, and a metric has them; LeaseLapsed says how many requests were at the target, ForwardsCancelled how many were given up because their owners were lost, RequestCancelled after what time.

One decision changes: an attempt that the node itself cancelled no longer counts as a failure of its target, and does not make the node check whether the target has crashed. It was taken for a lost connection.

Tests: "An answer in a target's place states why...", "Forwards that are given up...", "A peer's answer tells why...". They need the new fields, so they were not seen to fail before.

--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -15,6 +15,7 @@
 #include "targetstatement.h"
 #include "timelinerecord.h"
 #include "units.h"
+#include "unknowncause.h"
 
 #include <cstdint>
 #include <optional>
@@ -200,6 +201,8 @@
     std::optional<TargetRun> crashedTarget{};
     /** The target ended its work because the time that it was given was over; sent only to peers. */
     bool workTimeExpired = false;
+    /** Why the outcome is unknown; sent only to peers. */
+    std::optional<UnknownCause> unknownCause{};
 };
 
 /** Answers with the stored answer to an earlier request that had the same idempotency key. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -14,6 +14,7 @@
 #include "targetlease.h"
 #include "targetstatement.h"
 #include "units.h"
+#include "unknowncause.h"
 
 #include <cstdint>
 #include <memory>
@@ -318,6 +319,10 @@
 struct AttemptUnknown {
     enum class Reason : std::uint8_t {
         ConnectionLost,
+        /** The other side's system did not acknowledge what was sent to it. */
+        Unacknowledged,
+        /** This node cancelled the attempt. */
+        Cancelled,
         NoProgress,
         DeadlineExpired,
         WrongAnswer,
@@ -334,6 +339,8 @@
     std::uint16_t status = 0;
     /** Target that crashed while it may have been running the request, as the other node reports it. */
     std::optional<TargetRun> crashedTarget{};
+    /** Why the other node does not know the outcome, if it stated that. */
+    std::optional<UnknownCause> peerCause{};
 };
 
 /** An attempt has ended. Sent exactly once per attempt, also after CancelAttempt. */
--- a/src/libnutmeghinge/follower.cpp
+++ b/src/libnutmeghinge/follower.cpp
@@ -160,6 +160,9 @@
     TimelineRecord record;
     record.kind = held ? TimelineRecord::Kind::LeaseHeld : TimelineRecord::Kind::LeaseLapsed;
     record.member = m_context.self;
+    if (!held) {
+        record.detail = std::to_string(m_context.activity.targetRequests()) + " requests at the target or waiting for it";
+    }
     effects.record(std::move(record));
 }
 
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -121,6 +121,8 @@
         m_exited = true;
         TimelineRecord record;
         record.kind = TimelineRecord::Kind::NodeStopped;
+        record.detail =
+            "callers that got an answer of this node although a target may have run their request, since the stop request: " + m_router.unknownSinceStop();
         effects.record(std::move(record));
         effects.add(Exit{0});
     }
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -7,6 +7,7 @@
 #include "requestidentity.h"
 #include "targetstatement.h"
 #include "units.h"
+#include "unknownattempt.h"
 
 #include <cstdint>
 #include <memory>
@@ -50,6 +51,14 @@
         Running,
     };
 
+    /** What bounds the time of an attempt at this node's target. */
+    enum class TimeBound : std::uint8_t {
+        Deadline,
+        /** The lease under which this node owns the key. */
+        Lease,
+        ExecutionLimit,
+    };
+
     /** Receiver of an attempt. */
     enum class Destination : std::uint8_t {
         /** The target beside this node. */
@@ -132,6 +141,8 @@
     /** Fence of the shard's owner when the attempt started. */
     Fence fence;
     MonotonicTime sentAt;
+    /** Bound of the attempt's time, if it was sent to the target. */
+    TimeBound timeBound = TimeBound::Deadline;
     /** Incarnation of the target beside this node that the attempt was sent to. */
     TargetInstance target;
     /** The answer of the attempt has begun to arrive. */
@@ -147,6 +158,8 @@
 
     /** Number of attempts that have ended. */
     std::uint32_t attempts = 0;
+    /** The last attempt that ended with an unknown outcome. */
+    std::optional<UnknownAttempt> unknownAttempt;
     /** Number of attempts that ended with an unknown outcome. */
     std::uint32_t unknownAttempts = 0;
     /** Number of attempts refused by a node or target that may not run the request, for example because it does not own the shard. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -22,7 +22,8 @@
 
 bool isTargetFailure(const Request &request, const AttemptUnknown &result, Duration executionLimit, MonotonicTime now)
 {
-    if (request.cancelled || result.reason == AttemptUnknown::Reason::WorkTimeExpired) {
+    const bool endedByNode = result.reason == AttemptUnknown::Reason::Cancelled || result.reason == AttemptUnknown::Reason::WorkTimeExpired;
+    if (request.cancelled || endedByNode) {
         return false;
     }
     // A deadline shorter than the execution limit says nothing about the target.
--- a/src/libnutmeghinge/requestreplies.cpp
+++ b/src/libnutmeghinge/requestreplies.cpp
@@ -23,8 +23,27 @@
     return refusal.reason == NotRunReason::DeadlineExpired ? 504 : 502;
 }
 
+/** Returns why the request's outcome is unknown. Without an attempt of its own, another request decided that. */
+UnknownCause causeOf(const Request &request)
+{
+    return request.unknownAttempt ? request.unknownAttempt->cause : UnknownCause::FirstUnknown;
+}
+
+std::string withAttempt(std::string detail, const Request &request)
+{
+    return request.unknownAttempt ? std::move(detail) + ": " + request.unknownAttempt->toText() : detail;
+}
+
 } // namespace
 
+void RequestReplies::countUnknown(const Request &request)
+{
+    ++m_counters.unknown;
+    if (request.hops == 0) {
+        ++m_counters.unknownToCallers[static_cast<std::size_t>(causeOf(request))];
+    }
+}
+
 void RequestReplies::refuse(const Request &request, Refusal refusal, EffectList &effects)
 {
     RefuseRequest effect;
@@ -36,8 +55,14 @@
     effect.detail = std::move(refusal.detail);
     effect.crashedTarget = request.crashedTarget;
     effect.workTimeExpired = request.expiredWork > Duration::zero();
-    ++(request.outcomeUnknown ? m_counters.unknown : m_counters.notRun);
-    record(request.outcomeUnknown ? TimelineRecord::Kind::RequestUnknown : TimelineRecord::Kind::RequestRefused, request, effects, effect.detail);
+    if (request.outcomeUnknown) {
+        effect.unknownCause = causeOf(request);
+        countUnknown(request);
+        record(TimelineRecord::Kind::RequestUnknown, request, effects, withAttempt(effect.detail, request));
+    } else {
+        ++m_counters.notRun;
+        record(TimelineRecord::Kind::RequestRefused, request, effects, effect.detail);
+    }
     effects.add(std::move(effect));
 }
 
@@ -62,8 +87,9 @@
 
 void RequestReplies::recordTruncatedAnswer(const Request &request, EffectList &effects)
 {
-    ++m_counters.unknown;
-    record(TimelineRecord::Kind::RequestUnknown, request, effects, "the answer was truncated after part of it had been sent to the caller");
+    countUnknown(request);
+    record(
+        TimelineRecord::Kind::RequestUnknown, request, effects, withAttempt("the answer was truncated after part of it had been sent to the caller", request));
 }
 
 void RequestReplies::record(TimelineRecord::Kind kind, const Request &request, EffectList &effects, std::string detail)
--- a/src/libnutmeghinge/requestreplies.h
+++ b/src/libnutmeghinge/requestreplies.h
@@ -28,6 +28,8 @@
     void record(TimelineRecord::Kind kind, const Request &request, EffectList &effects, std::string detail = {});
 
 private:
+    void countUnknown(const Request &request);
+
     RequestCounters m_counters;
 };
 
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -63,6 +63,52 @@
     return request.maximumAttempts != 0 && request.unknownAttempts >= request.maximumAttempts;
 }
 
+/** Returns why the outcome of the request's attempt, which has just ended, is unknown. */
+UnknownCause causeOf(const Request &request, const AttemptUnknown &result)
+{
+    switch (result.reason) {
+    case AttemptUnknown::Reason::ConnectionLost:
+        return UnknownCause::ConnectionLost;
+    case AttemptUnknown::Reason::Unacknowledged:
+        return UnknownCause::Unacknowledged;
+    case AttemptUnknown::Reason::Cancelled:
+        return request.ownerReplaced ? UnknownCause::OwnerReplaced : UnknownCause::BrokenOff;
+    case AttemptUnknown::Reason::NoProgress:
+        return UnknownCause::NoProgress;
+    case AttemptUnknown::Reason::DeadlineExpired:
+        break;
+    case AttemptUnknown::Reason::WrongAnswer:
+        return UnknownCause::WrongAnswer;
+    case AttemptUnknown::Reason::TruncatedAnswer:
+        return UnknownCause::TruncatedAnswer;
+    case AttemptUnknown::Reason::PeerUnknown:
+        return result.peerCause.value_or(UnknownCause::NotStated);
+    case AttemptUnknown::Reason::WorkTimeExpired:
+        return UnknownCause::WorkTimeExpired;
+    }
+    if (request.destination != Request::Destination::Target || request.timeBound == Request::TimeBound::Deadline) {
+        return UnknownCause::DeadlineExpired;
+    }
+    return request.timeBound == Request::TimeBound::Lease ? UnknownCause::LeaseEnded : UnknownCause::ExecutionLimit;
+}
+
+UnknownAttempt unknownAttemptOf(const Request &request, const AttemptUnknown &result, MonotonicTime now)
+{
+    return {.cause = causeOf(request, result),
+            .member = request.destination == Request::Destination::Target ? noMember : request.member,
+            .reported = result.reason == AttemptUnknown::Reason::PeerUnknown,
+            .length = now - request.sentAt,
+            .sinceArrival = now - request.arrivedAt};
+}
+
+std::string describeCancelled(const Request &request, MonotonicTime now)
+{
+    const auto milliseconds = [&](MonotonicTime since) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count()); };
+    std::string text = request.answerBegun ? "its answer had begun, " : "";
+    text += milliseconds(request.arrivedAt) + " ms after it arrived";
+    return request.state == Request::State::Running ? text + ", " + milliseconds(request.sentAt) + " ms after it was sent" : text;
+}
+
 /** Time of the event being handled, and the list that takes its effects. */
 struct Context {
     MonotonicTime now;
@@ -199,6 +245,8 @@
     std::optional<MonotonicTime> loadSince;
     Fence mapVersion;
     bool stopping = false;
+    /** RequestCounters::unknownToCallers when the node was told to stop. */
+    std::array<std::uint64_t, unknownCauses> unknownAtStop{};
     /** This node's slot when it was told to stop, by which the other members know that; it soon has none. */
     MemberSlot slotAtStop = noMember;
     /** endRequests() was called: no request is queued or sent any more. */
@@ -258,6 +306,7 @@
     m_d->stopping = true;
     m_d->slotAtStop = m_d->ownership->self();
     m_d->stopSchedule.stopRequested(event.at);
+    m_d->unknownAtStop = m_d->replies.counters().unknownToCallers;
     m_d->refuseWhatMayNotBegin(contextOf(event, effects));
     ownershipChanged(event, effects);
 }
@@ -373,7 +422,7 @@
     if (!request || request->cancelled) {
         return;
     }
-    m_d->replies.record(TimelineRecord::Kind::RequestCancelled, *request, effects, request->answerBegun ? "its answer had begun" : "");
+    m_d->replies.record(TimelineRecord::Kind::RequestCancelled, *request, effects, describeCancelled(*request, event.at));
     request->cancelled = true;
     if (request->state == Request::State::AwaitingTargetCheck) {
         return;
@@ -523,6 +572,18 @@
     return counters;
 }
 
+std::string RequestRouter::unknownSinceStop() const
+{
+    const auto &counts = m_d->replies.counters().unknownToCallers;
+    std::string text;
+    for (std::size_t cause = 0; cause < counts.size(); ++cause) {
+        if (const std::uint64_t count = counts[cause] - m_d->unknownAtStop[cause]) {
+            text += (text.empty() ? "" : ", ") + std::to_string(count) + ' ' + std::string(nameOf(static_cast<UnknownCause>(cause)));
+        }
+    }
+    return text.empty() ? "none" : text;
+}
+
 const Document &RequestRouter::Private::document() const
 {
     static const Document defaults;
@@ -750,7 +811,12 @@
 
 void RequestRouter::Private::sendToTarget(Request &request, const RouteToTarget &target, const Context &context)
 {
-    const MonotonicTime deadline = std::min({request.deadline, ownership->workDeadline(), context.now + document().executionLimit});
+    const MonotonicTime leaseEnd = ownership->workDeadline();
+    const MonotonicTime executionEnd = context.now + document().executionLimit;
+    const MonotonicTime deadline = std::min({request.deadline, leaseEnd, executionEnd});
+    request.timeBound = deadline == request.deadline ? Request::TimeBound::Deadline
+                        : deadline == leaseEnd       ? Request::TimeBound::Lease
+                                                     : Request::TimeBound::ExecutionLimit;
     if (deadline <= context.now) {
         // The lease expires too soon to run the request.
         AttemptNotRun result;
@@ -840,6 +906,7 @@
         suspects.merge({identity.content, {}, {{*result.crashedTarget, identity.caller, context.wallTime}}}, context.wallTime);
     }
     request.outcomeUnknown = true;
+    request.unknownAttempt = unknownAttemptOf(request, result, context.now);
     ++request.unknownAttempts;
     request.freshConnection = true;
     if (request.cancelled) {
@@ -906,7 +973,8 @@
 
 bool RequestRouter::Private::attemptLost(Request &request, const AttemptUnknown &result, const Context &context)
 {
-    const bool broken = result.reason == AttemptUnknown::Reason::ConnectionLost || result.reason == AttemptUnknown::Reason::TruncatedAnswer;
+    const bool broken = result.reason == AttemptUnknown::Reason::ConnectionLost || result.reason == AttemptUnknown::Reason::Unacknowledged
+                        || result.reason == AttemptUnknown::Reason::TruncatedAnswer;
     if (!broken || request.destination != Request::Destination::Target || request.cancelled || ownership->isTargetDraining()) {
         return false;
     }
@@ -1196,6 +1264,7 @@
         // The former owner may still be processing the current attempt, and there may be no time for another one.
         return;
     }
+    std::size_t cancelled = 0;
     table.forEachRunning([&](Request &request) {
         const bool mayBeSentAgain = request.idempotent && !request.answerBegun && !request.cancelled && !request.ownerReplaced;
         if (!mayBeSentAgain || !request.sharded || request.destination != Request::Destination::Member || request.hops > 0) {
@@ -1210,9 +1279,17 @@
         const bool sameOwner = std::holds_alternative<NoRoute>(route) || (to && to->member->slot == request.member);
         if (!sameOwner) {
             request.ownerReplaced = true;
+            ++cancelled;
             context.effects.add(CancelAttempt{request.attempt});
         }
     });
+    if (cancelled > 0) {
+        replies.counters().forwardsCancelled += cancelled;
+        TimelineRecord record;
+        record.kind = TimelineRecord::Kind::ForwardsCancelled;
+        record.detail = std::to_string(cancelled) + " requests, whose owners were lost";
+        context.effects.record(std::move(record));
+    }
 }
 
 void RequestRouter::Private::refuse(Request &request, Refusal refusal, const Context &context)
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -4,8 +4,11 @@
 #include "requestrate.h"
 #include "shardactivity.h"
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace nutmeghinge {
 
@@ -21,6 +24,10 @@
     std::uint64_t answeredLate = 0;
     std::uint64_t notRun = 0;
     std::uint64_t unknown = 0;
+    /** Of these, the requests of this node's callers, by cause. */
+    std::array<std::uint64_t, unknownCauses> unknownToCallers{};
+    /** Attempts at other nodes that were given up because the owners of their keys were lost. */
+    std::uint64_t forwardsCancelled = 0;
     /** Requests of other nodes refused because the VM's link could not carry their answers in time. */
     std::uint64_t refusedForLink = 0;
     /** Attempts that targets ended because the time that they were given, less than the request had, was over. */
@@ -121,6 +128,8 @@
     void importDeduplication(const std::vector<DeduplicationEntry> &entries, MonotonicTime now) override;
 
     const RequestCounters &counters() const;
+    /** Returns, by cause, how many callers got no target's answer, although a target may have run their requests, since the stop request. */
+    std::string unknownSinceStop() const;
     const StopSchedule &stopSchedule() const;
 
 private:
--- a/src/libnutmeghinge/timelinerecord.cpp
+++ b/src/libnutmeghinge/timelinerecord.cpp
@@ -9,15 +9,15 @@
 
 // One name per kind, in the order of the enumerators.
 constexpr std::array kindNames{
-    "NodeStarted",      "StopRequested",     "NodeStopped",         "TargetAnnounced",  "TargetSilent",        "TargetUnproven",
-    "TargetLimitNamed", "TargetLimitEnded",  "TargetLeaving",       "TargetCrashed",    "SuspectCleared",      "SuspectExpired",
-    "TermStarted",      "TermEnded",         "ElectionFailed",      "LeaseGranted",     "LeaseHeld",           "LeaseLapsed",
-    "ShardGranted",     "ShardReleasing",    "ShardReleased",       "ShardLost",        "HandoverSent",        "HandoverReceived",
-    "MemberAdded",      "MemberRemoved",     "MembersChanged",      "CellFull",         "RowWritten",          "RowConflict",
-    "RowRefused",       "PlatformDown",      "PlatformUp",          "TableRestored",    "DocumentInForce",     "DocumentRejected",
-    "HotKeySplit",      "HotKeyMerged",      "RequestArrived",      "RequestForwarded", "RequestSentToTarget", "RequestRetried",
-    "RequestQueued",    "RequestAnswered",   "RequestAnsweredLate", "RequestRefused",   "RequestUnknown",      "RequestCancelled",
-    "DuplicateJoined",  "DuplicateAnswered", "StaleFence",          "BadInput",
+    "NodeStarted",      "StopRequested",    "NodeStopped",       "TargetAnnounced",     "TargetSilent",      "TargetUnproven",
+    "TargetLimitNamed", "TargetLimitEnded", "TargetLeaving",     "TargetCrashed",       "SuspectCleared",    "SuspectExpired",
+    "TermStarted",      "TermEnded",        "ElectionFailed",    "LeaseGranted",        "LeaseHeld",         "LeaseLapsed",
+    "ShardGranted",     "ShardReleasing",   "ShardReleased",     "ShardLost",           "ForwardsCancelled", "HandoverSent",
+    "HandoverReceived", "MemberAdded",      "MemberRemoved",     "MembersChanged",      "CellFull",          "RowWritten",
+    "RowConflict",      "RowRefused",       "PlatformDown",      "PlatformUp",          "TableRestored",     "DocumentInForce",
+    "DocumentRejected", "HotKeySplit",      "HotKeyMerged",      "RequestArrived",      "RequestForwarded",  "RequestSentToTarget",
+    "RequestRetried",   "RequestQueued",    "RequestAnswered",   "RequestAnsweredLate", "RequestRefused",    "RequestUnknown",
+    "RequestCancelled", "DuplicateJoined",  "DuplicateAnswered", "StaleFence",          "BadInput",
 };
 static_assert(kindNames.size() == static_cast<std::size_t>(TimelineRecord::Kind::BadInput) + 1);
 
--- a/src/libnutmeghinge/timelinerecord.h
+++ b/src/libnutmeghinge/timelinerecord.h
@@ -44,6 +44,8 @@
         ShardReleasing,
         ShardReleased,
         ShardLost,
+        /** Forwarded requests were cancelled, to be sent to the new owners of their keys. */
+        ForwardsCancelled,
         HandoverSent,
         HandoverReceived,
         MemberAdded,
--- a/src/libnutmeghingeio/answerrefusal.cpp
+++ b/src/libnutmeghingeio/answerrefusal.cpp
@@ -57,6 +57,9 @@
         if (from == AttemptDestination::Peer && findHeader(head.headers, wire::workTimeExpired)) {
             refusal.reason = AttemptUnknown::Reason::WorkTimeExpired;
         }
+        if (from == AttemptDestination::Peer) {
+            refusal.peerCause = unknownCauseOf(findHeader(head.headers, wire::unknownCause).value_or(""));
+        }
         return refusal;
     }
     return std::nullopt;
--- a/src/libnutmeghingeio/forwardedattempt.cpp
+++ b/src/libnutmeghingeio/forwardedattempt.cpp
@@ -23,10 +23,13 @@
         return AttemptUnknown::Reason::DeadlineExpired;
     case HttpCallResult::Malformed:
         return AttemptUnknown::Reason::WrongAnswer;
+    case HttpCallResult::Unacknowledged:
+        return AttemptUnknown::Reason::Unacknowledged;
+    case HttpCallResult::Cancelled:
+        return AttemptUnknown::Reason::Cancelled;
     case HttpCallResult::Complete:
     case HttpCallResult::NotConnected:
     case HttpCallResult::ConnectionLost:
-    case HttpCallResult::Cancelled:
         break;
     }
     return AttemptUnknown::Reason::ConnectionLost;
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -180,6 +180,9 @@
     if (refusal.workTimeExpired) {
         headers.emplace_back(wire::workTimeExpired, yes);
     }
+    if (refusal.unknownCause) {
+        headers.emplace_back(wire::unknownCause, nameOf(*refusal.unknownCause));
+    }
     if (refusal.outcome == Outcome::NotRun) {
         headers.emplace_back(wire::reason, nameOf(refusal.reason));
     }
--- a/src/libnutmeghingeio/httpanswercollector.cpp
+++ b/src/libnutmeghingeio/httpanswercollector.cpp
@@ -11,6 +11,8 @@
         return "no connection was established";
     case HttpCallResult::ConnectionLost:
         return "the connection was lost before the answer";
+    case HttpCallResult::Unacknowledged:
+        return "the other side's system acknowledged nothing before the answer";
     case HttpCallResult::Truncated:
         return "the answer was cut off";
     case HttpCallResult::NoProgress:
--- a/src/libnutmeghingeio/httpclient.h
+++ b/src/libnutmeghingeio/httpclient.h
@@ -24,6 +24,8 @@
     NotConnected,
     /** The connection ended after the client began to send the request and before the head of the answer arrived. */
     ConnectionLost,
+    /** As ConnectionLost, but nobody closed the connection: the other side's system acknowledged nothing for too long. */
+    Unacknowledged,
     /** The body ended before its stated length or before its last chunk. */
     Truncated,
     /** No byte was received or sent during the progress timeout. */
--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -215,7 +215,7 @@
         return;
     }
     if (size < 0) {
-        onConnectionEnded(size == UV_EOF);
+        onConnectionEnded(static_cast<int>(size));
         return;
     }
     recordProgress();
@@ -276,11 +276,11 @@
     }
 }
 
-void HttpClientConnection::onConnectionEnded(bool cleanly)
+void HttpClientConnection::onConnectionEnded(int error)
 {
     if (!m_headComplete) {
-        end(HttpCallResult::ConnectionLost);
-    } else if (cleanly && m_parser->endsWithConnection() && endedCleanly()) {
+        end(error == UV_ETIMEDOUT ? HttpCallResult::Unacknowledged : HttpCallResult::ConnectionLost);
+    } else if (error == UV_EOF && m_parser->endsWithConnection() && endedCleanly()) {
         end(HttpCallResult::Complete);
     } else {
         end(HttpCallResult::Truncated);
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -77,7 +77,8 @@
     void received(ssize_t size, char *data);
     void receivedHead(std::span<char> bytes);
     void receivedBody(std::span<char> bytes);
-    void onConnectionEnded(bool cleanly);
+    /** error: UV_EOF or another error of libuv. */
+    void onConnectionEnded(int error);
     void timerFired();
     void onProgressTimeout();
     void recordProgress();
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -59,6 +59,16 @@
     }
 }
 
+void appendUnknown(std::string &text, const std::array<std::uint64_t, unknownCauses> &counts)
+{
+    constexpr std::string_view name = "requests_unknown_to_callers_total";
+    text += fmt::format("# HELP nutmeghinge_{0} Requests of this node's callers that ended with an unknown outcome, by cause.\n", name);
+    text += fmt::format("# TYPE nutmeghinge_{0} counter\n", name);
+    for (std::size_t cause = 0; cause < counts.size(); ++cause) {
+        text += fmt::format("nutmeghinge_{}{{cause=\"{}\"}} {}\n", name, nameOf(static_cast<UnknownCause>(cause)), counts[cause]);
+    }
+}
+
 void appendSummary(std::string &text, std::string_view name, std::string_view help, const Seconds &seconds)
 {
     text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} summary\n", name, help);
@@ -186,6 +196,8 @@
     appendCounter(
         text, "attempts_work_time_expired_total", "Attempts that targets ended because a stop would leave them no more time.", requests.workTimeExpired);
     appendCounter(text, "requests_unknown_total", "Requests that ended with an unknown outcome.", requests.unknown);
+    appendUnknown(text, requests.unknownToCallers);
+    appendCounter(text, "forwards_cancelled_total", "Attempts at other nodes given up because the owners of their keys were lost.", requests.forwardsCancelled);
     appendCounter(text, "requests_forwarded_total", "Requests forwarded to another node.", requests.forwarded);
     appendCounter(text, "target_requests_total", "Requests sent to the target beside this node, retries included.", requests.sentToTarget);
     appendCounter(text, "target_crashes_total", "Incarnations of the target that ended without having announced it.", requests.targetCrashes);
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -49,6 +49,8 @@
 inline constexpr std::string_view crashedTarget = "nutmeghinge-crashed-target";
 /** Node to node, with the outcome "unknown": "1" if the target ended its work because the time that it was given was over. */
 inline constexpr std::string_view workTimeExpired = "nutmeghinge-work-time-expired";
+/** Node to node, with the outcome "unknown": name of the UnknownCause, such as "lease-ended". */
+inline constexpr std::string_view unknownCause = "nutmeghinge-unknown-cause";
 /** In refusals of targets and nodes: "not-run" or "unknown". */
 inline constexpr std::string_view outcome = "nutmeghinge-outcome";
 /** Node to node with "not-run": name of the NotRunReason, such as "not-owner". */
@@ -65,9 +67,9 @@
 inline constexpr std::string_view unknown = "unknown";
 
 /** Headers that nodes send each other and strip from callers' requests. */
-inline constexpr std::array peerHeaders{deadline,       hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
-                                        objective,      workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
-                                        reason,         crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs,
-                                        workTimeExpired};
+inline constexpr std::array peerHeaders{deadline,        hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
+                                        objective,       workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
+                                        reason,          crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs,
+                                        workTimeExpired, unknownCause};
 
 } // namespace nutmeghinge::wire
--- a/src/nutmeghingectl/loadgenerator.cpp
+++ b/src/nutmeghingectl/loadgenerator.cpp
@@ -77,6 +77,7 @@
         case HttpCallResult::Malformed:
             return LoadOutcome::Wrong;
         case HttpCallResult::ConnectionLost:
+        case HttpCallResult::Unacknowledged:
         case HttpCallResult::NoProgress:
         case HttpCallResult::DeadlineExpired:
         case HttpCallResult::Cancelled:
--- a/tests/core/requestendingtest.cpp
+++ b/tests/core/requestendingtest.cpp
@@ -101,3 +101,68 @@
     fixture.answered(attempt);
     CHECK(fixture.m_router.runningRequests() == 0);
 }
+
+// Guards against an answer in a target's place that nobody can explain, or count, afterwards (review/4).
+TEST_CASE("An answer in a target's place states why, where and after what time, and is counted until the node has stopped")
+{
+    RouterFixture fixture;
+    fixture.m_ownership.setOwner(MemberSlot(2));
+    fixture.ownershipChanged();
+    fixture.arrive(RouterFixture::request(1, "POST"));
+    fixture.unknown(fixture.only<ForwardRequest>().attempt);
+    CHECK(fixture.only<RefuseRequest>().unknownCause == UnknownCause::ConnectionLost);
+    fixture.stop(std::chrono::seconds(7));
+    CHECK(fixture.m_router.unknownSinceStop() == "none");
+    RequestArrived arrived = RouterFixture::request(2, "POST");
+    arrived.timeout = std::chrono::seconds(2);
+
+    SECTION("as the other node reports")
+    {
+        fixture.arrive(arrived);
+        const AttemptId attempt = fixture.only<ForwardRequest>().attempt;
+        fixture.m_now += std::chrono::milliseconds(340);
+        AttemptUnknown result;
+        result.reason = AttemptUnknown::Reason::PeerUnknown;
+        result.peerCause = UnknownCause::LeaseEnded;
+        fixture.finish(attempt, result);
+        CHECK(fixture.only<RefuseRequest>().unknownCause == UnknownCause::LeaseEnded);
+        const std::string &detail = fixture.only<Record>().record.detail;
+        CHECK(detail.ends_with("lease-ended reported by member 2, 340 ms after it was sent and 340 ms after the request arrived"));
+        CHECK(fixture.m_router.unknownSinceStop() == "1 lease-ended");
+    }
+    SECTION("as this node broke it off")
+    {
+        fixture.arrive(arrived);
+        const AttemptId attempt = fixture.only<ForwardRequest>().attempt;
+        endRequests(fixture);
+        fixture.unknown(attempt, AttemptUnknown::Reason::Cancelled);
+        CHECK(fixture.m_router.unknownSinceStop() == "1 broken-off");
+    }
+    SECTION("unless it goes to another node, which counts it")
+    {
+        fixture.m_ownership.setOwner(MemberSlot(1));
+        fixture.m_ownership.m_workEndsBefore = fixture.m_now + std::chrono::milliseconds(500);
+        fixture.ownershipChanged();
+        arrived.hops = 1;
+        fixture.arrive(arrived);
+        fixture.unknown(fixture.only<SendToTarget>().attempt, AttemptUnknown::Reason::DeadlineExpired);
+        CHECK(fixture.only<RefuseRequest>().unknownCause == UnknownCause::LeaseEnded);
+        CHECK(fixture.m_router.unknownSinceStop() == "none");
+    }
+}
+
+TEST_CASE("Forwards that are given up because the owners of their keys were lost are counted and recorded")
+{
+    RouterFixture fixture;
+    fixture.m_ownership.addMember(MemberSlot(3), "north");
+    fixture.m_ownership.setOwner(MemberSlot(2));
+    fixture.ownershipChanged();
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        fixture.arrive(RouterFixture::request(id));
+    }
+    fixture.m_ownership.setOwner(MemberSlot(3));
+    fixture.ownershipChanged();
+    CHECK(fixture.all<CancelAttempt>().size() == 3);
+    CHECK(fixture.only<Record>().record.kind == TimelineRecord::Kind::ForwardsCancelled);
+    CHECK(fixture.m_router.counters().forwardsCancelled == 3);
+}
--- a/tests/core/requestplay.cpp
+++ b/tests/core/requestplay.cpp
@@ -172,7 +172,9 @@
 {
     const NodeRun run = runOf(node);
     m_cancelled.insert({run, cancel.attempt});
-    m_harness.callLater(localDelay, [this, run, id = cancel.attempt] { deliver(run, AttemptFinished{id, AttemptUnknown()}); });
+    m_harness.callLater(localDelay, [this, run, id = cancel.attempt] {
+        deliver(run, AttemptFinished{id, AttemptUnknown{.reason = AttemptUnknown::Reason::Cancelled}});
+    });
     const auto isCancelled = [&](const Attempt &attempt) { return attempt.node == run && attempt.id == cancel.attempt; };
     if (const auto atTarget = std::ranges::find_if(m_runs, isCancelled); atTarget != m_runs.end()) {
         loseRun(*atTarget);
