Reckon with the lag of the event loop in time limits, admission and stops

Cause: a node's times counted from when it read something, not from when that arrived, and its own timers ran before the answers that had already arrived were read. The margins of the stop schedule (0.3 s of 6 s) and of admission were used up by the wait.

Change: LoopLag measures by which time everything that had arrived was handled; each event carries it, each request how long it may have waited, also at the nodes before (header nutmeghinge-waited-ms). Nothing is sent for a request whose caller may have left; its answer is passed on until the caller has certainly left. Admission and the times that targets and other nodes are told at a stop are shorter by the longest lag of the last seconds. A stop counts from when it may have arrived, and ends requests only when the answers that had arrived were read. A log line and two metrics show the lag.

Ruled out: counting one time limit from the earliest arrival.

--- a/src/libnutmeghinge/decisions/admissionpolicy.cpp
+++ b/src/libnutmeghinge/decisions/admissionpolicy.cpp
@@ -35,7 +35,7 @@
     if (!becomesLate(request)) {
         return sentAt <= latest ? std::optional(Place{rank, latest}) : std::nullopt;
     }
-    const MonotonicTime latestInTime = std::min(latest, request.objectiveAt - m_admission.serviceTime(request.workClass));
+    const MonotonicTime latestInTime = std::min(latest, request.objectiveAt - m_admission.serviceTime(request.workClass) - m_lag);
     return sentAt <= latestInTime ? std::optional(Place{rank, latestInTime}) : std::nullopt;
 }
 
@@ -62,7 +62,7 @@
 
 MonotonicTime AdmissionPolicy::latestSendTime(const Request &request) const
 {
-    const MonotonicTime latestBeforeDeadline = request.deadline - m_admission.serviceTime(request.workClass);
+    const MonotonicTime latestBeforeDeadline = request.sendDeadline() - m_admission.serviceTime(request.workClass) - m_lag;
     return request.routed ? std::min(latestBeforeDeadline, request.arrivedAt + maximumQueueTime) : latestBeforeDeadline;
 }
 
--- a/src/libnutmeghinge/decisions/admissionpolicy.h
+++ b/src/libnutmeghinge/decisions/admissionpolicy.h
@@ -33,6 +33,9 @@
     {
     }
 
+    /** Sets how late the node has handled events lately; the target's answer may wait so long. */
+    void setLag(Duration lag) { m_lag = lag; }
+
     /** Returns the place of a request that has just arrived; nothing if it is refused. */
     std::optional<Place> place(const Request &request, const Document &document, MonotonicTime now) const;
     /** Returns the place of a request that can no longer meet its objective; nothing if it is refused. */
@@ -50,6 +53,7 @@
     bool becomesLate(const Request &request) const;
 
     const TargetAdmission &m_admission;
+    Duration m_lag{0};
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/decisions/retrypolicy.cpp
+++ b/src/libnutmeghinge/decisions/retrypolicy.cpp
@@ -55,7 +55,7 @@
         const std::uint16_t status = result.status == 0 ? 400 : result.status;
         return GiveUp{{status, NotRunReason::BadRequest, retryAfter, "the receiver refused the request as invalid"}};
     }
-    if (now >= request.deadline) {
+    if (now >= request.sendDeadline()) {
         return giveUp(NotRunReason::DeadlineExpired, retryAfter, "the request's deadline expired");
     }
     if (result.reason == NotRunReason::TargetsCrashed) {
@@ -82,21 +82,21 @@
 
 RetryDecision RetryPolicy::decideAfterUnknown(const Request &request, const AttemptUnknown &result, MonotonicTime now)
 {
-    if (request.ownerReplaced && now < request.deadline) {
+    if (request.ownerReplaced && now < request.sendDeadline()) {
         return RetryNow{};
     }
     const bool late = result.reason == AttemptUnknown::Reason::DeadlineExpired;
     const std::uint16_t status = late ? 504 : 502;
     const GiveUp refuse{
         {result.status == 0 ? status : result.status, NotRunReason::Overloaded, {}, "the answer did not arrive completely; the request may have run"}};
-    if (now >= request.deadline || !spend(request, now)) {
+    if (now >= request.sendDeadline() || !spend(request, now)) {
         return refuse;
     }
     if (request.attempts == 1) {
         return RetryNow{};
     }
     const MonotonicTime at = backoff(request.attempts, now);
-    return at < request.deadline ? RetryDecision(RetryAt{at}) : refuse;
+    return at < request.sendDeadline() ? RetryDecision(RetryAt{at}) : refuse;
 }
 
 RetryDecision RetryPolicy::decideAfterOwnerRefusal(const Request &request, MonotonicTime now)
@@ -111,7 +111,7 @@
     if (request.ownerRefusals <= 1) {
         return RetryNow{};
     }
-    return at < request.deadline ? RetryDecision(RetryAt{at}) : giveUp(NotRunReason::NotOwner, {}, "no node accepted the request");
+    return at < request.sendDeadline() ? RetryDecision(RetryAt{at}) : giveUp(NotRunReason::NotOwner, {}, "no node accepted the request");
 }
 
 RetryDecision RetryPolicy::decideAfterNotConnected(const Request &request, MonotonicTime now)
@@ -123,7 +123,7 @@
     if (request.sharded && request.destination == Request::Destination::Member) {
         return AwaitOwner{at};
     }
-    if (request.attempts > 1 && at < request.deadline && spend(request, now)) {
+    if (request.attempts > 1 && at < request.sendDeadline() && spend(request, now)) {
         return RetryAt{at};
     }
     return giveUp(NotRunReason::NotConnected, {}, "no connection to the target or to its node");
@@ -134,7 +134,7 @@
     const Duration retryAfter = result.retryAfter.value_or(Duration::zero());
     const bool refusedByTarget = request.destination == Request::Destination::Target;
     const MonotonicTime at = std::max(backoff(request.attempts, now), now + retryAfter);
-    if (refusedByTarget && request.sharded && at < request.deadline && spend(request, now)) {
+    if (refusedByTarget && request.sharded && at < request.sendDeadline() && spend(request, now)) {
         return RetryAt{at};
     }
     const bool hasReplicas = !request.sharded && request.deduplicationKey.empty() && request.otherHost.empty() && !isFromPeer(request);
--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -46,7 +46,7 @@
 
 MonotonicTime StopSchedule::workEnd(const Request &request, MonotonicTime now) const
 {
-    return m_limit > Duration::zero() ? std::min(stopEnd(request), now + longestWork(m_limit)) : stopEnd(request);
+    return m_limit > Duration::zero() ? std::min(stopEnd(request), now + longestWork(m_limit) - m_lag) : stopEnd(request);
 }
 
 Duration StopSchedule::longestWork(Duration limit)
@@ -60,7 +60,7 @@
     if (const auto entry = m_members.find(request.entry); request.hops > 0 && entry != m_members.end()) {
         end = std::min(end, entry->second);
     }
-    return end == MonotonicTime::max() ? end : end - m_limit / answerDivisor;
+    return end == MonotonicTime::max() ? end : end - m_limit / answerDivisor - m_lag;
 }
 
 MonotonicTime StopSchedule::ownRequestsEnd() const
@@ -68,6 +68,12 @@
     return m_requestedAt && m_limit > Duration::zero() ? *m_requestedAt + m_limit - m_limit / ownAnswersDivisor : MonotonicTime::max();
 }
 
+MonotonicTime StopSchedule::statedRequestsEnd() const
+{
+    const MonotonicTime end = ownRequestsEnd();
+    return end == MonotonicTime::max() ? end : end - m_lag;
+}
+
 MonotonicTime StopSchedule::peerRequestsEnd() const
 {
     return m_requestedAt && m_limit > Duration::zero() ? *m_requestedAt + m_limit - m_limit / exitDivisor : MonotonicTime::max();
--- a/src/libnutmeghinge/decisions/stopschedule.h
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -24,6 +24,9 @@
 public:
     /** Sets the time after a stop request at which the process is ended from outside; zero: never. */
     void setLimit(Duration limit) { m_limit = limit; }
+    /** Sets how late the node has handled events lately. Targets and other nodes are told to end that much sooner, so that their answers are still passed on.
+     */
+    void setLag(Duration lag) { m_lag = lag; }
     /** Counts the limit from this time. A later request has no effect: it does not prolong the life of the process. */
     void stopRequested(MonotonicTime at);
 
@@ -47,8 +50,13 @@
 
     /** Returns the time at which the node answers the requests of its callers itself; MonotonicTime::max() if never. */
     MonotonicTime ownRequestsEnd() const;
-    /** Returns whether the node answers the requests of its callers itself from now on, because the process is about to be ended. */
-    bool endsOwnRequests(MonotonicTime now) const { return now >= ownRequestsEnd(); }
+    /** Returns the time that other nodes are told for that: earlier by the time for which their answers may wait here. */
+    MonotonicTime statedRequestsEnd() const;
+    /**
+     * Returns whether the node answers the requests of its callers itself from now on, because the process is about to be ended. It
+     * first handles the answers that have arrived: lag is as in Event.
+     */
+    bool endsOwnRequests(MonotonicTime now, Duration lag = Duration(0)) const { return now - lag >= ownRequestsEnd() || now >= peerRequestsEnd(); }
     /** Returns whether the node ends the requests of other nodes. They answer their callers themselves, so theirs may run longer. */
     bool endsPeerRequests(MonotonicTime now) const { return now >= peerRequestsEnd(); }
 
@@ -58,6 +66,7 @@
     MonotonicTime peerRequestsEnd() const;
 
     Duration m_limit{0};
+    Duration m_lag{0};
     std::optional<MonotonicTime> m_requestedAt;
     /** Times at which other members break off the requests of their callers. */
     std::map<MemberSlot, MonotonicTime> m_members;
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -166,6 +166,8 @@
     AttemptId attempt;
     Endpoint peer;
     MonotonicTime deadline;
+    /** Time by which the caller may have left before the deadline. */
+    Duration waited{0};
     std::uint32_t hops = 0;
     /** Member that received the request from its caller; noMember if it is in another cell, or not a member yet. */
     MemberSlot entry = noMember;
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -276,6 +276,10 @@
     HybridTime time{};
     /** What the node that forwarded the request knows of the target beside this node, if anything. */
     std::optional<RelayedStatement> relayed{};
+    /** Longest time for which the request may have waited to be read. */
+    Duration waited{0};
+    /** The same at the nodes that forwarded it, as they state. Their time limits do not count it. */
+    Duration waitedBefore{0};
 };
 
 /** The caller disconnected or cancelled before its answer was complete. */
@@ -378,6 +382,8 @@
     MonotonicTime at;
     WallTime wallTime;
     EventBody body;
+    /** Everything that had arrived at the node by the time `at` less this lag was handled before this event. */
+    Duration lag{0};
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -15,11 +15,15 @@
 /** Maximum time for which a stopping node waits for the platform to acknowledge its resignation. */
 constexpr Duration resignationLimit = std::chrono::milliseconds(300);
 
+/** Time for which the node reckons with being as late again as it was. */
+constexpr Duration lagWindow = std::chrono::seconds(2);
+
 } // namespace
 
 Reducer::Reducer(NodeIdentity identity, Timings timings, const DocumentFormat *format)
     : m_router(identity.seed, identity.linkMegabits)
     , m_cell(std::move(identity), timings, m_router, format)
+    , m_lag(lagWindow)
     , m_handoverTimeout(timings.stopHandoverLimit)
 {
     m_router.setOwnership(m_cell);
@@ -55,6 +59,8 @@
         &Reducer::handleInRouter<&RequestRouter::attemptAnswering>,
         &Reducer::handleAttemptFinished,
     };
+    m_lag.record(event.lag, event.at);
+    m_router.setLag(m_lag.value(event.at));
     EffectList effects(advanceClock(event));
     (this->*handlers[event.body.index()])(event, effects);
     m_cell.spreadCrashSuspects(effects);
@@ -103,7 +109,7 @@
     if (!m_stopping || m_exited) {
         return;
     }
-    if (!m_requestsEnded && m_router.stopSchedule().endsOwnRequests(event.at)) {
+    if (!m_requestsEnded && m_router.stopSchedule().endsOwnRequests(event.at, event.lag)) {
         m_requestsEnded = true;
         m_router.endRequests(event, effects);
     }
@@ -138,11 +144,11 @@
         return;
     }
     m_stopping = true;
-    m_stopRequestedAt = event.at;
+    m_stopRequestedAt = event.at - event.lag;
     m_cell.stop(event, effects);
     m_router.stop(event, effects);
     if (m_router.stopSchedule().ownRequestsEnd() != MonotonicTime::max()) {
-        m_cell.announceStop(m_router.stopSchedule().ownRequestsEnd() - event.at, effects);
+        m_cell.announceStop(m_router.stopSchedule().statedRequestsEnd() - event.at, effects);
     }
 }
 
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -4,6 +4,7 @@
 #include "effects.h"
 #include "events.h"
 #include "nodeidentity.h"
+#include "recentpeak.h"
 #include "requestrouter.h"
 #include "timings.h"
 
@@ -27,6 +28,8 @@
 
     const Cell &cell() const { return m_cell; }
     const RequestRouter &router() const { return m_router; }
+    /** Returns the longest time by which events were handled late in the last seconds. */
+    Duration recentLag(MonotonicTime now) const { return m_lag.value(now); }
 
 private:
     using Handler = void (Reducer::*)(const Event &, EffectList &);
@@ -52,6 +55,7 @@
     RequestRouter m_router;
     Cell m_cell;
     HybridTime m_clock;
+    RecentPeak m_lag;
     /** Time after a stop request at which the node closes its listeners even if its cell has not stopped; zero: no limit. */
     Duration m_handoverTimeout;
     MonotonicTime m_stopRequestedAt;
--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -69,9 +69,16 @@
         OtherCell,
     };
 
+    /** Returns the time after which nothing is sent for the request, because its caller may have left. */
+    MonotonicTime sendDeadline() const { return deadline - waited; }
+
     RequestId id;
+    /** Earliest time at which it may have arrived. */
     MonotonicTime arrivedAt;
+    /** Time by which the caller no longer waits, and until which answers are passed on. */
     MonotonicTime deadline;
+    /** Time by which the caller may have left before the deadline, because the request may have waited for so long to be read. */
+    Duration waited{0};
     /** Time at which the caller itself stops waiting; empty if it stated no time limit or the request came from another node. */
     std::optional<MonotonicTime> callerWaitsUntil;
     std::uint32_t hops = 0;
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -85,6 +85,7 @@
     effect.attempt = request.attempt;
     effect.peer = to.member->peerEndpoint;
     effect.deadline = request.deadline;
+    effect.waited = request.waited;
     effect.hops = request.hops + 1;
     if (destination == Request::Destination::Member) {
         effect.entry = request.hops == 0 ? self : request.entry;
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -40,15 +40,16 @@
     return arrived.entryEndsIn ? now + *arrived.entryEndsIn : MonotonicTime::max();
 }
 
-Request makeRequest(const RequestArrived &arrived, const Document &document, MonotonicTime now)
+Request makeRequest(const RequestArrived &arrived, const Document &document, const Event &event)
 {
     Request request;
     request.id = arrived.request;
-    request.arrivedAt = now;
-    request.deadline = now + std::min(arrived.timeout.value_or(document.deadline), document.deadline);
+    request.arrivedAt = event.at - arrived.waited;
+    request.waited = arrived.waited + arrived.waitedBefore;
+    request.deadline = event.at + std::min(arrived.timeout.value_or(document.deadline), document.deadline);
     request.hops = arrived.hops;
     request.entry = arrived.entry;
-    request.entryEndsAt = entryEnd(arrived, now);
+    request.entryEndsAt = entryEnd(arrived, request.arrivedAt);
     request.safe = isSafeMethod(arrived.method);
     request.idempotent = isIdempotentMethod(arrived.method);
     request.source = sourceOf(arrived, {});
@@ -120,10 +121,12 @@
     Request request;
     request.id = arrived.request;
     request.callerId = arrived.callerId;
-    request.arrivedAt = event.at;
+    const MonotonicTime arrivedAt = event.at - arrived.waited;
+    request.arrivedAt = arrivedAt;
+    request.waited = arrived.waited + arrived.waitedBefore;
     request.hops = arrived.hops;
     request.entry = arrived.entry;
-    request.entryEndsAt = entryEnd(arrived, event.at);
+    request.entryEndsAt = entryEnd(arrived, arrivedAt);
     request.routed = true;
     request.source = sourceOf(arrived, {});
     RoutedRequest routed;
@@ -152,9 +155,9 @@
     request.priority = routed.priority;
     request.workClass = routed.workClass;
     request.objective = routed.objective;
-    request.objectiveAt = routed.objective == Duration::zero() ? MonotonicTime::max() : event.at + routed.objective;
+    request.objectiveAt = routed.objective == Duration::zero() ? MonotonicTime::max() : arrivedAt + routed.objective;
     if (!arrived.routed) {
-        readCallerIdentity(request, arrived, *document, event.at);
+        readCallerIdentity(request, arrived, *document, arrivedAt);
     }
     if (document->isSharded()) {
         if (std::optional<Refusal> refusal = readNumericKey(request, arrived, *document, random)) {
@@ -175,7 +178,7 @@
     if (const RouteTable *routes = ownership.routes()) {
         return parseRoutedRequest(arrived, *routes, ownership, event, random);
     }
-    Request request = makeRequest(arrived, *document, event.at);
+    Request request = makeRequest(arrived, *document, event);
     request.service = document->service;
     if (!isOwnHost(*document, arrived.host)) {
         if (!ownership.otherCell(arrived.host)) {
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -276,6 +276,12 @@
     m_d->stopSchedule.setLimit(limit);
 }
 
+void RequestRouter::setLag(Duration lag)
+{
+    m_d->stopSchedule.setLag(lag);
+    m_d->admissionPolicy.setLag(lag);
+}
+
 void RequestRouter::linkQueueMeasured(const Event &event, EffectList &)
 {
     m_d->linkLoad.measured(std::get<LinkQueueMeasured>(event.body).bytes);
@@ -305,7 +311,7 @@
 {
     m_d->stopping = true;
     m_d->slotAtStop = m_d->ownership->self();
-    m_d->stopSchedule.stopRequested(event.at);
+    m_d->stopSchedule.stopRequested(event.at - event.lag);
     m_d->unknownAtStop = m_d->replies.counters().unknownToCallers;
     m_d->refuseWhatMayNotBegin(contextOf(event, effects));
     ownershipChanged(event, effects);
@@ -313,7 +319,7 @@
 
 void RequestRouter::memberStops(MemberSlot member, Duration requestsEndIn, const Event &event, EffectList &effects)
 {
-    m_d->stopSchedule.memberStops(member, event.at + requestsEndIn, event.at);
+    m_d->stopSchedule.memberStops(member, event.at - event.lag + requestsEndIn, event.at);
     m_d->refuseWhatMayNotBegin(contextOf(event, effects));
 }
 
@@ -604,7 +610,7 @@
         refuseAsStopping(request, context);
         return;
     }
-    if (context.now >= request.deadline) {
+    if (context.now >= request.sendDeadline()) {
         refuse(request, {503, NotRunReason::DeadlineExpired, retryAfterWithoutOwner, "the request's deadline expired"}, context);
         return;
     }
@@ -636,7 +642,7 @@
     }
     if (to && request.hops < maximumHops) {
         if (request.hops == 0) {
-            request.entryEndsAt = stopSchedule.ownRequestsEnd();
+            request.entryEndsAt = stopSchedule.statedRequestsEnd();
         }
         attempts.forward(request, *to, stopping ? slotAtStop : ownership->self(), context.now, context.effects);
         request.ownerReleases = isReleasing(request);
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -90,6 +90,8 @@
     void setTargetTimeout(Duration timeout);
     /** Sets the time after a stop request at which the process is ended from outside; zero: never. */
     void setStopLimit(Duration limit);
+    /** Sets how late the node has handled events lately. */
+    void setLag(Duration lag);
     void linkQueueMeasured(const Event &event, EffectList &effects);
 
     // Event handlers. Only the Reducer calls them, after the Cell has handled the event.
--- a/src/libnutmeghingeio/eventloop.cpp
+++ b/src/libnutmeghingeio/eventloop.cpp
@@ -2,7 +2,6 @@
 
 #include <cassert>
 #include <csignal>
-#include <ctime>
 #include <memory>
 
 namespace nutmeghinge {
@@ -59,19 +58,19 @@
     const int result = uv_loop_init(&m_loop);
     assert(result == 0);
     (void)result;
+    m_lag.emplace(&m_loop);
 }
 
 EventLoop::~EventLoop()
 {
+    m_lag->close();
     uv_run(&m_loop, UV_RUN_NOWAIT);
     uv_loop_close(&m_loop);
 }
 
 MonotonicTime EventLoop::now() const
 {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return MonotonicTime(std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+    return LoopLag::now();
 }
 
 WallTime EventLoop::wallTime() const
--- a/src/libnutmeghingeio/eventloop.h
+++ b/src/libnutmeghingeio/eventloop.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "looplag.h"
 #include "units.h"
 
 #include <functional>
+#include <optional>
 #include <uv.h>
 
 namespace nutmeghinge {
@@ -23,6 +25,10 @@
     /** Returns the time of the monotonic clock, which includes the time that the machine was suspended. */
     MonotonicTime now() const;
     WallTime wallTime() const;
+    /** Returns the time by which everything that had arrived was handled before the present function was called. */
+    MonotonicTime inputHandledUntil() { return m_lag->inputHandledUntil(now()); }
+    /** Returns the number of the loop's present turn. In each, it reads once what has arrived. */
+    std::uint64_t turn() const { return m_lag->turn(); }
     /** Runs until stop() is called. */
     void run();
     void stop();
@@ -33,6 +39,7 @@
 
 private:
     uv_loop_t m_loop{};
+    std::optional<LoopLag> m_lag;
 };
 
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -80,11 +80,12 @@
     }
 }
 
-RequestArrived ForwardedRequest::arrival() const
+RequestArrived ForwardedRequest::arrival(MonotonicTime now, MonotonicTime inputHandledUntil) const
 {
     const HttpHeaders &received = m_exchange->request().headers;
     RequestArrived event;
     event.request = m_id;
+    event.waited = now - std::min(now, m_exchange->request().arrivedAfter.value_or(inputHandledUntil));
     event.host = hostName(m_host);
     event.method = m_method;
     event.path = m_path;
@@ -98,6 +99,7 @@
         return event;
     }
     event.timeout = timeoutOfMilliseconds(numberIn(received, wire::deadline));
+    event.waitedBefore = timeoutOfMilliseconds(numberIn(received, wire::waitedMs)).value_or(Duration(0));
     event.routed = routedOf(received);
     event.relayed = relayedStatementOf(received);
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
--- a/src/libnutmeghingeio/forwardedrequest.h
+++ b/src/libnutmeghingeio/forwardedrequest.h
@@ -32,7 +32,7 @@
     const RequestProtocol &protocol() const { return m_protocol; }
     const RequestBody &body() const { return m_body; }
     /** Returns the request's RequestArrived event. May be called only before the request has ended. */
-    RequestArrived arrival() const;
+    RequestArrived arrival(MonotonicTime now, MonotonicTime inputHandledUntil) const;
 
     /** Returns whether the request is answered or its caller has disconnected. Nothing can be sent then. */
     bool hasEnded() const { return m_exchange == nullptr; }
--- a/src/libnutmeghingeio/httpmessage.h
+++ b/src/libnutmeghingeio/httpmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "requestbody.h"
+#include "units.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,8 @@
     std::string host;
     HttpHeaders headers;
     RequestBody body;
+    /** Earliest time at which it may have begun to arrive; empty if the server does not know it. */
+    std::optional<MonotonicTime> arrivedAfter{};
 };
 
 /** Head of an answer. */
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -255,6 +255,8 @@
     appendSummary(text, "request_seconds", "Time from the arrival of a request to its complete answer.", m_d->requestSeconds);
     appendSummary(text, "answer_delivery_seconds", "Time from the start of an answer until the system has taken its last byte.", m_d->deliverySeconds);
     appendCounter(text, "answers_cut_total", "Answers whose connection closed before the system had taken their last byte.", adapters.cutAnswers);
+    appendGauge(text, "loop_lag_ms", "Longest time by which events were handled late in the last seconds.", millisecondsOf(adapters.recentLag));
+    appendCounter(text, "late_events_total", "Events that were handled over 100 ms late.", adapters.lateEvents);
     if (adapters.traffic != nullptr) {
         appendTraffic(text, "sent_bytes_total", "Bytes sent, by the use of the connection.", *adapters.traffic, &ByteCounts::sent);
         appendTraffic(text, "received_bytes_total", "Bytes received, by the use of the connection.", *adapters.traffic, &ByteCounts::received);
--- a/src/libnutmeghingeio/nodemetrics.h
+++ b/src/libnutmeghingeio/nodemetrics.h
@@ -34,6 +34,9 @@
     /** Null if it is not counted. */
     const LinkTraffic *traffic = nullptr;
     std::uint64_t cutAnswers = 0;
+    /** Longest time by which events were handled late in the last seconds. */
+    Duration recentLag{0};
+    std::uint64_t lateEvents = 0;
 };
 
 /** State of the document in force when the metrics are read. */
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -128,6 +128,8 @@
     if (m_options.limits.connections != nullptr) {
         m_options.limits.connections->add(*this);
     }
+    m_readAfter = m_loop.inputHandledUntil();
+    m_acceptedInTurn = m_loop.turn();
     armTimer(m_options.idleTimeout);
     updateReading();
     return true;
@@ -175,6 +177,11 @@
         return;
     }
     const bool begins = !hasUnfinishedRequest();
+    const bool cameWithConnection = m_loop.turn() <= m_acceptedInTurn + 1;
+    m_readAfter = cameWithConnection ? m_readAfter : m_loop.inputHandledUntil();
+    if (begins) {
+        m_inputAfter = m_readAfter;
+    }
     m_input.append(data, static_cast<std::size_t>(size));
     if (begins) {
         m_inputCharge.restart(m_loop.now());
@@ -333,6 +340,7 @@
     partial.request.method.assign(method, methodSize);
     partial.request.path.assign(path, pathSize);
     partial.request.headers = headersOf(parsed, count);
+    partial.request.arrivedAfter = m_inputAfter;
     const HttpHeaders &headers = partial.request.headers;
     partial.request.host = findHeader(headers, "host").value_or("");
     partial.keepAlive = minorVersion >= 1 && !hasToken(headers, "connection", "close");
@@ -434,6 +442,7 @@
     uv_timer_stop(&m_timer);
     PartialRequest partial = *std::move(m_partial);
     m_partial.reset();
+    m_inputAfter = m_readAfter;
     m_unmarkedBytes = 0;
     m_inputCharge.restart(m_loop.now());
     // The memory passes from the connection to the request.
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -179,6 +179,12 @@
     MemoryCharge m_outputCharge;
     std::string m_input;
     std::optional<PartialRequest> m_partial;
+    /** Earliest time at which the first bytes of the input may have arrived. */
+    MonotonicTime m_inputAfter;
+    /** Earliest time at which the latest bytes may have arrived. */
+    MonotonicTime m_readAfter;
+    /** Turn of the loop in which the connection was accepted; what is read in the next one may have arrived before. */
+    std::uint64_t m_acceptedInTurn = 0;
     std::deque<std::shared_ptr<PipelinedExchange>> m_exchanges;
     /** An answer that is complete, or was begun, and has not been sent completely. */
     struct PendingAnswer {
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -209,7 +209,7 @@
     const auto request = std::make_shared<ForwardedRequest>(id, source, m_d->protocol, std::move(exchange));
     m_d->requests.emplace(id, request);
     request->setClosedFunction([this, id] { m_d->onCallerDisconnected(id); });
-    m_d->events(request->arrival());
+    m_d->events(request->arrival(m_d->loop.now(), m_d->loop.inputHandledUntil()));
 }
 
 void RequestForwarder::run(const SendToTarget &effect)
@@ -242,6 +242,9 @@
     if (effect.entry != noMember) {
         headers.emplace_back(wire::entry, std::to_string(effect.entry.value()));
     }
+    if (effect.waited > Duration::zero()) {
+        headers.emplace_back(wire::waitedMs, std::to_string(std::chrono::ceil<std::chrono::milliseconds>(effect.waited).count()));
+    }
     if (effect.entryEndsIn) {
         headers.emplace_back(wire::entryEndsMs, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*effect.entryEndsIn).count()));
     }
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -14,6 +14,8 @@
 
 /** Node to target and node to node: milliseconds left until the request's deadline. */
 inline constexpr std::string_view deadline = "nutmeghinge-deadline-ms";
+/** Node to node: milliseconds by which the caller may have left before that, because the request may have waited so long to be read. */
+inline constexpr std::string_view waitedMs = "nutmeghinge-waited-ms";
 /** Node to node: number of times that the request was forwarded. */
 inline constexpr std::string_view hops = "nutmeghinge-hops";
 /** Node to node: slot of the member that received the request from its caller. */
@@ -70,6 +72,6 @@
 inline constexpr std::array peerHeaders{deadline,        hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
                                         objective,       workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
                                         reason,          crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs,
-                                        workTimeExpired, unknownCause};
+                                        workTimeExpired, unknownCause,  waitedMs};
 
 } // namespace nutmeghinge::wire
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -30,6 +30,9 @@
 constexpr double bytesPerMegabit = 125000;
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 constexpr Duration retryAfterWithoutMemory = std::chrono::seconds(1);
+constexpr Duration lagInterval = std::chrono::seconds(1);
+/** Lag of the event loop from which it is logged. */
+constexpr Duration loggedLag = std::chrono::milliseconds(100);
 constexpr Duration trafficInterval = std::chrono::seconds(1);
 /** Percentage of the VM's link that the traffic of a second must take, in one direction, to be logged. */
 constexpr std::uint64_t loggedLinkPercent = 40;
@@ -214,6 +217,7 @@
     m_traffic.setDeliveredFunction([this](Duration duration) { m_metrics.observeDelivery(duration); });
     m_traffic.setCutFunction([this](const CutAnswer &answer) { logCutAnswer(answer); });
     m_loop.callEvery(trafficInterval, [this] { logTraffic(); });
+    m_loop.callEvery(lagInterval, [this] { logLag(); });
     m_loop.callEvery(memoryReturnInterval, [this] { returnMemory(); });
     return std::nullopt;
 }
@@ -277,7 +281,8 @@
     }
     m_handling = true;
     while (!m_pending.empty()) {
-        Event event{m_loop.now(), m_loop.wallTime(), std::move(m_pending.front())};
+        const MonotonicTime now = m_loop.now();
+        Event event{now, m_loop.wallTime(), std::move(m_pending.front()), std::max(Duration::zero(), now - m_loop.inputHandledUntil())};
         m_pending.pop_front();
         handle(event);
     }
@@ -287,12 +292,34 @@
 void Node::handle(const Event &event)
 {
     m_metrics.observeEvent(event);
+    recordLag(event);
     for (const Effect &effect : m_reducer->apply(event)) {
         m_metrics.observeEffect(effect, event.at);
         run(effect);
     }
 }
 
+void Node::recordLag(const Event &event)
+{
+    m_highestLag = std::max(m_highestLag, event.lag);
+    m_lateEvents += event.lag >= loggedLag ? 1 : 0;
+}
+
+void Node::logLag()
+{
+    if (m_highestLag >= loggedLag) {
+        const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(m_highestLag).count();
+        const RequestCounters &requests = m_reducer->router().counters();
+        spdlog::info("LoopLag events of the last second were handled up to {} ms late, {} so far over {} ms; {} requests at the target, {} queued",
+                     lag,
+                     m_lateEvents,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(loggedLag).count(),
+                     requests.inFlight,
+                     requests.queued);
+    }
+    m_highestLag = Duration::zero();
+}
+
 void Node::run(const Effect &effect)
 {
     std::visit(Overloaded{
@@ -467,6 +494,8 @@
     adapters.nodesWithoutRoom = cell.nodesWithoutRoom(m_loop.now());
     adapters.traffic = &m_traffic;
     adapters.cutAnswers = m_cutAnswers;
+    adapters.recentLag = m_reducer->recentLag(m_loop.now());
+    adapters.lateEvents = m_lateEvents;
     return m_metrics.toText(m_reducer->router().counters(), {cell.documentRevision(), cell.documentAge(m_loop.now())}, adapters);
 }
 
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -63,6 +63,9 @@
     /** Logs the traffic of the last second if it took much of the VM's link. */
     void logTraffic();
     void logCutAnswer(const CutAnswer &answer);
+    void recordLag(const Event &event);
+    /** Logs how late events were handled in the last second, if that was long. */
+    void logLag();
     void runCloseListeners();
     void onListenerClosed();
     void runExit(const Exit &effect);
@@ -99,6 +102,10 @@
     std::array<ByteCounts, LinkTraffic::uses> m_loggedTraffic;
     std::uint64_t m_cutAnswers = 0;
     LogLimiter m_cutAnswerLog{loggedCutAnswersPerSecond};
+    /** Longest lag of an event since it was last logged. */
+    Duration m_highestLag{0};
+    /** Events that were handled so late that it was logged. */
+    std::uint64_t m_lateEvents = 0;
     HttpClient m_client;
     RequestForwarder m_forwarder;
     TargetClient m_targetClient;
--- a/tests/core/requestadmissiontest.cpp
+++ b/tests/core/requestadmissiontest.cpp
@@ -235,3 +235,23 @@
     CHECK(load.heavyKeys.front() == KeyLoad{hashOfKey("crew-1"), 500000});
     CHECK(node.m_router.takeLoad(node.m_now + 1s).shards.empty());
 }
+
+// Guards against a request that a busy node sends on to a target although its caller has gone (GONE).
+TEST_CASE("Nothing is sent for a request that a late node reads when its caller may have left", "[request]")
+{
+    RouterFixture node;
+    RequestArrived arrived = RouterFixture::request(1);
+    arrived.timeout = std::chrono::seconds(2);
+    arrived.waited = std::chrono::milliseconds(800);
+    node.arrive(arrived);
+    // Its answer is passed on for as long as the caller may be there.
+    CHECK(node.only<SendToTarget>().deadline == node.m_now + std::chrono::seconds(2));
+    for (const bool relayed : {false, true}) {
+        arrived.request = RequestId(relayed ? 3 : 2);
+        arrived.waited = std::chrono::milliseconds(relayed ? 900 : 2100);
+        arrived.waitedBefore = std::chrono::milliseconds(relayed ? 1200 : 0);
+        node.arrive(arrived);
+        CHECK(node.all<SendToTarget>().empty());
+        CHECK(node.only<RefuseRequest>().outcome == Outcome::NotRun);
+    }
+}
--- a/tests/core/requestplay.h
+++ b/tests/core/requestplay.h
@@ -97,6 +97,8 @@
         /** Empty if its caller sent the request. */
         std::optional<Attempt> from;
         RequestArrived arrived;
+        /** The node has read it. */
+        bool read = false;
     };
 
     NodeRun runOf(std::size_t node) const { return {node, m_harness.incarnationOf(node)}; }
@@ -123,6 +125,7 @@
     void refuse(std::size_t node, const RefuseRequest &refusal);
     /** Ends the attempt with an answer, and passes that on to the node that forwarded the request, or to its caller. */
     void answer(const Attempt &attempt, std::uint16_t status = 200);
+    void readAnswer(const Attempt &attempt, std::uint16_t status);
 
     TargetLeaseHarness &m_harness;
     std::mt19937_64 m_random;
--- a/tests/core/targetleaseharness.h
+++ b/tests/core/targetleaseharness.h
@@ -102,6 +102,13 @@
     void deliverForeignHeartbeat(std::size_t node, bool draining);
     /** Delays the arrival of the target's heartbeats at its node. */
     void setHeartbeatDelay(std::size_t node, Duration delay) { m_nodes[node].target.heartbeatDelay = delay; }
+    /**
+     * From now on the node handles what arrives only from time to time, at most the given time apart, and its ticks before the rest,
+     * as an event loop does that is busy or does not get the processor.
+     */
+    void setLag(std::size_t node, Duration longest);
+    /** Calls the function when the node reads what arrives now. */
+    void whenRead(std::size_t node, std::function<void()> function);
     /** Delays all events of the node, as if its process were paused. */
     void pauseNode(std::size_t node, Duration length);
     void setIsolated(std::size_t node, bool isolated);
@@ -185,6 +192,10 @@
         /** Number of VMs that had the place of this one before. */
         std::uint64_t formerVms = 0;
         Duration pausedUntil{0};
+        Duration longestLag{0};
+        /** Time of the latest turn of the node's event loop, and of the one before, by which what had arrived was handled. */
+        Duration turnAt{0};
+        Duration handledUntil{0};
         double clockRate = 1;
         bool isolated = false;
         bool cutFromPlatform = false;
@@ -240,6 +251,7 @@
     bool isCalm(std::size_t node, Duration calmFor) const;
     void showEpoch(std::size_t node, std::uint64_t incarnation);
     void replyFromPlatform(std::size_t node, std::function<EventBody(bool reachable)> access);
+    void turnLoop(std::size_t node, std::uint64_t incarnation);
     void tickLoop(std::size_t node, std::uint64_t incarnation);
     void heartbeatLoop(std::size_t node, std::uint64_t targetIncarnation);
     TargetAnnounced nextHeartbeat(std::size_t node);
