Take a key for released only if its target reported it under the last grant

The answer to one grants a key; the other was sent before the target had that answer, does not list the key and arrives 1.3 s late. TargetLeases::announced() took every key that a heartbeat does not list for released, so the node's next heartbeat no longer reported it as held, and the coordinator granted it to another member.

Change: each grant of a shard sets the end of its lease and forgets that the shard was listed. A heartbeat that does not list it releases it only if another one, after that grant, listed it under the grant's fence; otherwise it stays held until that lease has ended on the target's clock. Cost: a key whose grant never reached its target, and that moves before it does, waits for the lease to end.

Ruled out: a higher sequence number alone (the late report may be the newer one); the released list (it repeats what was released before the grant until a heartbeat has been answered).

--- a/src/libnutmeghinge/targetleases.cpp
+++ b/src/libnutmeghinge/targetleases.cpp
@@ -78,7 +78,7 @@
     for (const HeldRange &range : announcement.targetLeases->held) {
         forEachShard(range, [&](Entry &entry) {
             entry.reported = true;
-            entry.reportedFence = range.fence;
+            entry.listedSinceGrant = entry.listedSinceGrant || range.fence >= entry.grantedFence;
         });
     }
     for (const ReleasedRange &range : announcement.targetLeases->released) {
@@ -90,19 +90,22 @@
             entry.incomingToken.clear();
         } else {
             entry.granted = false;
+            // A heartbeat sent before the answer that granted the shard doesn't list it either.
+            entry.leaseEnd = entry.listedSinceGrant ? MonotonicTime() : entry.leaseEnd;
         }
     }
 }
 
 std::optional<TargetLeaseGrant>
-TargetLeases::grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now, bool renewsOnly)
+TargetLeases::grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime memberLeaseEnd, MonotonicTime now, bool renewsOnly)
 {
     resize(section);
     TargetLeaseGrant grant;
-    grant.holdTime = std::min(m_holdTime, (leaseEnd - now) * 1000 / (1000 + targetDriftPerMille));
+    grant.holdTime = std::min(m_holdTime, (memberLeaseEnd - now) * 1000 / (1000 + targetDriftPerMille));
     if (m_holdTime == Duration::zero() || grant.holdTime < shortestLease) {
         return std::nullopt;
     }
+    const MonotonicTime leaseEnd = now + grant.holdTime + grant.holdTime * targetDriftPerMille / 1000;
     const std::size_t shards = m_entries.size();
     for (std::size_t i = 0; i < shards; ++i) {
         Entry &entry = m_entries[i];
@@ -113,6 +116,8 @@
             continue;
         }
         entry.grantedFence = owned.fence;
+        entry.listedSinceGrant = false;
+        entry.leaseEnd = std::max(entry.leaseEnd, leaseEnd);
         const std::uint32_t first = firstKey(i, shards);
         GrantedRange *last = grant.ranges.empty() ? nullptr : &grant.ranges.back();
         if (last && last->last + 1 == first && last->fence == owned.fence && last->handover == entry.incomingToken) {
@@ -121,7 +126,7 @@
             grant.ranges.push_back({first, lastKey(i, shards), owned.fence, entry.incomingToken});
         }
     }
-    m_leasesEnd = std::max(m_leasesEnd, now + grant.holdTime + grant.holdTime * targetDriftPerMille / 1000);
+    m_leasesEnd = std::max(m_leasesEnd, leaseEnd);
     return grant;
 }
 
@@ -134,7 +139,7 @@
 bool TargetLeases::isFree(ShardIndex shard, MonotonicTime now) const
 {
     const Entry *entry = entryOf(shard);
-    return !entry || now >= m_leasesEnd || (!entry->reported && !entry->granted);
+    return !entry || now >= m_leasesEnd || (!entry->reported && now >= entry->leaseEnd);
 }
 
 std::vector<ShardIndex> TargetLeases::held(MonotonicTime now) const
--- a/src/libnutmeghinge/targetleases.h
+++ b/src/libnutmeghinge/targetleases.h
@@ -38,7 +38,7 @@
      * present one does not know of other grants.
      */
     std::optional<TargetLeaseGrant>
-    grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime leaseEnd, MonotonicTime now, bool renewsOnly = false);
+    grant(const OwnershipMap &map, const ShardSection &section, MemberSlot self, MonotonicTime memberLeaseEnd, MonotonicTime now, bool renewsOnly = false);
 
     /** Returns whether the target holds the shard under the grant with this fence, and so may run requests on it. */
     bool mayRun(ShardIndex shard, const Fence &fence, MonotonicTime now) const;
@@ -56,9 +56,12 @@
 private:
     struct Entry {
         bool reported = false;
-        Fence reportedFence;
         bool granted = false;
         Fence grantedFence;
+        /** A heartbeat after the latest grant listed the shard under that grant's fence: the target had that answer or an earlier one. */
+        bool listedSinceGrant = false;
+        /** Time after which no lease on the shard that is not reported is valid. */
+        MonotonicTime leaseEnd;
         /** Handover token of the last holder; cleared once the target reports the shard as held. */
         std::string incomingToken;
         /** Handover token with which this target released the shard. */
--- a/tests/core/targetdeparturetest.cpp
+++ b/tests/core/targetdeparturetest.cpp
@@ -190,7 +190,7 @@
     CHECK(holds);
 }
 
-// Two targets hold a key at once; issue 12.
+// Guards against a grant that a late heartbeat hides, with two holders of its keys.
 TEST_CASE("No key has two holders under kills, late heartbeats and outages of the platform, in two plays that showed it")
 {
     CHECK(violationUnderLateHeartbeats(61505, 4) == "");
--- a/tests/core/targetleasestest.cpp
+++ b/tests/core/targetleasestest.cpp
@@ -94,6 +94,36 @@
     CHECK(setup.targetLeases.isFree(ShardIndex(1), setup.now + 5s));
 }
 
+// Guards against two holders of a key: a late heartbeat, sent before its target had the grant, was taken for a release.
+TEST_CASE("A heartbeat that does not list a shard releases it only if another one has listed it since it was granted")
+{
+    Setup setup;
+    setup.heartbeat({});
+    setup.map.shards[1].owner = other;
+    REQUIRE(setup.grant());
+    setup.heartbeat({});
+    setup.map.shards[0].owner = other;
+    REQUIRE(setup.grant(2s));
+    CHECK_FALSE(setup.targetLeases.isFree(ShardIndex(0), setup.now));
+    CHECK(setup.targetLeases.isFree(ShardIndex(1), setup.now));
+    SECTION("or the target lease of that grant has expired")
+    {
+        setup.now += 5s;
+        REQUIRE(setup.grant());
+        CHECK(setup.targetLeases.isFree(ShardIndex(0), setup.now));
+        CHECK_FALSE(setup.targetLeases.isFree(ShardIndex(2), setup.now));
+    }
+    SECTION("under the fence of that grant")
+    {
+        setup.heartbeat({{0, 16383, {Term(4), 9}}});
+        setup.heartbeat({});
+        CHECK_FALSE(setup.targetLeases.isFree(ShardIndex(0), setup.now));
+        setup.heartbeat({{0, 16383, {Term(5), 1}}});
+        setup.heartbeat({});
+        CHECK(setup.targetLeases.isFree(ShardIndex(0), setup.now));
+    }
+}
+
 TEST_CASE("Under the map of an earlier coordinator, only shards already held are granted")
 {
     // The new coordinator learns from a heartbeat which shards are held, and assigns the rest to others.
