--- a/tests/core/targetdeparturetest.cpp
+++ b/tests/core/targetdeparturetest.cpp
@@ -196,3 +196,9 @@
     CHECK(violationUnderLateHeartbeats(61505, 4) == "");
     CHECK(violationUnderLateHeartbeats(923, 15) == "");
 }
+
+// A grant that the row does not hold yet when all nodes are lost; issue 63.
+TEST_CASE("No key has two holders after the loss of all nodes, in a play that showed it")
+{
+    CHECK(violationUnderLateHeartbeats(62914, 7) == "");
+}
