--- a/src/libnutmeghinge/request.h
+++ b/src/libnutmeghinge/request.h
@@ -77,7 +77,7 @@
     MonotonicTime arrivedAt;
     /** Time by which the caller no longer waits, and until which answers are passed on. */
     MonotonicTime deadline;
-    /** Time by which the caller may have left before the deadline, because the request may have waited for so long to be read. */
+    /** Longest time for which the request may have waited to be read. The caller may leave that long before the deadline. */
     Duration waited{0};
     /** Time at which the caller itself stops waiting; empty if it stated no time limit or the request came from another node. */
     std::optional<MonotonicTime> callerWaitsUntil;
--- a/src/libnutmeghinge/unknownattempt.h
+++ b/src/libnutmeghinge/unknownattempt.h
@@ -15,7 +15,7 @@
     MemberSlot member = noMember;
     /** The member reported the cause; otherwise this node saw it. */
     bool reported = false;
-    /** Time from the begin of the attempt to its end. */
+    /** Time from the start of the attempt to its end. */
     Duration length{0};
     /** Time from the arrival of the request to the end of the attempt. */
     Duration sinceArrival{0};
--- a/tests/core/stopschedulepropertytest.cpp
+++ b/tests/core/stopschedulepropertytest.cpp
@@ -325,8 +325,7 @@
     }
 }
 
-// Guards against a node whose event loop falls behind: its times counted from the reading of a request, and its stop ended requests
-// whose answers had arrived and were not read yet (review/4, LOST; GONE).
+// Guards against a stop that ends requests whose answers a late event loop has not read yet (review/4, LOST).
 TEST_CASE("A node that handles its events late breaks no promise at a stop and begins no request after its time limit")
 {
     const auto lag = GENERATE(100ms, 300ms, 1000ms);
