Count the connections that a node ends on a request, by what was lost

NodeStopped and connections_ended_on_requests_total now count them exactly: unanswered, answer-cut, unfinished, discarded; ConnectionEnded lines name use, bytes and the time since the last byte, at a limited rate.

What a client ends itself is not counted, nor the rest of a request that was refused. Test: "Connections that the listener ends on a request are counted by what was lost, and those that clients end are not" (a new measurement, so it has no earlier behaviour to fail on).

--- a/src/libnutmeghingeio/linktraffic.cpp
+++ b/src/libnutmeghingeio/linktraffic.cpp
@@ -27,10 +27,24 @@
     }
 }
 
+void LinkTraffic::connectionEnded(const EndedConnection &connection)
+{
+    ++m_endedConnections[static_cast<std::size_t>(connection.lost)];
+    if (m_ended) {
+        m_ended(connection);
+    }
+}
+
 const char *nameOf(ConnectionUse use)
 {
     static constexpr std::array<const char *, LinkTraffic::uses> names{"callers", "peers", "control", "platform", "target"};
     return names[static_cast<std::size_t>(use)];
 }
 
+const char *nameOf(LostRequest lost)
+{
+    static constexpr std::array<const char *, LinkTraffic::lostRequestKinds> names{"unanswered", "answer-cut", "unfinished", "discarded"};
+    return names[static_cast<std::size_t>(lost)];
+}
+
 } // namespace nutmeghinge
--- a/src/libnutmeghingeio/nodemetrics.cpp
+++ b/src/libnutmeghingeio/nodemetrics.cpp
@@ -69,6 +69,17 @@
     }
 }
 
+void appendEndedConnections(std::string &text, const LinkTraffic &traffic)
+{
+    constexpr std::string_view name = "connections_ended_on_requests_total";
+    text += fmt::format("# HELP nutmeghinge_{0} Connections that the node ended although their clients waited for an answer, by what was lost.\n", name);
+    text += fmt::format("# TYPE nutmeghinge_{0} counter\n", name);
+    for (std::size_t i = 0; i < LinkTraffic::lostRequestKinds; ++i) {
+        const auto lost = static_cast<LostRequest>(i);
+        text += fmt::format("nutmeghinge_{}{{lost=\"{}\"}} {}\n", name, nameOf(lost), traffic.endedConnections(lost));
+    }
+}
+
 void appendSummary(std::string &text, std::string_view name, std::string_view help, const Seconds &seconds)
 {
     text += fmt::format("# HELP nutmeghinge_{0} {1}\n# TYPE nutmeghinge_{0} summary\n", name, help);
@@ -255,6 +266,9 @@
     appendSummary(text, "request_seconds", "Time from the arrival of a request to its complete answer.", m_d->requestSeconds);
     appendSummary(text, "answer_delivery_seconds", "Time from the start of an answer until the system has taken its last byte.", m_d->deliverySeconds);
     appendCounter(text, "answers_cut_total", "Answers whose connection closed before the system had taken their last byte.", adapters.cutAnswers);
+    if (adapters.traffic != nullptr) {
+        appendEndedConnections(text, *adapters.traffic);
+    }
     appendGauge(text, "loop_lag_ms", "Longest time by which events were handled late in the last seconds.", millisecondsOf(adapters.recentLag));
     appendCounter(text, "late_events_total", "Events that were handled over 100 ms late.", adapters.lateEvents);
     if (adapters.traffic != nullptr) {
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -199,6 +199,7 @@
 void PipelinedConnection::discardInput(std::size_t size)
 {
     m_discardedBytes += size;
+    m_lastInput = m_loop.now();
     if (m_discardedBytes <= m_options.bodyLimit) {
         return;
     }
@@ -468,6 +469,7 @@
 {
     m_owner.onRequestRefused(reason);
     m_inputEnded = true;
+    m_refused = true;
     m_partial.reset();
     std::string().swap(m_input);
     static_cast<void>(chargeInput());
@@ -659,6 +661,32 @@
     }
 }
 
+void PipelinedConnection::reportLost(LostRequest lost, std::uint64_t bytes)
+{
+    if (m_options.traffic != nullptr) {
+        m_options.traffic->connectionEnded({m_options.use, lost, bytes, m_loop.now() - m_lastInput, m_closeAfterAnswers});
+    }
+}
+
+void PipelinedConnection::reportLostRequests()
+{
+    if (m_discardedBytes > 0 && !m_refused) {
+        reportLost(LostRequest::Discarded, m_discardedBytes);
+    }
+    if (m_clientDisconnected) {
+        return;
+    }
+    for (const auto &exchange : m_exchanges) {
+        reportLost(isFirst(*exchange) && exchange->m_answerBegun ? LostRequest::AnswerCut : LostRequest::Unanswered, exchange->m_request.body.size());
+    }
+    if (m_exchanges.empty() && !m_pendingAnswers.empty() && unsentBytes() > 0) {
+        reportLost(LostRequest::AnswerCut, 0);
+    }
+    if (hasUnfinishedRequest()) {
+        reportLost(LostRequest::Unfinished, m_input.size() + (m_partial ? m_partial->headSize + m_partial->request.body.size() : 0));
+    }
+}
+
 bool PipelinedConnection::isWriteQueueFull() const
 {
     return unsentBytes() > writeQueueLimitBytes;
@@ -716,6 +744,7 @@
 void PipelinedConnection::handleDisconnect()
 {
     const auto exchanges = m_exchanges;
+    m_clientDisconnected = true;
     close();
     for (const auto &exchange : exchanges) {
         if (const std::function<void()> closed = std::exchange(exchange->m_closedFunction, nullptr)) {
@@ -758,6 +787,7 @@
     std::string().swap(m_input);
     static_cast<void>(chargeInput());
     for (const auto &exchange : std::exchange(m_exchanges, {})) {
+        reportLost(LostRequest::Unanswered, exchange->m_request.body.size());
         exchange->m_connection = nullptr;
         if (const std::function<void()> closed = std::exchange(exchange->m_closedFunction, nullptr)) {
             closed();
@@ -791,6 +821,7 @@
     if (m_state == State::Closed) {
         return;
     }
+    reportLostRequests();
     reportCutAnswers();
     if (m_usesLink) {
         m_options.pacer->withdraw(*this);
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -142,6 +142,9 @@
     void recordAnswered(const PipelinedExchange &exchange);
     /** Reports the answers that end with the connection. */
     void reportCutAnswers();
+    /** Reports what the client loses with the connection. Only what was thrown away counts if the client has ended it. */
+    void reportLostRequests();
+    void reportLost(LostRequest lost, std::uint64_t bytes);
     void handleDisconnect();
     void reset();
     void finish();
@@ -167,6 +170,9 @@
     bool m_inputEnded = false;
     bool m_flushing = false;
     bool m_hasServed = false;
+    bool m_clientDisconnected = false;
+    /** A request was answered by refuse(); what follows may be the rest of it. */
+    bool m_refused = false;
     MonotonicTime m_idleSince;
     MonotonicTime m_lastInput;
     /** Bytes received since they last counted as progress. */
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -216,6 +216,7 @@
     m_loop.callEvery(suppressedCountInterval, [this] { logSuppressedCounts(); });
     m_traffic.setDeliveredFunction([this](Duration duration) { m_metrics.observeDelivery(duration); });
     m_traffic.setCutFunction([this](const CutAnswer &answer) { logCutAnswer(answer); });
+    m_traffic.setEndedFunction([this](const EndedConnection &connection) { logEndedConnection(connection); });
     m_loop.callEvery(trafficInterval, [this] { logTraffic(); });
     m_loop.callEvery(lagInterval, [this] { logLag(); });
     m_loop.callEvery(memoryReturnInterval, [this] { returnMemory(); });
@@ -349,7 +350,10 @@
 
 void Node::runRecord(const Record &effect)
 {
-    const TimelineRecord &record = effect.record;
+    TimelineRecord record = effect.record;
+    if (record.kind == TimelineRecord::Kind::NodeStopped) {
+        record.detail += "; connections that the node ended on a request since its start: " + describeEndedConnections();
+    }
     m_timeline.add(record);
     if (!isAboutRequest(record.kind)) {
         spdlog::info("{}", recordToLine(record));
@@ -428,6 +432,30 @@
     }
 }
 
+void Node::logEndedConnection(const EndedConnection &connection)
+{
+    if (m_endedConnectionLog.admit(m_loop.now())) {
+        spdlog::info("ConnectionEnded a connection of the {}{}: {}, {} bytes read of it, the last one {} ms before; {} more were ended before",
+                     nameOf(connection.use),
+                     connection.stopping ? " during a stop" : "",
+                     nameOf(connection.lost),
+                     connection.bytes,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(connection.sinceLastByte).count(),
+                     m_endedConnectionLog.takeSuppressed(m_loop.now()));
+    }
+}
+
+/** Returns how many connections the node has ended on a request, by what was lost. */
+std::string Node::describeEndedConnections() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < LinkTraffic::lostRequestKinds; ++i) {
+        const auto lost = static_cast<LostRequest>(i);
+        text += fmt::format("{}{} {}", text.empty() ? "" : ", ", m_traffic.endedConnections(lost), nameOf(lost));
+    }
+    return text;
+}
+
 void Node::returnMemory()
 {
     m_highestMemory = std::max(m_highestMemory, m_memory.used());
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -50,6 +50,7 @@
 
 private:
     static constexpr std::uint32_t loggedCutAnswersPerSecond = 10;
+    static constexpr std::uint32_t loggedEndedConnectionsPerSecond = 10;
 
     void dispatch(EventBody body);
     void handle(const Event &event);
@@ -63,6 +64,8 @@
     /** Logs the traffic of the last second if it took much of the VM's link. */
     void logTraffic();
     void logCutAnswer(const CutAnswer &answer);
+    void logEndedConnection(const EndedConnection &connection);
+    std::string describeEndedConnections() const;
     void recordLag(const Event &event);
     /** Logs how late events were handled in the last second, if that was long. */
     void logLag();
@@ -102,6 +105,7 @@
     std::array<ByteCounts, LinkTraffic::uses> m_loggedTraffic;
     std::uint64_t m_cutAnswers = 0;
     LogLimiter m_cutAnswerLog{loggedCutAnswersPerSecond};
+    LogLimiter m_endedConnectionLog{loggedEndedConnectionsPerSecond};
     /** Longest lag of an event since it was last logged. */
     Duration m_highestLag{0};
     /** Events that were handled so late that it was logged. */
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -6,6 +6,8 @@
 #include "rununtil.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 using namespace nutmeghinge;
 using namespace std::chrono_literals;
@@ -240,3 +242,42 @@
     REQUIRE(setup.ends());
     CHECK(setup.client.receivedBytes() > body.size());
 }
+
+TEST_CASE("Connections that the listener ends on a request are counted by what was lost, and those that clients end are not")
+{
+    LinkTraffic traffic;
+    EventLoop loop;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    const PipelinedServer::Options options{.bodyLimit = 1000, .name = "test", .traffic = &traffic, .use = ConnectionUse::Callers};
+    auto server = std::make_unique<PipelinedServer>(loop, options, [&](std::shared_ptr<HttpExchange> exchange) { exchanges.push_back(std::move(exchange)); });
+    const Endpoint endpoint = std::get<Endpoint>(server->listen({"127.0.0.1", 0}));
+    RawConnection left(loop, endpoint);
+    left.send(get);
+    REQUIRE(runUntil(loop, [&] { return exchanges.size() == 1; }));
+    left.close();
+    REQUIRE(runUntil(loop, [&] { return server->openConnections() == 0; }));
+    CHECK(traffic.endedConnections(LostRequest::Unanswered) == 0);
+
+    RawConnection unanswered(loop, endpoint);
+    unanswered.send(get);
+    RawConnection cut(loop, endpoint);
+    cut.send(get);
+    REQUIRE(runUntil(loop, [&] { return exchanges.size() == 3; }));
+    exchanges[2]->beginAnswer({200, {}, 100});
+    exchanges[2]->write("teak");
+    RawConnection unfinished(loop, endpoint);
+    unfinished.send("POST /a HTTP/1.1\r\nHost: desk\r\nContent-Length: 9\r\n\r\nteak");
+    RawConnection discarded(loop, endpoint);
+    discarded.send("GET /last HTTP/1.1\r\nHost: desk\r\nConnection: close\r\n\r\n");
+    REQUIRE(runUntil(loop, [&] { return exchanges.size() == 4; }));
+    discarded.send(get);
+    const std::uint64_t received = traffic.of(ConnectionUse::Callers).received;
+    REQUIRE(runUntil(loop, [&] { return traffic.of(ConnectionUse::Callers).received == received + get.size(); }));
+    exchanges[3]->answer(200, {}, "last");
+    REQUIRE(runUntil(loop, [&] { return discarded.isEnded(); }));
+    server.reset();
+    CHECK(traffic.endedConnections(LostRequest::Unanswered) == 1);
+    CHECK(traffic.endedConnections(LostRequest::AnswerCut) == 1);
+    CHECK(traffic.endedConnections(LostRequest::Unfinished) == 1);
+    CHECK(traffic.endedConnections(LostRequest::Discarded) == 1);
+}
