Do not read a request that crosses the close of an idle connection, and tell other nodes that it was not run

Cause: an idle connection was closed for writing while the node read on for up to a second and threw away what arrived. A request that crossed the close was read whole and never answered. The other node saw its connection end after it had sent the request, so to it the request may have run. An answer that had begun before the stop, and so did not announce the close, ended its connection as well.

Change: after an idle connection is closed, by a stop or by the idle timeout, nothing more is read from it: the request is left to the client, which may repeat it. On a connection of another node an answer 503 "not run" goes before the close; the request that crosses it gets that answer, which is true, as nothing is read after it. An answer that did not announce the close does not end the connection; the next request is answered first, or the connection ends as an idle one 250 ms later.

Ruled out: reading on and answering after the close, which TCP does not allow; closing at once, which could reset an answer on its way to a client that pipelines.

--- a/src/libnutmeghingeio/httplistener.h
+++ b/src/libnutmeghingeio/httplistener.h
@@ -38,6 +38,11 @@
         ClientLimits limits{};
         /** Headers of an answer 503 to a request for which there is no memory. */
         HttpHeaders unavailableHeaders{};
+        /**
+         * Headers of the answer 503 that a PipelinedServer writes on an idle connection before it closes it, for a request that crosses
+         * the close: it is not read. Empty: no such answer, as clients other than nodes would not expect it.
+         */
+        HttpHeaders closingHeaders{};
         /** Counts what a PipelinedServer sends and receives, under this use; null for none. Must outlive the listener. */
         LinkTraffic *traffic = nullptr;
         ConnectionUse use = ConnectionUse::Callers;
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t writeQueueLimitBytes = 262144;
 /** Time for which input is still read after the last answer. Closing with unread input would reset the connection and could lose the answer. */
 constexpr Duration lingerTime = std::chrono::seconds(1);
+/** Time without a request after which a connection that is to be closed closes, and for which the client's system may then still acknowledge what it was sent.
+ */
+constexpr Duration idleGrace = std::chrono::milliseconds(250);
 /** Time for which sent data may stay unacknowledged before the connection is closed. */
 constexpr int acknowledgementTimeoutMs = 60000;
 
@@ -140,7 +143,8 @@
     const bool waits = m_exchanges.size() >= pipelineLimit || isWriteQueueFull();
     const bool full = m_state == State::Open && waits && m_input.size() >= headLimitBytes;
     const bool discardedEnough = m_discardedBytes > m_options.bodyLimit;
-    const bool wanted = m_state != State::Closed && !full && !discardedEnough;
+    const bool isClosed = m_state == State::Closed || m_state == State::ClosedIdle;
+    const bool wanted = !isClosed && !full && !discardedEnough;
     if (wanted == m_reading) {
         return;
     }
@@ -468,6 +472,11 @@
 void PipelinedConnection::refuse(std::uint16_t status, const char *reason, HttpHeaders headers)
 {
     m_owner.onRequestRefused(reason);
+    answerLast(status, reason, std::move(headers));
+}
+
+void PipelinedConnection::answerLast(std::uint16_t status, const char *reason, HttpHeaders headers)
+{
     m_inputEnded = true;
     m_refused = true;
     m_partial.reset();
@@ -500,7 +509,7 @@
         m_exchanges.pop_front();
         popped = true;
         recordAnswered(*front);
-        if (!front->m_keepAlive || (m_closeAfterAnswers && m_inputEnded && m_exchanges.empty())) {
+        if (!front->m_keepAlive) {
             finish();
         }
     }
@@ -513,7 +522,7 @@
     }
     if (m_exchanges.empty()) {
         m_idleSince = m_loop.now();
-        armTimer(m_options.idleTimeout);
+        armIdleTimer();
     } else if (m_exchanges.front()->m_writableFunction) {
         // The exchange is now first in the queue, so its source may continue.
         m_exchanges.front()->m_writableFunction();
@@ -722,16 +731,43 @@
 void PipelinedConnection::closeAfterAnswers()
 {
     m_closeAfterAnswers = true;
-    // Unread requests are left to the client, which retries them.
-    m_inputEnded = m_inputEnded || (!m_exchanges.empty() && !m_partial);
+    // Unread requests are left to the client, which retries them, unless the last answer has begun without announcing the close.
+    m_inputEnded = m_inputEnded || (!m_exchanges.empty() && !m_partial && !m_exchanges.back()->m_answerBegun);
 }
 
 void PipelinedConnection::closeIfIdle()
 {
     closeAfterAnswers();
-    if (m_state == State::Open && m_exchanges.empty() && !m_partial && m_input.empty() && !hasUnreadInput()) {
+    m_closesIdle = true;
+    if (m_state == State::Open && m_exchanges.empty()) {
+        endIdle();
+    }
+}
+
+void PipelinedConnection::endIdle()
+{
+    if (hasUnfinishedRequest() || hasUnreadInput()) {
+        armIdleTimer();
+        return;
+    }
+    if (unsentBytes() > 0) {
+        // A client that has not received its whole answer sends no other request, unless it pipelines.
         finish();
+        return;
+    }
+    if (!m_options.closingHeaders.empty()) {
+        answerLast(503, "this connection closes", m_options.closingHeaders);
+        return;
     }
+    m_state = State::ClosedIdle;
+    updateReading();
+    armTimer(m_options.idleTimeout);
+    shutDownSocket();
+}
+
+void PipelinedConnection::armIdleTimer()
+{
+    armTimer(m_closesIdle && !hasUnfinishedRequest() ? idleGrace : m_options.idleTimeout);
 }
 
 void PipelinedConnection::refuseStalled(Duration time)
@@ -806,13 +842,13 @@
     const auto onShutdown = [](uv_shutdown_t *done, int) {
         auto *connection = static_cast<PipelinedConnection *>(done->handle->data);
         delete done;
-        if (connection->m_state == State::Lingering) {
-            connection->armTimer(lingerTime);
+        if (connection->m_state != State::Closed) {
+            connection->armTimer(connection->m_state == State::ClosedIdle ? idleGrace : lingerTime);
         }
     };
     if (uv_shutdown(request, reinterpret_cast<uv_stream_t *>(&m_socket), onShutdown) != 0) {
         delete request;
-        armTimer(lingerTime);
+        armTimer(idleGrace);
     }
 }
 
@@ -871,6 +907,10 @@
         }
         return;
     }
+    if (m_state == State::Open && !hasUnfinishedRequest()) {
+        endIdle();
+        return;
+    }
     close();
 }
 
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -52,9 +52,9 @@
     bool accept(uv_stream_t *listener);
     /** Takes over a connection that was accepted otherwise. Returns false, and closes the socket, if that fails. */
     bool adopt(uv_os_sock_t socket);
-    /** Closes the connection after the last pending answer. */
+    /** Closes the connection after the last pending answer that can still announce the close. */
     void closeAfterAnswers();
-    /** Like closeAfterAnswers(), but closes an idle connection at once. */
+    /** Like closeAfterAnswers(), but also closes the connection once it is idle. */
     void closeIfIdle();
     /** During a shutdown: refuses a request that is being received and has made no progress for this time. */
     void refuseStalled(Duration time);
@@ -74,8 +74,10 @@
 
     enum class State : std::uint8_t {
         Open,
-        /** All answers are sent; further input is discarded until the client closes the connection. */
+        /** All answers are sent, and the last one announced the close; further input is discarded until the client closes the connection. */
         Lingering,
+        /** Closed by the server while idle. Nothing more is read: a request that crosses the close is left to the client, which may repeat it. */
+        ClosedIdle,
         Closed,
     };
 
@@ -105,6 +107,8 @@
     /** Appends to the body of the partial request. Returns false, after refusing the request, if there is no memory. */
     bool appendBody(std::string_view data);
     void refuse(std::uint16_t status, const char *reason, HttpHeaders headers = {});
+    /** Sends an answer of the server itself after those to earlier requests, and stops reading requests. */
+    void answerLast(std::uint16_t status, const char *reason, HttpHeaders headers);
     void refuseForMemory();
     void updateReading();
     /** Reads on without keeping the data, so that the client can receive the answer; only up to the size of one body. */
@@ -148,6 +152,10 @@
     void handleDisconnect();
     void reset();
     void finish();
+    /** Closes the connection if nothing of a request has arrived. */
+    void endIdle();
+    /** Arms the timer of a connection that has become idle. */
+    void armIdleTimer();
     void close();
     void armTimer(Duration duration);
     void onTimeout();
@@ -166,12 +174,14 @@
     bool m_reading = false;
     /** True if the connection closes after the last pending answer. */
     bool m_closeAfterAnswers = false;
+    /** True if the connection closes when it is idle. */
+    bool m_closesIdle = false;
     /** True if no further request is read: the client announced its last request, a request was refused or the server shuts down. */
     bool m_inputEnded = false;
     bool m_flushing = false;
     bool m_hasServed = false;
     bool m_clientDisconnected = false;
-    /** A request was answered by refuse(); what follows may be the rest of it. */
+    /** answerLast() was called. What follows may be the rest of a refused request, or one that the answer is for. */
     bool m_refused = false;
     MonotonicTime m_idleSince;
     MonotonicTime m_lastInput;
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -182,6 +182,8 @@
                               .unavailableHeaders = {{std::string(wire::outcome), std::string(wire::notRun)},
                                                      {std::string(wire::reason), std::string(nameOf(NotRunReason::Overloaded))},
                                                      {std::string(wire::retryAfterMs), std::to_string(milliseconds)}},
+                              .closingHeaders = {{std::string(wire::outcome), std::string(wire::notRun)},
+                                                 {std::string(wire::reason), std::string(nameOf(NotRunReason::NotConnected))}},
                               .traffic = &m_traffic,
                               .use = ConnectionUse::Peers,
                               .pacer = &m_pacer},
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -281,3 +281,66 @@
     CHECK(traffic.endedConnections(LostRequest::Unfinished) == 1);
     CHECK(traffic.endedConnections(LostRequest::Discarded) == 1);
 }
+
+TEST_CASE("Pipelining: a request that crosses the close of an idle connection is not read")
+{
+    LinkTraffic traffic;
+    EventLoop loop;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    const auto idleTimeout = GENERATE(Duration(10s), Duration(50ms));
+    const PipelinedServer::Options options{.bodyLimit = 1000, .name = "test", .idleTimeout = idleTimeout, .traffic = &traffic};
+    PipelinedServer server(loop, options, [&](std::shared_ptr<HttpExchange> exchange) { exchanges.push_back(std::move(exchange)); });
+    RawConnection client(loop, std::get<Endpoint>(server.listen({"127.0.0.1", 0})));
+    client.send(get);
+    REQUIRE(runUntil(loop, [&] { return exchanges.size() == 1; }));
+    exchanges[0]->answer(200, {}, "teak");
+    bool closed = false;
+    if (idleTimeout > 1s) {
+        server.shutDown([&] { closed = true; });
+    }
+    REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+    CHECK(client.received().ends_with("teak"));
+    client.send(get);
+    REQUIRE(runUntil(loop, [&] { return server.openConnections() == 0; }));
+    CHECK(closed == (idleTimeout > 1s));
+    CHECK(exchanges.size() == 1);
+    CHECK(traffic.of(ConnectionUse::Callers).received == get.size());
+    CHECK(traffic.endedConnections(LostRequest::Discarded) == 0);
+}
+
+TEST_CASE("Pipelining: a request that follows an answer begun before a shutdown is answered, as that answer did not announce the close")
+{
+    Setup setup;
+    setup.send(get, 1);
+    setup.exchanges[0]->beginAnswer({200, {}, 8});
+    setup.exchanges[0]->write("teak");
+    REQUIRE(setup.receives("teak"));
+    bool done = false;
+    setup.server.shutDown([&] { done = true; });
+    setup.exchanges[0]->write("glue");
+    setup.exchanges[0]->finish();
+    REQUIRE(setup.receives("teakglue"));
+    CHECK(setup.client.received().find("connection: close") == std::string::npos);
+    setup.send(get, 2);
+    setup.exchanges[1]->answer(200, {}, "last");
+    REQUIRE(setup.receives("last"));
+    CHECK(setup.client.received().find("connection: close") != std::string::npos);
+    CHECK(setup.ends());
+    CHECK(runUntil(setup.loop, [&] { return done; }));
+}
+
+TEST_CASE("Pipelining: a connection without requests closes soon after an answer begun before a shutdown")
+{
+    Setup setup;
+    setup.send(get, 1);
+    setup.exchanges[0]->beginAnswer({200, {}, 4});
+    bool done = false;
+    setup.server.shutDown([&] { done = true; });
+    setup.loop.callLater(400ms, [&] {
+        setup.exchanges[0]->write("teak");
+        setup.exchanges[0]->finish();
+    });
+    REQUIRE(setup.receives("teak"));
+    CHECK(setup.ends());
+    CHECK(runUntil(setup.loop, [&] { return done; }));
+}
--- a/tests/io/tcprelay.cpp
+++ b/tests/io/tcprelay.cpp
@@ -14,7 +14,10 @@
     uv_tcp_t callee{};
     uv_connect_t connect{};
     std::array<char, 65536> chunk{};
+    EventLoop *loop = nullptr;
+    Duration delay{0};
     bool stalled = false;
+    int ended = 0;
     int open = 2;
     std::shared_ptr<Pair> self;
 
@@ -50,18 +53,49 @@
         if (pair->stalled || size == 0) {
             return;
         }
+        if (pair->delay > Duration::zero()) {
+            pair->transferLater(socket, size, buffer->base);
+            return;
+        }
         if (size < 0) {
             pair->close();
             return;
         }
+        pair->write(pair->other(socket), std::string(buffer->base, static_cast<std::size_t>(size)));
+    }
+
+    /** Passes bytes, or the end of one direction, to the other socket after the delay. */
+    void transferLater(uv_stream_t *socket, ssize_t size, const char *data)
+    {
+        uv_tcp_t *to = other(socket);
+        std::string bytes = size > 0 ? std::string(data, static_cast<std::size_t>(size)) : std::string();
+        loop->callLater(delay, [pair = self, to, size, bytes] {
+            if (uv_is_closing(reinterpret_cast<uv_handle_t *>(to)) != 0) {
+                return;
+            }
+            if (size > 0) {
+                pair->write(to, bytes);
+            } else if (size == UV_EOF && ++pair->ended < 2) {
+                auto *request = new uv_shutdown_t;
+                if (uv_shutdown(request, reinterpret_cast<uv_stream_t *>(to), [](uv_shutdown_t *done, int) { delete done; }) != 0) {
+                    delete request;
+                }
+            } else {
+                pair->close();
+            }
+        });
+    }
+
+    void write(uv_tcp_t *socket, std::string bytes)
+    {
         struct Write {
             uv_write_t request{};
             std::string data;
         };
         auto write = std::make_unique<Write>();
-        write->data.assign(buffer->base, static_cast<std::size_t>(size));
-        const uv_buf_t data = uv_buf_init(write->data.data(), static_cast<unsigned>(size));
-        auto *to = reinterpret_cast<uv_stream_t *>(pair->other(socket));
+        write->data = std::move(bytes);
+        const uv_buf_t data = uv_buf_init(write->data.data(), static_cast<unsigned>(write->data.size()));
+        auto *to = reinterpret_cast<uv_stream_t *>(socket);
         if (uv_write(&write->request, to, &data, 1, [](uv_write_t *request, int) { delete reinterpret_cast<Write *>(request); }) == 0) {
             (void)write.release();
         }
@@ -100,6 +134,8 @@
     uv_accept(reinterpret_cast<uv_stream_t *>(m_listener), reinterpret_cast<uv_stream_t *>(&pair->caller));
     ++m_accepted;
     pair->stalled = m_stallNew;
+    pair->delay = m_delayNew;
+    pair->loop = &m_loop;
     m_pairs.push_back(pair);
     const auto connected = [](uv_connect_t *request, int status) {
         auto *connectedPair = static_cast<Pair *>(request->handle->data);
--- a/tests/io/tcprelay.h
+++ b/tests/io/tcprelay.h
@@ -26,6 +26,8 @@
     void closeCurrent();
     /** Sets whether new connections are stalled from the start. */
     void setStallNew(bool stall) { m_stallNew = stall; }
+    /** Delays what new connections transfer, and the ends of their directions, by this time each way. */
+    void setDelayNew(Duration delay) { m_delayNew = delay; }
 
 private:
     struct Pair;
@@ -39,6 +41,7 @@
     std::list<std::shared_ptr<Pair>> m_pairs;
     std::size_t m_accepted = 0;
     bool m_stallNew = false;
+    Duration m_delayNew{0};
 };
 
 } // namespace nutmeghinge
