Announce the close of callers' connections from the stop request on, and accept callers until they stay away

Cause: nothing announced the stop before CloseListeners, and that came as soon as the shards were handed over, whoever was still calling.

Change: from the stop request on each answer to a caller announces the close of its connection; new connections are served, or refused at once as not run. A client that sends requests behind others keeps its connection until the listener closes, as it would lose those on their way. With a stop limit, the listener for callers closes when none has sent a request for a second, or when the node answers its callers itself. The listener for other nodes closes, and the node resigns, once the shards are handed over, as before.

Tests: "Callers that go on using a stopping node..." (real processes), "From the announcement of a stop on...", "A stopping node accepts callers until...", "A stopping node announces the close at once...". TargetLeaseHarness reports the end of both listeners where it reported the end of both at once.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -12,6 +12,8 @@
 constexpr int ownAnswersDivisor = 7;
 /** The target's answer has this part of the limit to arrive before the node answers in its place. */
 constexpr int answerDivisor = 20;
+/** Time without a request of a caller after which a stopping node no longer expects one. */
+constexpr Duration callerSilence = std::chrono::seconds(1);
 /** The last twentieth of the limit is reserved for the end of the process. */
 constexpr int exitDivisor = 20;
 
@@ -63,6 +65,12 @@
     return end == MonotonicTime::max() ? end : end - m_limit / answerDivisor - m_lag;
 }
 
+bool StopSchedule::mayCloseToCallers(MonotonicTime now, MonotonicTime lastArrival) const
+{
+    const bool unlimited = ownRequestsEnd() == MonotonicTime::max();
+    return unlimited || now - lastArrival >= callerSilence || now >= ownRequestsEnd();
+}
+
 MonotonicTime StopSchedule::ownRequestsEnd() const
 {
     return m_requestedAt && m_limit > Duration::zero() ? *m_requestedAt + m_limit - m_limit / ownAnswersDivisor : MonotonicTime::max();
--- a/src/libnutmeghinge/decisions/stopschedule.h
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -57,6 +57,11 @@
      * first handles the answers that have arrived: lag is as in Event.
      */
     bool endsOwnRequests(MonotonicTime now, Duration lag = Duration(0)) const { return now - lag >= ownRequestsEnd() || now >= peerRequestsEnd(); }
+    /**
+     * Returns whether the node may refuse the connections of callers: none has sent a request for a while, or the process is about to
+     * be ended. Until then a caller is better served, or refused with the time at which to return, than left without a connection.
+     */
+    bool mayCloseToCallers(MonotonicTime now, MonotonicTime lastArrival) const;
     /** Returns whether the node ends the requests of other nodes. They answer their callers themselves, so theirs may run longer. */
     bool endsPeerRequests(MonotonicTime now) const { return now >= peerRequestsEnd(); }
 
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -220,8 +220,13 @@
     TimelineRecord record;
 };
 
-/** Stops accepting connections; existing ones close after their running answers. ConnectionsClosed reports the end. */
-struct CloseListeners {
+/** Announces the close of its connection with each answer to a caller from now on. New connections are still accepted. */
+struct AnnounceClose {
+};
+
+/** Stops accepting a listener's connections; existing ones close after their running answers. ConnectionsClosed reports the end. */
+struct CloseListener {
+    ListenerKind listener = ListenerKind::Peers;
 };
 
 /** Ends the process. */
@@ -247,7 +252,8 @@
                             RefuseRequest,
                             AnswerFromStore,
                             Record,
-                            CloseListeners,
+                            AnnounceClose,
+                            CloseListener,
                             Exit>;
 
 using Effects = std::vector<Effect>;
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -42,8 +42,15 @@
 struct StopRequested {
 };
 
-/** After a stop: all requests have finished and all connections of callers and peers are closed. */
+/** Listeners that a node closes at a stop. */
+enum class ListenerKind : std::uint8_t {
+    Peers,
+    Callers,
+};
+
+/** After a stop: a listener's requests have finished, and all its connections are closed. */
 struct ConnectionsClosed {
+    ListenerKind listener = ListenerKind::Peers;
 };
 
 // Platform.
--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -109,6 +109,13 @@
     if (!m_stopping || m_exited) {
         return;
     }
+    endRequests(event, effects);
+    closeListeners(event, effects);
+    exitIfDone(event, effects);
+}
+
+void Reducer::endRequests(const Event &event, EffectList &effects)
+{
     if (!m_requestsEnded && m_router.stopSchedule().endsOwnRequests(event.at, event.lag)) {
         m_requestsEnded = true;
         m_router.endRequests(event, effects);
@@ -117,13 +124,28 @@
         m_peerRequestsEnded = true;
         m_router.endPeerRequests(event, effects);
     }
+}
+
+void Reducer::closeListeners(const Event &event, EffectList &effects)
+{
     const bool handoverTimedOut = m_handoverTimeout > Duration::zero() && event.at >= m_stopRequestedAt + m_handoverTimeout;
-    if ((m_cell.isStopped() || handoverTimedOut) && !m_listenersClosed) {
-        m_listenersClosed = true;
-        effects.add(CloseListeners{});
+    if (!m_cell.isStopped() && !handoverTimedOut && !m_peerListenerClosed) {
+        return;
+    }
+    if (!m_peerListenerClosed) {
+        m_peerListenerClosed = true;
+        effects.add(CloseListener{ListenerKind::Peers});
     }
-    const bool announced = m_cell.hasAnnouncedResignation() || event.at >= m_connectionsClosedAt + resignationLimit;
-    if (m_connectionsClosed && m_router.runningRequests() == 0 && announced) {
+    if (!m_callerListenerClosed && m_router.stopSchedule().mayCloseToCallers(event.at, m_lastCallerArrival)) {
+        m_callerListenerClosed = true;
+        effects.add(CloseListener{ListenerKind::Callers});
+    }
+}
+
+void Reducer::exitIfDone(const Event &event, EffectList &effects)
+{
+    const bool announced = m_cell.hasAnnouncedResignation() || event.at >= m_peerConnectionsClosedAt + resignationLimit;
+    if (m_callerConnectionsClosed && m_peerConnectionsClosed && m_router.runningRequests() == 0 && announced) {
         m_exited = true;
         TimelineRecord record;
         record.kind = TimelineRecord::Kind::NodeStopped;
@@ -145,6 +167,8 @@
     }
     m_stopping = true;
     m_stopRequestedAt = event.at - event.lag;
+    m_lastCallerArrival = event.at;
+    effects.add(AnnounceClose{});
     m_cell.stop(event, effects);
     m_router.stop(event, effects);
     if (m_router.stopSchedule().ownRequestsEnd() != MonotonicTime::max()) {
@@ -154,8 +178,12 @@
 
 void Reducer::handleConnectionsClosed(const Event &event, EffectList &effects)
 {
-    m_connectionsClosed = true;
-    m_connectionsClosedAt = event.at;
+    if (std::get<ConnectionsClosed>(event.body).listener == ListenerKind::Callers) {
+        m_callerConnectionsClosed = true;
+        return;
+    }
+    m_peerConnectionsClosed = true;
+    m_peerConnectionsClosedAt = event.at;
     m_cell.resign(event, effects);
 }
 
@@ -196,6 +224,9 @@
 void Reducer::handleRequestArrived(const Event &event, EffectList &effects)
 {
     const auto &arrived = std::get<RequestArrived>(event.body);
+    if (arrived.hops == 0) {
+        m_lastCallerArrival = event.at;
+    }
     if (arrived.relayed) {
         const TargetStated stated{arrived.relayed->target, arrived.relayed->statement, TargetStated::Source::Peer, arrived.relayed->leavingFor};
         handleTargetStated(Event{event.at, event.wallTime, stated}, effects);
--- a/src/libnutmeghinge/reducer.h
+++ b/src/libnutmeghinge/reducer.h
@@ -35,6 +35,11 @@
     using Handler = void (Reducer::*)(const Event &, EffectList &);
 
     void handleTick(const Event &event, EffectList &effects);
+    /** Ends what still runs at the times that the stop schedule sets. */
+    void endRequests(const Event &event, EffectList &effects);
+    /** Closes the listener for peers once the shards are handed over, and the one for callers when none come any more. */
+    void closeListeners(const Event &event, EffectList &effects);
+    void exitIfDone(const Event &event, EffectList &effects);
     void handleStopRequested(const Event &event, EffectList &effects);
     void handleConnectionsClosed(const Event &event, EffectList &effects);
     void handlePeerMessage(const Event &event, EffectList &effects);
@@ -60,11 +65,15 @@
     Duration m_handoverTimeout;
     MonotonicTime m_stopRequestedAt;
     bool m_stopping = false;
-    bool m_listenersClosed = false;
+    bool m_peerListenerClosed = false;
+    bool m_callerListenerClosed = false;
+    /** Latest arrival of a request of this node's callers, or the stop request if that is later. */
+    MonotonicTime m_lastCallerArrival;
     bool m_requestsEnded = false;
     bool m_peerRequestsEnded = false;
-    bool m_connectionsClosed = false;
-    MonotonicTime m_connectionsClosedAt;
+    bool m_callerConnectionsClosed = false;
+    bool m_peerConnectionsClosed = false;
+    MonotonicTime m_peerConnectionsClosedAt;
     bool m_exited = false;
 };
 
--- a/src/libnutmeghingeio/httplistener.h
+++ b/src/libnutmeghingeio/httplistener.h
@@ -56,6 +56,11 @@
 
     /** Opens the listener and returns its endpoint. Port 0 picks a free port. */
     virtual std::variant<Endpoint, ListenError> listen(const Endpoint &endpoint) = 0;
+    /**
+     * Announces with each answer that begins from now on that its connection closes after it. Connections are still accepted, and
+     * their requests served. HTTP/2 connections are told by shutDown().
+     */
+    virtual void announceClose() = 0;
     /**
      * Refuses new connections and closes the existing ones after their pending
      * answers. Calls the function once all connections are closed.
--- a/src/libnutmeghingeio/httpserver.cpp
+++ b/src/libnutmeghingeio/httpserver.cpp
@@ -176,6 +176,7 @@
     const h2o_conn_callbacks_t *http1Callbacks = nullptr;
     std::unordered_map<h2o_socket_t *, std::unique_ptr<Connection>> connections;
     std::function<void()> shutdownFinished;
+    bool announcesClose = false;
     bool destroying = false;
 };
 
@@ -443,6 +444,9 @@
         refuse(request, "the framing of the request is ambiguous\n");
         return 0;
     }
+    if (announcesClose && !connection.isHttp2) {
+        request.http1_is_persistent = 0;
+    }
     connection.served = true;
     subtractRequest(connection, request);
     connection.memory.restart(loop.now());
@@ -537,6 +541,11 @@
     return boundEndpoint(m_d->listener, endpoint);
 }
 
+void HttpServer::announceClose()
+{
+    m_d->announcesClose = true;
+}
+
 void HttpServer::shutDown(std::function<void()> closed)
 {
     m_d->acceptPending();
--- a/src/libnutmeghingeio/pipelinedconnection.cpp
+++ b/src/libnutmeghingeio/pipelinedconnection.cpp
@@ -462,6 +462,7 @@
     }
     partial.request.body.keep(charge);
     m_hasServed = true;
+    m_pipelines = m_pipelines || !m_exchanges.empty();
     m_inputEnded = !partial.keepAlive || m_closeAfterAnswers;
     const auto exchange = std::make_shared<PipelinedExchange>(*this, std::move(partial.request), partial.keepAlive);
     m_exchanges.push_back(exchange);
@@ -673,7 +674,7 @@
 void PipelinedConnection::reportLost(LostRequest lost, std::uint64_t bytes)
 {
     if (m_options.traffic != nullptr) {
-        m_options.traffic->connectionEnded({m_options.use, lost, bytes, m_loop.now() - m_lastInput, m_closeAfterAnswers});
+        m_options.traffic->connectionEnded({m_options.use, lost, bytes, m_loop.now() - m_lastInput, m_announcesClose});
     }
 }
 
@@ -730,11 +731,23 @@
 
 void PipelinedConnection::closeAfterAnswers()
 {
+    m_announcesClose = true;
     m_closeAfterAnswers = true;
     // Unread requests are left to the client, which retries them, unless the last answer has begun without announcing the close.
     m_inputEnded = m_inputEnded || (!m_exchanges.empty() && !m_partial && !m_exchanges.back()->m_answerBegun);
 }
 
+bool PipelinedConnection::beginLastAnswer(const PipelinedExchange &exchange)
+{
+    const bool announces = m_closeAfterAnswers || (m_announcesClose && !m_pipelines);
+    const bool mayEnd = m_inputEnded || !hasUnfinishedRequest();
+    if (!announces || !mayEnd || m_exchanges.back().get() != &exchange) {
+        return false;
+    }
+    m_inputEnded = true;
+    return true;
+}
+
 void PipelinedConnection::closeIfIdle()
 {
     closeAfterAnswers();
--- a/src/libnutmeghingeio/pipelinedconnection.h
+++ b/src/libnutmeghingeio/pipelinedconnection.h
@@ -52,6 +52,11 @@
     bool accept(uv_stream_t *listener);
     /** Takes over a connection that was accepted otherwise. Returns false, and closes the socket, if that fails. */
     bool adopt(uv_os_sock_t socket);
+    /**
+     * Announces the close with the last of the pending answers, or with the next one. Until it begins, requests are read and answered. A
+     * client that sends requests behind others would lose those that are on their way, so it is told by closeAfterAnswers() only.
+     */
+    void announceClose() { m_announcesClose = true; }
     /** Closes the connection after the last pending answer that can still announce the close. */
     void closeAfterAnswers();
     /** Like closeAfterAnswers(), but also closes the connection once it is idle. */
@@ -94,6 +99,8 @@
         std::size_t chunkOverhead = 0;
     };
 
+    /** Returns whether the exchange's answer, which begins, is the last one of the connection. If so, no further request is read. */
+    bool beginLastAnswer(const PipelinedExchange &exchange);
     /** Returns whether the exchange's answer is the one being sent. */
     bool isFirst(const PipelinedExchange &exchange) const { return !m_exchanges.empty() && m_exchanges.front().get() == &exchange; }
     bool begin(bool opened);
@@ -172,6 +179,9 @@
     std::shared_ptr<PipelinedConnection> m_self;
     State m_state = State::Open;
     bool m_reading = false;
+    bool m_announcesClose = false;
+    /** The client has sent a request before the one before it was answered. */
+    bool m_pipelines = false;
     /** True if the connection closes after the last pending answer. */
     bool m_closeAfterAnswers = false;
     /** True if the connection closes when it is idle. */
--- a/src/libnutmeghingeio/pipelinedexchange.cpp
+++ b/src/libnutmeghingeio/pipelinedexchange.cpp
@@ -58,8 +58,7 @@
     m_chunked = !m_bodyless && !head.contentLength;
     m_bodyLeft = head.contentLength;
     m_small = m_bodyless || (head.contentLength && *head.contentLength <= smallAnswerBytes);
-    const bool last = m_connection->m_closeAfterAnswers && m_connection->m_inputEnded && m_connection->m_exchanges.back().get() == this;
-    m_keepAlive = m_keepAlive && !last;
+    m_keepAlive = !m_connection->beginLastAnswer(*this) && m_keepAlive;
     m_output = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reasonPhrase(head.status));
     for (const auto &[name, value] : head.headers) {
         if (std::ranges::find(serverHeaders, name) == serverHeaders.end()) {
--- a/src/libnutmeghingeio/pipelinedserver.cpp
+++ b/src/libnutmeghingeio/pipelinedserver.cpp
@@ -49,6 +49,7 @@
     void acceptPending();
     void stopListening();
     void finishShutdownIfClosed();
+    std::shared_ptr<PipelinedConnection> makeConnection();
     /** Refuses unfinished requests whose clients send nothing, until all connections are closed. */
     void refuseStalledLater();
 
@@ -60,14 +61,24 @@
     std::function<void()> shutdownFinished;
     std::uint64_t refused = 0;
     LogLimiter refusalLog{loggedRefusalsPerSecond};
+    bool announcesClose = false;
     bool shuttingDown = false;
     /** Expires with the server; lets functions that the loop calls later detect its destruction. */
     std::shared_ptr<void> alive = std::make_shared<char>();
 };
 
-void PipelinedServer::Private::accept()
+std::shared_ptr<PipelinedConnection> PipelinedServer::Private::makeConnection()
 {
     auto connection = std::make_shared<PipelinedConnection>(loop, *this, options);
+    if (announcesClose) {
+        connection->announceClose();
+    }
+    return connection;
+}
+
+void PipelinedServer::Private::accept()
+{
+    const std::shared_ptr<PipelinedConnection> connection = makeConnection();
     const bool hasRoom = options.limits.connections == nullptr || options.limits.connections->makeRoom();
     if (connection->accept(reinterpret_cast<uv_stream_t *>(listener))) {
         connections.emplace(connection.get(), connection);
@@ -84,7 +95,7 @@
         return;
     }
     for (const uv_os_sock_t socket : takePendingConnections(listener)) {
-        auto connection = std::make_shared<PipelinedConnection>(loop, *this, options);
+        const std::shared_ptr<PipelinedConnection> connection = makeConnection();
         if (connection->adopt(socket)) {
             connections.emplace(connection.get(), connection);
         }
@@ -165,6 +176,14 @@
     return SocketAddress::localEndpoint(m_d->listener);
 }
 
+void PipelinedServer::announceClose()
+{
+    m_d->announcesClose = true;
+    for (const auto &[key, connection] : m_d->connections) {
+        connection->announceClose();
+    }
+}
+
 void PipelinedServer::shutDown(std::function<void()> closed)
 {
     m_d->acceptPending();
--- a/src/libnutmeghingeio/pipelinedserver.h
+++ b/src/libnutmeghingeio/pipelinedserver.h
@@ -25,6 +25,7 @@
     PipelinedServer &operator=(const PipelinedServer &) = delete;
 
     std::variant<Endpoint, ListenError> listen(const Endpoint &endpoint) override;
+    void announceClose() override;
     void shutDown(std::function<void()> closed) override;
     std::size_t openConnections() const override;
     std::uint64_t refusedInputs() const override;
--- a/src/nutmeghinge/node.cpp
+++ b/src/nutmeghinge/node.cpp
@@ -344,7 +344,8 @@
                    [this](const RefuseRequest &refuse) { m_forwarder.run(refuse); },
                    [this](const AnswerFromStore &answer) { m_forwarder.run(answer); },
                    [this](const Record &record) { runRecord(record); },
-                   [this](const CloseListeners &) { runCloseListeners(); },
+                   [this](const AnnounceClose &) { m_callerServer->announceClose(); },
+                   [this](const CloseListener &close) { runCloseListener(close.listener); },
                    [this](const Exit &exit) { runExit(exit); },
                },
                effect);
@@ -468,17 +469,10 @@
     returnFreeMemory();
 }
 
-void Node::runCloseListeners()
+void Node::runCloseListener(ListenerKind listener)
 {
-    m_callerServer->shutDown([this] { onListenerClosed(); });
-    m_peerServer->shutDown([this] { onListenerClosed(); });
-}
-
-void Node::onListenerClosed()
-{
-    if (--m_openListeners == 0) {
-        dispatch(ConnectionsClosed{});
-    }
+    HttpListener &server = listener == ListenerKind::Callers ? *m_callerServer : *m_peerServer;
+    server.shutDown([this, listener] { dispatch(ConnectionsClosed{listener}); });
 }
 
 void Node::runExit(const Exit &effect)
--- a/src/nutmeghinge/node.h
+++ b/src/nutmeghinge/node.h
@@ -69,8 +69,7 @@
     void recordLag(const Event &event);
     /** Logs how late events were handled in the last second, if that was long. */
     void logLag();
-    void runCloseListeners();
-    void onListenerClosed();
+    void runCloseListener(ListenerKind listener);
     void runExit(const Exit &effect);
 
     ClientLimits clientLimits() { return {&m_memory, &m_connections}; }
@@ -131,8 +130,6 @@
     std::deque<EventBody> m_pending;
     bool m_handling = false;
     bool m_stopping = false;
-    /** Number of HTTP listeners, for callers and for peers, that have not shut down yet. */
-    int m_openListeners = 2;
     int m_exitCode = 0;
 };
 
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -1,8 +1,10 @@
 #include "stopschedule.h"
+#include "reducer.h"
 #include "request.h"
 #include "requestfixture.h"
 #include "requestplay.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace nutmeghinge;
@@ -308,3 +310,51 @@
     request.deadline = stoppedAt + workEnd;
     CHECK_FALSE(schedule.mayBegin(request, stoppedAt + workEnd));
 }
+
+// Guards against callers that find no connection while their node could still answer them.
+TEST_CASE("A stopping node accepts callers until none has come for a second, or until it answers its callers itself", "[request]")
+{
+    StopSchedule schedule;
+    const MonotonicTime stop(100s);
+    CHECK(schedule.mayCloseToCallers(stop, stop));
+    schedule.setLimit(stopLimit);
+    schedule.stopRequested(stop);
+    CHECK_FALSE(schedule.mayCloseToCallers(stop + 999ms, stop));
+    CHECK(schedule.mayCloseToCallers(stop + 1s, stop));
+    CHECK_FALSE(schedule.mayCloseToCallers(stop + 5s, stop + 4500ms));
+    CHECK(schedule.mayCloseToCallers(stop + ownRequestsEnd, stop + ownRequestsEnd));
+}
+
+TEST_CASE("A stopping node announces the close at once, and closes to its callers after it has handed over and they have gone", "[request]")
+{
+    Timings timings;
+    timings.stopLimit = stopLimit;
+    Reducer reducer({.node = NodeName("a"), .startedAt = MonotonicTime(1s)}, timings);
+    MonotonicTime now(2s);
+    const auto apply = [&](EventBody body) { return reducer.apply(Event{now, WallTime(), std::move(body)}); };
+    const auto closes = [](const Effects &effects, ListenerKind kind) {
+        return std::ranges::any_of(effects, [&](const Effect &effect) {
+            const auto *close = std::get_if<CloseListener>(&effect);
+            return close && close->listener == kind;
+        });
+    };
+    const Effects stopped = apply(StopRequested{});
+    CHECK(std::ranges::any_of(stopped, [](const Effect &effect) { return std::holds_alternative<AnnounceClose>(effect); }));
+    bool peersClosed = false;
+    std::optional<MonotonicTime> callersClosedAt;
+    const MonotonicTime lastArrival = now + 2s;
+    for (const MonotonicTime end = now + stopLimit; now < end && !callersClosedAt; now += 10ms) {
+        if (now <= lastArrival) {
+            apply(requestWithin(1s, 1 + static_cast<std::uint64_t>(now.time_since_epoch().count())));
+        }
+        const Effects effects = apply(Tick{});
+        peersClosed = peersClosed || closes(effects, ListenerKind::Peers);
+        if (closes(effects, ListenerKind::Callers)) {
+            callersClosedAt = now;
+        }
+    }
+    CHECK(peersClosed);
+    REQUIRE(callersClosedAt);
+    CHECK(*callersClosedAt >= lastArrival + 1s);
+    CHECK(*callersClosedAt <= lastArrival + 1s + 20ms);
+}
--- a/tests/core/targetleaseharness.cpp
+++ b/tests/core/targetleaseharness.cpp
@@ -195,7 +195,8 @@
 
 void TargetLeaseHarness::closeConnections(std::size_t node)
 {
-    deliver(node, m_nodes[node].incarnation, ConnectionsClosed{});
+    deliver(node, m_nodes[node].incarnation, ConnectionsClosed{ListenerKind::Peers});
+    deliver(node, m_nodes[node].incarnation, ConnectionsClosed{ListenerKind::Callers});
 }
 
 std::optional<std::size_t> TargetLeaseHarness::coordinator() const
--- a/tests/io/pipelinedservertest.cpp
+++ b/tests/io/pipelinedservertest.cpp
@@ -344,3 +344,22 @@
     CHECK(setup.ends());
     CHECK(runUntil(setup.loop, [&] { return done; }));
 }
+
+TEST_CASE("Pipelining: requests behind one another are read and answered until the shutdown, which the last answer announces")
+{
+    Setup setup;
+    setup.send(get, 1);
+    setup.server.announceClose();
+    setup.send(get, 2);
+    setup.exchanges[0]->answer(200, {}, "first");
+    setup.exchanges[1]->answer(200, {}, "second");
+    REQUIRE(setup.receives("second"));
+    setup.send(get + get, 4);
+    CHECK(setup.client.received().find("connection: close") == std::string::npos);
+    setup.server.shutDown([] {});
+    setup.exchanges[3]->answer(200, {}, "fourth");
+    setup.exchanges[2]->answer(200, {}, "third");
+    REQUIRE(setup.receives("fourth"));
+    CHECK(setup.client.received().find("connection: close") > setup.client.received().find("third"));
+    CHECK(setup.ends());
+}
--- a/tests/io/shutdownbacklogtest.cpp
+++ b/tests/io/shutdownbacklogtest.cpp
@@ -68,6 +68,14 @@
     return runUntil(loop, [&] { return client.received().ends_with("teak") || closed; }) && client.received().ends_with("teak");
 }
 
+/** Returns whether the last answer that the client has received announces the close of its connection. */
+bool isCloseAnnounced(BlockingClient &client)
+{
+    const std::string received = client.received();
+    const std::string head = received.substr(received.rfind("HTTP/1.1 "));
+    return head.find("connection: close") != std::string::npos || head.find("Connection: close") != std::string::npos;
+}
+
 } // namespace
 
 TEMPLATE_TEST_CASE("Requests on connections that the listener has not accepted when a planned stop closes it are answered", "", HttpServer, PipelinedServer)
@@ -102,3 +110,26 @@
     CHECK(isAnswered(loop, client, closed));
     CHECK(runUntil(loop, [&] { return closed; }));
 }
+
+TEMPLATE_TEST_CASE("From the announcement of a stop on, each answer announces the close, and new connections are served", "", HttpServer, PipelinedServer)
+{
+    EventLoop loop;
+    TestType server = makeServer<TestType>(loop);
+    const Endpoint endpoint = std::get<Endpoint>(server.listen({"127.0.0.1", 0}));
+    BlockingClient before(endpoint);
+    before.send(get);
+    bool closed = false;
+    REQUIRE(isAnswered(loop, before, closed));
+    CHECK_FALSE(isCloseAnnounced(before));
+    server.announceClose();
+    before.send(get);
+    CHECK(runUntil(loop, [&] { return isCloseAnnounced(before); }));
+    for (int i = 0; i < 2; ++i) {
+        BlockingClient after(endpoint);
+        after.send(get);
+        CHECK(isAnswered(loop, after, closed));
+        CHECK(isCloseAnnounced(after));
+    }
+    server.shutDown([&] { closed = true; });
+    CHECK(runUntil(loop, [&] { return closed; }));
+}
--- a/tests/process/plannedstoptest.cpp
+++ b/tests/process/plannedstoptest.cpp
@@ -2,12 +2,43 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <future>
+#include <string>
+#include <thread>
+#include <vector>
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t downloadBytes = 200'000'000;
+constexpr auto callerInterval = 5ms;
+
+/** What a caller saw that sent requests on kept connections until it could open none. */
+struct CallerReport {
+    int answers = 0;
+    int withoutAnswer = 0;
+    std::chrono::steady_clock::time_point refusedAt;
+};
+
+CallerReport callUntilRefused(const std::string &endpoint, const std::string &key)
+{
+    CallerReport report;
+    while (true) {
+        KeepAliveConnection connection(endpoint);
+        if (!connection.isOpen()) {
+            report.refusedAt = std::chrono::steady_clock::now();
+            return report;
+        }
+        while (connection.isOpen()) {
+            const BlockingAnswer answer = connection.send({"GET", "/", {{"host", "advice-desk"}, {"customer-key", key}}, {}, 15});
+            ++(answer.whole ? report.answers : report.withoutAnswer);
+            std::this_thread::sleep_for(callerInterval);
+        }
+    }
+}
 
 bool servesNothing(const nlohmann::json &status)
 {
@@ -55,6 +86,28 @@
     CHECK(desk.cluster().waitUntilServed(deskShards));
 }
 
+TEST_CASE("Callers that go on using a stopping node get an answer to each request, and a connection for as long as it can answer")
+{
+    const std::string callers = GENERATE("pipelining: true\n", "");
+    DeskCluster desk(3, {}, {.settings = "stopLimit: 6s\n" + callers});
+    VmProcesses &vm = desk.cluster().vm(1);
+    std::vector<std::future<CallerReport>> reports;
+    for (const char *key : {"teak", "oak", "elm", "ash"}) {
+        reports.push_back(std::async(std::launch::async, callUntilRefused, vm.callers, key));
+    }
+    std::this_thread::sleep_for(300ms);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    vm.node->sendSignal(SIGTERM);
+    for (std::future<CallerReport> &future : reports) {
+        const CallerReport report = future.get();
+        CHECK(report.answers > 100);
+        CHECK(report.withoutAnswer == 0);
+        CHECK(report.refusedAt - stoppedAt > 4500ms);
+        CHECK(report.refusedAt - stoppedAt < 6s);
+    }
+    CHECK(vm.node->wait() == 0);
+}
+
 TEST_CASE("All nodes apply a new document, and a restarted node does not revert it")
 {
     DeskCluster desk(3);
