Read what has arrived before a call to a target or another node fails at its deadline

Cause: timers run before sockets are read, and HttpClient ended the exchange at its deadline without reading once more; for the time without progress it did so already.

Test: "An answer that has arrived before the deadline is delivered, even if the loop only runs after it". Bounded to one more reading, so that an answer that still arrives does not move the deadline.

--- a/src/libnutmeghingeio/httpclientconnection.cpp
+++ b/src/libnutmeghingeio/httpclientconnection.cpp
@@ -137,6 +137,7 @@
     m_requestBody = request.body;
     m_parser.emplace(request.method == "HEAD");
     m_answerHead.clear();
+    m_deadlineRecheck = false;
     m_headComplete = false;
     m_leftover = false;
     m_paused = false;
@@ -347,7 +348,7 @@
         recordProgress();
     }
     if (now >= deadline()) {
-        end(HttpCallResult::DeadlineExpired);
+        onDeadline();
     } else if (!m_paused && now >= m_lastProgress + request.progressTimeout) {
         onProgressTimeout();
     } else {
@@ -361,8 +362,23 @@
         end(HttpCallResult::NoProgress);
         return;
     }
-    // After this process was suspended, timers run before the sockets are read. Read them once more before the exchange fails.
     m_progressRecheck = true;
+    checkAgainAfterReading();
+}
+
+void HttpClientConnection::onDeadline()
+{
+    if (m_deadlineRecheck) {
+        end(HttpCallResult::DeadlineExpired);
+        return;
+    }
+    m_deadlineRecheck = true;
+    checkAgainAfterReading();
+}
+
+/** After this process was suspended or busy, timers run before the sockets are read. Reads them once more before the exchange fails. */
+void HttpClientConnection::checkAgainAfterReading()
+{
     const auto onTimer = [](uv_timer_t *timer) { static_cast<HttpClientConnection *>(timer->data)->timerFired(); };
     uv_timer_start(&m_timer, onTimer, 1, 0);
 }
--- a/src/libnutmeghingeio/httpclientconnection.h
+++ b/src/libnutmeghingeio/httpclientconnection.h
@@ -81,6 +81,8 @@
     void onConnectionEnded(int error);
     void timerFired();
     void onProgressTimeout();
+    void onDeadline();
+    void checkAgainAfterReading();
     void recordProgress();
     /** Returns the deadline of the request, or MonotonicTime::max() if it applied to the head only, which has arrived. */
     MonotonicTime deadline() const;
@@ -112,6 +114,7 @@
     bool m_leftover = false;
     /** The progress timeout has expired; the sockets are read once more before the exchange fails. */
     bool m_progressRecheck = false;
+    bool m_deadlineRecheck = false;
     /** Size of the write queue when it was last examined, in bytes. */
     std::size_t m_unsent = 0;
     MonotonicTime m_lastProgress;
--- a/tests/io/httpclienttest.cpp
+++ b/tests/io/httpclienttest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <thread>
 #include <utility>
 
 using namespace nutmeghinge;
@@ -251,6 +252,19 @@
     CHECK(runUntil(setup.loop, [&] { return setup.server.connections()[0]->isEnded(); }));
 }
 
+// Guards against an answer in a target's place by a node whose event loop is late (review/4).
+TEST_CASE("An answer that has arrived before the deadline is delivered, even if the loop only runs after it")
+{
+    Setup setup;
+    setup.onRequest = [&](RawConnection &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nteak");
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    };
+    HttpClientRequest request = setup.request();
+    request.deadline = setup.loop.now() + std::chrono::milliseconds(50);
+    CHECK(setup.run(request) == HttpCallResult::Complete);
+}
+
 TEST_CASE("Reading stops while the receiver is paused, and the progress timeout does not apply")
 {
     constexpr std::size_t bodyBytes = 30000000;
