State the time at which a stopping node breaks a request off as a time, so that a full link does not move it

Cause: a stopping node states with each request for how long it will still wait (nutmeghinge-entry-ends-ms), and the next node counted that from the arrival. Time on the way was not counted. Before a full link a request is on its way for hundreds of milliseconds, at each of two hops, and the margin is 0.3 s: the target was told to end after the stopping node had answered.

Change: the time is also stated as one of the sender's wall clock (nutmeghinge-entry-ends-at-ms), and the earlier of the two holds: clocks that differ let a node end work of a stopping node sooner than it had to, never later. A node that passes a request on states the end that it knows of from the stopping node's own notice, if that is earlier.

Ruled out: clocks in place of the duration (a clock that is behind would move the end); the same for the time limit of a request, which must not come before the caller's own. Not counted yet: time on the way of a request that was sent before the stop request.

Test: "The time at which a stopping node breaks a request off does not move with the time that the request is on its way"; with the duration alone (as before) both of its checks failed.

--- a/src/libnutmeghinge/decisions/stopschedule.cpp
+++ b/src/libnutmeghinge/decisions/stopschedule.cpp
@@ -58,10 +58,7 @@
 
 MonotonicTime StopSchedule::stopEnd(const Request &request) const
 {
-    MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : std::min(peerRequestsEnd(), request.entryEndsAt);
-    if (const auto entry = m_members.find(request.entry); request.hops > 0 && entry != m_members.end()) {
-        end = std::min(end, entry->second);
-    }
+    const MonotonicTime end = request.hops == 0 ? ownRequestsEnd() : std::min({peerRequestsEnd(), request.entryEndsAt, requestsEndOf(request.entry)});
     return end == MonotonicTime::max() ? end : end - m_limit / answerDivisor - m_lag;
 }
 
@@ -76,6 +73,12 @@
     return m_requestedAt && m_limit > Duration::zero() ? *m_requestedAt + m_limit - m_limit / ownAnswersDivisor : MonotonicTime::max();
 }
 
+MonotonicTime StopSchedule::requestsEndOf(MemberSlot member) const
+{
+    const auto found = m_members.find(member);
+    return found == m_members.end() ? MonotonicTime::max() : found->second;
+}
+
 MonotonicTime StopSchedule::statedRequestsEnd() const
 {
     const MonotonicTime end = ownRequestsEnd();
--- a/src/libnutmeghinge/decisions/stopschedule.h
+++ b/src/libnutmeghinge/decisions/stopschedule.h
@@ -50,6 +50,8 @@
 
     /** Returns the time at which the node answers the requests of its callers itself; MonotonicTime::max() if never. */
     MonotonicTime ownRequestsEnd() const;
+    /** Returns the time at which a member breaks off the requests of its callers, as far as it has said so; else MonotonicTime::max(). */
+    MonotonicTime requestsEndOf(MemberSlot member) const;
     /** Returns the time that other nodes are told for that: earlier by the time for which their answers may wait here. */
     MonotonicTime statedRequestsEnd() const;
     /**
--- a/src/libnutmeghinge/effects.h
+++ b/src/libnutmeghinge/effects.h
@@ -173,6 +173,8 @@
     MemberSlot entry = noMember;
     /** Time until that node breaks the request off, if it stops. */
     std::optional<Duration> entryEndsIn{};
+    /** The same as a time of this node's clock. */
+    std::optional<WallTime> entryEndsAt{};
     bool deadlineForHeadOnly = false;
     bool mayBeIdle = false;
     /** Set if the sender's document has routes. */
--- a/src/libnutmeghinge/events.h
+++ b/src/libnutmeghinge/events.h
@@ -271,6 +271,8 @@
     MemberSlot entry = noMember;
     /** Time until that node breaks the request off, if it stops and the request was forwarded after it was told to. */
     std::optional<Duration> entryEndsIn{};
+    /** The same as a time of that node's clock, so that the time on the way counts. */
+    std::optional<WallTime> entryEndsAt{};
     /** Set by the node that forwarded the request, if its document has routes. */
     std::optional<RoutedRequest> routed;
     /** Id that the caller gave the request; empty if none. */
--- a/src/libnutmeghinge/requestattempts.cpp
+++ b/src/libnutmeghinge/requestattempts.cpp
@@ -75,7 +75,7 @@
     effects.add(std::move(effect));
 }
 
-void RequestAttempts::forward(Request &request, const RouteToMember &to, MemberSlot self, MonotonicTime now, EffectList &effects)
+void RequestAttempts::forward(Request &request, const RouteToMember &to, MemberSlot self, MonotonicTime now, WallTime wallTime, EffectList &effects)
 {
     const auto destination = request.otherHost.empty() ? Request::Destination::Member : Request::Destination::OtherCell;
     begin(request, destination, to.member->slot, to.fence, now, effects);
@@ -100,6 +100,7 @@
     effect.freshConnection = request.freshConnection;
     if (request.entryEndsAt != MonotonicTime::max()) {
         effect.entryEndsIn = std::max(Duration::zero(), request.entryEndsAt - now);
+        effect.entryEndsAt = wallTime + std::chrono::floor<WallTime::duration>(request.entryEndsAt - now);
     }
     if (destination == Request::Destination::Member) {
         effect.relayed = m_memberTargets.statementFor(to.member->node, now);
--- a/src/libnutmeghinge/requestattempts.h
+++ b/src/libnutmeghinge/requestattempts.h
@@ -33,7 +33,7 @@
     /** Sends the request to the target beside this node. self: this node's own member slot. */
     void sendToTarget(Request &request, const RouteToTarget &target, MemberSlot self, const TargetTime &time, MonotonicTime now, EffectList &effects);
     /** Forwards the request to the given member. */
-    void forward(Request &request, const RouteToMember &to, MemberSlot self, MonotonicTime now, EffectList &effects);
+    void forward(Request &request, const RouteToMember &to, MemberSlot self, MonotonicTime now, WallTime wallTime, EffectList &effects);
     /** Ends the request's current attempt. executionLimit: longest time that the target runs one request. */
     void end(Request &request, const AttemptFinished &finished, Duration executionLimit, MonotonicTime now);
 
--- a/src/libnutmeghinge/requestintake.cpp
+++ b/src/libnutmeghinge/requestintake.cpp
@@ -35,9 +35,14 @@
     return {arrived.method, arrived.host, arrived.path, key, arrived.caller, arrived.body};
 }
 
-MonotonicTime entryEnd(const RequestArrived &arrived, MonotonicTime now)
+/**
+ * Returns the earlier one of the two statements of the time. A request may be on its way for long before a full link, and the stated
+ * duration does not count that; clocks that differ let the node end its work sooner than it had to, never later.
+ */
+MonotonicTime entryEnd(const RequestArrived &arrived, MonotonicTime arrivedAt, const Event &event)
 {
-    return arrived.entryEndsIn ? now + *arrived.entryEndsIn : MonotonicTime::max();
+    const MonotonicTime byDuration = arrived.entryEndsIn ? arrivedAt + *arrived.entryEndsIn : MonotonicTime::max();
+    return arrived.entryEndsAt ? std::min(byDuration, event.at + (*arrived.entryEndsAt - event.wallTime)) : byDuration;
 }
 
 Request makeRequest(const RequestArrived &arrived, const Document &document, const Event &event)
@@ -49,7 +54,7 @@
     request.deadline = event.at + std::min(arrived.timeout.value_or(document.deadline), document.deadline);
     request.hops = arrived.hops;
     request.entry = arrived.entry;
-    request.entryEndsAt = entryEnd(arrived, request.arrivedAt);
+    request.entryEndsAt = entryEnd(arrived, request.arrivedAt, event);
     request.safe = isSafeMethod(arrived.method);
     request.idempotent = isIdempotentMethod(arrived.method);
     request.source = sourceOf(arrived, {});
@@ -126,7 +131,7 @@
     request.waited = arrived.waited + arrived.waitedBefore;
     request.hops = arrived.hops;
     request.entry = arrived.entry;
-    request.entryEndsAt = entryEnd(arrived, arrivedAt);
+    request.entryEndsAt = entryEnd(arrived, arrivedAt, event);
     request.routed = true;
     request.source = sourceOf(arrived, {});
     RoutedRequest routed;
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -643,8 +643,10 @@
     if (to && request.hops < maximumHops) {
         if (request.hops == 0) {
             request.entryEndsAt = stopSchedule.statedRequestsEnd();
+        } else {
+            request.entryEndsAt = std::min(request.entryEndsAt, stopSchedule.requestsEndOf(request.entry));
         }
-        attempts.forward(request, *to, stopping ? slotAtStop : ownership->self(), context.now, context.effects);
+        attempts.forward(request, *to, stopping ? slotAtStop : ownership->self(), context.now, context.wallTime, context.effects);
         request.ownerReleases = isReleasing(request);
         return;
     }
--- a/src/libnutmeghingeio/forwardedrequest.cpp
+++ b/src/libnutmeghingeio/forwardedrequest.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::uint32_t maxHops = 1000;
+/** Latest time of another node's clock that is read as such, in milliseconds of Unix time. */
+constexpr std::uint64_t latestWallTimeMs = std::uint64_t(1) << 50U;
 constexpr std::uint64_t maxPriority = 1000;
 constexpr std::uint64_t maxSlot = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t maxWorkClass = std::numeric_limits<std::uint32_t>::max();
@@ -105,6 +107,9 @@
     event.hops = static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::hops).value_or(1), maxHops));
     event.entry = MemberSlot(static_cast<std::uint32_t>(std::min<std::uint64_t>(numberIn(received, wire::entry).value_or(noMember.value()), maxSlot)));
     event.entryEndsIn = timeoutOfMilliseconds(numberIn(received, wire::entryEndsMs));
+    if (const std::optional<std::uint64_t> endsAt = numberIn(received, wire::entryEndsAtMs)) {
+        event.entryEndsAt = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(std::min(*endsAt, latestWallTimeMs))));
+    }
     event.time.wall = WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(numberIn(received, wire::clockMilliseconds).value_or(0))));
     event.time.counter = static_cast<std::uint32_t>(numberIn(received, wire::clockCounter).value_or(0));
     return event;
--- a/src/libnutmeghingeio/requestforwarder.cpp
+++ b/src/libnutmeghingeio/requestforwarder.cpp
@@ -248,6 +248,9 @@
     if (effect.entryEndsIn) {
         headers.emplace_back(wire::entryEndsMs, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*effect.entryEndsIn).count()));
     }
+    if (effect.entryEndsAt) {
+        headers.emplace_back(wire::entryEndsAtMs, std::to_string(effect.entryEndsAt->time_since_epoch().count()));
+    }
     if (effect.routed) {
         const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(effect.routed->objective);
         headers.emplace_back(wire::service, effect.routed->service.value());
--- a/src/libnutmeghingeio/wireheaders.h
+++ b/src/libnutmeghingeio/wireheaders.h
@@ -22,6 +22,8 @@
 inline constexpr std::string_view entry = "nutmeghinge-entry";
 /** Node to node: time until the node that received the request from its caller breaks it off, because it stops. */
 inline constexpr std::string_view entryEndsMs = "nutmeghinge-entry-ends-ms";
+/** Node to node: the same as a time of the sender's clock, in milliseconds of Unix time. */
+inline constexpr std::string_view entryEndsAtMs = "nutmeghinge-entry-ends-at-ms";
 // Node to node, if the sender's document has routes: its routing decision.
 inline constexpr std::string_view service = "nutmeghinge-service";
 inline constexpr std::string_view repeatable = "nutmeghinge-repeatable";
@@ -72,6 +74,6 @@
 inline constexpr std::array peerHeaders{deadline,        hops,          entry,        entryEndsMs,       service,      repeatable,        priority,
                                         objective,       workClass,     retryAfterMs, clockMilliseconds, clockCounter, requestId,         outcome,
                                         reason,          crashedTarget, targetLimit,  targetLeaving,     target,       targetIncarnation, targetLeavingForMs,
-                                        workTimeExpired, unknownCause,  waitedMs};
+                                        workTimeExpired, unknownCause,  waitedMs,     entryEndsAtMs};
 
 } // namespace nutmeghinge::wire
--- a/tests/core/requestplay.cpp
+++ b/tests/core/requestplay.cpp
@@ -289,6 +289,7 @@
     arrived.hops = forward.hops;
     arrived.entry = forward.entry;
     arrived.entryEndsIn = forward.entryEndsIn;
+    arrived.entryEndsAt = forward.entryEndsAt;
     arrived.routed = forward.routed;
     arrived.timeout = m_harness.timeUntil(node, forward.deadline);
     arrived.waitedBefore = forward.waited;
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -147,6 +147,39 @@
     CHECK(owner.only<SendToTarget>().workEnd == receivedAt + *entryEndsIn - stopLimit / 20);
 }
 
+// Guards against targets that work on after a stopping node has answered, as the request was long on its way over full links (LOST).
+TEST_CASE("The time at which a stopping node breaks a request off does not move with the time that the request is on its way", "[request]")
+{
+    RouterFixture stopping;
+    stopping.m_ownership.setOwner(MemberSlot(2));
+    stopping.ownershipChanged();
+    const MonotonicTime breaksOffAt = stopping.m_now + ownRequestsEnd;
+    stopping.stop(stopLimit);
+    stopping.arrive(requestWithin(4s, 2));
+    const ForwardRequest sent = stopping.only<ForwardRequest>();
+
+    const auto arriveAt = [](RouterFixture &node, const ForwardRequest &forward) {
+        RequestArrived arrived = requestWithin(4s, 2, forward.hops);
+        arrived.entry = forward.entry;
+        arrived.entryEndsIn = forward.entryEndsIn;
+        arrived.entryEndsAt = forward.entryEndsAt;
+        node.arrive(arrived);
+    };
+    RouterFixture former(true, 1);
+    former.m_ownership.setOwner(MemberSlot(2));
+    former.ownershipChanged();
+    former.m_now = stopping.m_now + 340ms;
+    arriveAt(former, sent);
+    const ForwardRequest passedOn = former.only<ForwardRequest>();
+    CHECK(passedOn.entryEndsAt == sent.entryEndsAt);
+
+    RouterFixture owner(true, 1);
+    owner.m_router.setStopLimit(stopLimit);
+    owner.m_now = former.m_now + 330ms;
+    arriveAt(owner, passedOn);
+    CHECK(owner.only<SendToTarget>().workEnd == breaksOffAt - stopLimit / 20);
+}
+
 // Guards against other nodes that do not recognise the requests of a stopping node once it has left the cell (LOST).
 TEST_CASE("A stopping node that is not a member any more states the slot that it had", "[request]")
 {
