Count the time on the way of a stopping member's notice

Work that waited at an owner could then be begun, or be given time, past the end (LOST).

Change: the time by which the message is older than its stamp, the sender's hybrid clock, is subtracted. The hybrid clock is never behind the sender's own, so that clocks that differ make the end earlier than it is, never later than was stated.

Test: "The time that a stopping member states in its notice does not move with the time that the notice is on its way".

--- a/src/libnutmeghinge/reducer.cpp
+++ b/src/libnutmeghinge/reducer.cpp
@@ -194,7 +194,7 @@
     if (!notice) {
         handleInCell<&Cell::peerMessageArrived>(event, effects);
     } else if (m_cell.isFromMember(arrived)) {
-        m_router.memberStops(arrived.from, notice->requestsEndIn, event, effects);
+        m_router.memberStops(arrived.from, notice->requestsEndIn, arrived.time.wall, event, effects);
     }
 }
 
--- a/src/libnutmeghinge/requestrouter.cpp
+++ b/src/libnutmeghinge/requestrouter.cpp
@@ -317,9 +317,11 @@
     ownershipChanged(event, effects);
 }
 
-void RequestRouter::memberStops(MemberSlot member, Duration requestsEndIn, const Event &event, EffectList &effects)
+void RequestRouter::memberStops(MemberSlot member, Duration requestsEndIn, WallTime sentAt, const Event &event, EffectList &effects)
 {
-    m_d->stopSchedule.memberStops(member, event.at - event.lag + requestsEndIn, event.at);
+    // The notice may have waited before a full link. Clocks that differ make the end earlier than it is, never later than it was stated.
+    const Duration onTheWay = std::clamp(Duration(event.wallTime - sentAt), event.lag, std::max(event.lag, requestsEndIn));
+    m_d->stopSchedule.memberStops(member, event.at - onTheWay + requestsEndIn, event.at);
     m_d->refuseWhatMayNotBegin(contextOf(event, effects));
 }
 
--- a/src/libnutmeghinge/requestrouter.h
+++ b/src/libnutmeghinge/requestrouter.h
@@ -98,8 +98,8 @@
     void tick(const Event &event, EffectList &effects);
     /** Refuses the waiting requests that may not be begun any more. */
     void stop(const Event &event, EffectList &effects);
-    /** Refuses the waiting requests that another member, which is stopping, would break off. */
-    void memberStops(MemberSlot member, Duration requestsEndIn, const Event &event, EffectList &effects);
+    /** Refuses the waiting requests that another member, which is stopping, would break off. sentAt: when it said so, by its clock. */
+    void memberStops(MemberSlot member, Duration requestsEndIn, WallTime sentAt, const Event &event, EffectList &effects);
     /**
      * Refuses or cancels all requests of this node's callers whose answer has not begun, because the process is about to be ended: a
      * refusal is better for the caller than a broken connection. The node accepts no request afterwards.
--- a/tests/core/requestfixture.h
+++ b/tests/core/requestfixture.h
@@ -171,10 +171,10 @@
         return apply(&RequestRouter::stop, StopRequested{});
     }
     /** Tells the node that the member breaks off the requests of its callers after the given time. */
-    const Effects &memberStops(MemberSlot member, Duration requestsEndIn)
+    const Effects &memberStops(MemberSlot member, Duration requestsEndIn, std::chrono::milliseconds onTheWay = {})
     {
         EffectList effects{HybridTime{}};
-        m_router.memberStops(member, requestsEndIn, Event{m_now, WallTime(), Tick{}}, effects);
+        m_router.memberStops(member, requestsEndIn, WallTime(), Event{m_now, WallTime(onTheWay), Tick{}}, effects);
         m_effects = effects.take();
         return m_effects;
     }
--- a/tests/core/stopscheduletest.cpp
+++ b/tests/core/stopscheduletest.cpp
@@ -180,6 +180,20 @@
     CHECK(owner.only<SendToTarget>().workEnd == breaksOffAt - stopLimit / 20);
 }
 
+// Guards against targets that work on after a stopping node has answered, as its notice was long on its way over a full link (LOST).
+TEST_CASE("The time that a stopping member states in its notice does not move with the time that the notice is on its way", "[request]")
+{
+    RouterFixture node(true, 1);
+    node.m_router.setStopLimit(stopLimit);
+    RequestArrived arrived = requestWithin(4s, 1, 1);
+    arrived.entry = MemberSlot(2);
+    const MonotonicTime breaksOffAt = node.m_now + ownRequestsEnd;
+    node.m_now += 450ms;
+    node.memberStops(MemberSlot(2), ownRequestsEnd, 450ms);
+    node.arrive(arrived);
+    CHECK(node.only<SendToTarget>().workEnd == breaksOffAt - stopLimit / 20);
+}
+
 // Guards against other nodes that do not recognise the requests of a stopping node once it has left the cell (LOST).
 TEST_CASE("A stopping node that is not a member any more states the slot that it had", "[request]")
 {
