--- a/tests/io/closecrossingtest.cpp
+++ b/tests/io/closecrossingtest.cpp
@@ -24,7 +24,7 @@
                                      {std::string(wire::reason), std::string(nameOf(NotRunReason::NotConnected))}},
                   .traffic = &traffic,
                   .use = ConnectionUse::Peers},
-                 [this](std::shared_ptr<HttpExchange> exchange) {
+                 [this](const std::shared_ptr<HttpExchange> &exchange) {
                      ++handled;
                      exchange->answer(200, {}, "teak");
                  })
